--- /dev/null
+++ b/cmake/LycheereachCompiler.cmake
@@ -0,0 +1,18 @@
+# Compiler settings of every target: warnings are errors, ccache where it is installed, and
+# LYCHEEREACH_SANITIZE (address,undefined or thread) for the sanitizer builds of CI.
+set(LYCHEEREACH_SANITIZE "" CACHE STRING "Sanitizers to build with, for example address,undefined")
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+add_library(lycheereach_compiler INTERFACE)
+target_compile_options(lycheereach_compiler INTERFACE
+  -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Wold-style-cast -Woverloaded-virtual -Werror
+  -Wno-missing-field-initializers)
+if(LYCHEEREACH_SANITIZE)
+  add_compile_options(-fsanitize=${LYCHEEREACH_SANITIZE} -fno-omit-frame-pointer
+    -fno-sanitize-recover=all)
+  add_link_options(-fsanitize=${LYCHEEREACH_SANITIZE})
+endif()
--- /dev/null
+++ b/cmake/LycheereachDependencies.cmake
@@ -0,0 +1,11 @@
+# Every outside library, from Debian's archive. The list of packages is in cmake/packages.txt.
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(fmt REQUIRED)
+find_package(restinio REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(prometheus-cpp REQUIRED)
+find_package(cxxopts REQUIRED)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
--- /dev/null
+++ b/packages/base/JsonCodec.cpp
@@ -0,0 +1,52 @@
+#include "base/JsonCodec.h"
+
+#include <algorithm>
+
+namespace lycheereach {
+
+namespace detail {
+
+auto jsonFailure(const std::string &path, const std::string &problem) -> Failure
+{
+    const auto place = path.empty() ? std::string("/") : path;
+    return Failure{Error::InvalidJson, place + ": " + problem};
+}
+
+auto unknownKey(const std::string &path, const std::string &key,
+                const std::vector<std::string> &known) -> Failure
+{
+    auto choices = std::string{};
+    for (const auto &name : known) {
+        choices += choices.empty() ? "" : ", ";
+        choices += name;
+    }
+    return jsonFailure(path + "/" + key, "unknown key; known here: " + choices);
+}
+
+} // namespace detail
+
+namespace {
+
+auto lineOf(const std::string &text, std::size_t byte) -> std::size_t
+{
+    const auto end = text.begin() + static_cast<std::ptrdiff_t>(std::min(byte, text.size()));
+    return 1 + static_cast<std::size_t>(std::count(text.begin(), end, '\n'));
+}
+
+} // namespace
+
+auto parseJson(const std::string &text, const std::string &source) -> Result<Json>
+{
+    try {
+        return Json::parse(text, nullptr, true, true);
+    } catch (const Json::parse_error &error) {
+        const auto byte = error.byte == 0 ? std::size_t{0} : error.byte - 1;
+        const auto where = source + ":" + std::to_string(lineOf(text, byte));
+        auto detail = std::string(error.what());
+        if (const auto colon = detail.find(": "); colon != std::string::npos)
+            detail = detail.substr(colon + 2);
+        return Failure{Error::InvalidJson, where + ": not valid JSON: " + detail};
+    }
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/tests/base/JsonCodecTest.cpp
@@ -0,0 +1,72 @@
+#include "base/JsonCodec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+namespace {
+
+struct Port
+{
+    std::uint16_t number_ = 0;
+    std::optional<std::string> label_;
+    std::vector<int> weights_;
+
+    auto operator==(const Port &) const -> bool = default;
+    static constexpr auto fields()
+    {
+        return std::tuple{field("number", &Port::number_), field("label", &Port::label_),
+                          optionalField("weights", &Port::weights_)};
+    }
+};
+
+auto messageOf(const std::string &text) -> std::string
+{
+    const auto result = decodeText<Port>(text, "port.json");
+    return result ? std::string() : result.failure().message_;
+}
+
+} // namespace
+
+TEST_GROUP(JsonCodec){};
+
+TEST(JsonCodec, aValue_writtenAndRead_isTheSame)
+{
+    const auto port = Port{8080, "web", {1, 2}};
+    const auto result = decode<Port>(encode(port));
+    CHECK(result.ok());
+    CHECK(*result == port);
+}
+
+TEST(JsonCodec, comments_read_areSkipped)
+{
+    CHECK(decodeText<Port>("{\"number\": 1 /* one */} // end", "port.json").ok());
+}
+
+TEST(JsonCodec, aMissingKey_read_isNamed)
+{
+    STRCMP_EQUAL("port.json: /number: is missing; add this key", messageOf("{}").c_str());
+}
+
+TEST(JsonCodec, anUnknownKey_read_isNamedWithTheKnownOnes)
+{
+    STRCMP_EQUAL("port.json: /size: unknown key; known here: number, label, weights",
+                 messageOf(R"({"number": 1, "size": 2})").c_str());
+}
+
+TEST(JsonCodec, aNumberTooLarge_read_isRefused)
+{
+    STRCMP_EQUAL("port.json: /number: the number 70000 is out of range",
+                 messageOf(R"({"number": 70000})").c_str());
+}
+
+TEST(JsonCodec, aWrongTypeInAnArray_read_isNamedByItsPosition)
+{
+    STRCMP_EQUAL("port.json: /weights/1: expected a whole number, found string",
+                 messageOf(R"({"number": 1, "weights": [1, "2"]})").c_str());
+}
+
+TEST(JsonCodec, brokenText_read_namesTheLine)
+{
+    STRCMP_CONTAINS("port.json:2: not valid JSON", messageOf("{\n \"number\" 1}").c_str());
+}
