--- /dev/null
+++ b/packages/state/Declaration.h
@@ -0,0 +1,39 @@
+/// \file
+/// \brief What operators declare: the fleet by defaults and exceptions.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/JsonCodec.h"
+#include "state/ExceptionRule.h"
+#include "state/Policy.h"
+#include "state/Pool.h"
+#include "state/Service.h"
+#include "state/Workspace.h"
+
+#include <vector>
+
+namespace lycheereach {
+
+/// What operators declare: the fleet by defaults and exceptions.
+struct Declaration
+{
+    Policy defaults_;
+    std::vector<ZoneName> zones_;
+    std::vector<Pool> pools_;
+    std::vector<Service> services_;
+    std::vector<Workspace> workspaces_;
+    std::vector<ExceptionRule> exceptions_;
+
+    auto operator==(const Declaration &) const -> bool = default;
+    static constexpr auto fields()
+    {
+        return std::tuple{optionalField("defaults", &Declaration::defaults_),
+                          field("zones", &Declaration::zones_),
+                          optionalField("pools", &Declaration::pools_),
+                          optionalField("services", &Declaration::services_),
+                          optionalField("workspaces", &Declaration::workspaces_),
+                          optionalField("exceptions", &Declaration::exceptions_)};
+    }
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/state/FleetState.h
@@ -0,0 +1,69 @@
+/// \file
+/// \brief The whole replicated state.
+#pragma once
+
+#include "base/Ids.h"
+#include "state/Claim.h"
+#include "state/Declaration.h"
+#include "state/EntryRecord.h"
+#include "state/Group.h"
+#include "state/OperationOutcome.h"
+#include "state/Upstream.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lycheereach {
+
+/// Everything that the replicated log decides. Changed by StateMachine alone.
+struct FleetState
+{
+    /// The last command applied.
+    LogIndex applied_ = 0;
+    Version version_ = 0;
+    /// The place in the log of the last accepted operation.
+    LogIndex operationIndex_ = 0;
+    Declaration declaration_;
+    std::set<ZoneName> zonesOut_;
+    std::map<EntryId, EntryRecord> entries_;
+    std::map<UpstreamId, Upstream> upstreams_;
+    /// Dissolved groups are left out.
+    std::map<GroupId, Group> groups_;
+    /// The group of each instance that is in one.
+    std::map<UpstreamId, GroupId> groupOf_;
+    std::map<IdempotencyKey, Claim> claims_;
+    /// In the order of acceptance; the oldest ones beyond the retention are dropped.
+    std::vector<OperationOutcome> operations_;
+    /// Fingerprints of requests that kill upstreams.
+    std::map<std::string, std::int64_t> blocked_;
+    FencingNumber lastFencing_ = 0;
+
+    auto operator==(const FleetState &) const -> bool = default;
+    static constexpr auto fields()
+    {
+        return std::tuple{field("applied", &FleetState::applied_),
+                          field("version", &FleetState::version_),
+                          field("operationIndex", &FleetState::operationIndex_),
+                          field("declaration", &FleetState::declaration_),
+                          field("zonesOut", &FleetState::zonesOut_),
+                          field("entries", &FleetState::entries_),
+                          field("upstreams", &FleetState::upstreams_),
+                          field("groups", &FleetState::groups_),
+                          field("groupOf", &FleetState::groupOf_),
+                          field("claims", &FleetState::claims_),
+                          field("operations", &FleetState::operations_),
+                          field("blocked", &FleetState::blocked_),
+                          field("lastFencing", &FleetState::lastFencing_)};
+    }
+};
+
+/// Whether \a zone gets no new work.
+auto isZoneOut(const FleetState &state, const ZoneName &zone) -> bool;
+/// The tunables for an upstream of \a pool in \a zone. Of the exceptions that match, the one with
+/// more keys in its match wins; `upstream` counts more than `pool` and `pool` more than `zone`.
+auto policyFor(const Declaration &declaration, const ZoneName &zone, const PoolName &pool,
+               const UpstreamId &upstream) -> Policy;
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/state/Group.h
@@ -0,0 +1,47 @@
+/// \file
+/// \brief A serving group.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/JsonCodec.h"
+#include "state/GroupPhase.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace lycheereach {
+
+/// A serving group.
+struct Group
+{
+    GroupId id_;
+    PoolName pool_;
+    ZoneName zone_;
+    /// Rises with every change of members.
+    Epoch epoch_ = 0;
+    /// Of the orders of this epoch; rises over all groups.
+    FencingNumber fencing_ = 0;
+    /// By rank; the first takes the requests.
+    std::vector<UpstreamId> members_;
+    GroupPhase phase_ = GroupPhase::Forming;
+    /// The entry that grants permits; empty between two holders.
+    EntryId leaseholder_;
+    /// Rises with every grant of the lease.
+    std::uint64_t leaseNumber_ = 0;
+
+    auto operator==(const Group &) const -> bool = default;
+    static constexpr auto fields()
+    {
+        return std::tuple{field("id", &Group::id_),
+                          field("pool", &Group::pool_),
+                          field("zone", &Group::zone_),
+                          field("epoch", &Group::epoch_),
+                          field("fencing", &Group::fencing_),
+                          field("members", &Group::members_),
+                          field("phase", &Group::phase_),
+                          optionalField("leaseholder", &Group::leaseholder_),
+                          optionalField("leaseNumber", &Group::leaseNumber_)};
+    }
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/HttpCall.h
@@ -0,0 +1,50 @@
+/// \file
+/// \brief A request to another HTTP server and how to make it.
+#pragma once
+
+#include "base/Time.h"
+#include "base/Verdict.h"
+#include "transport/HttpRequest.h"
+#include "transport/HttpResponse.h"
+
+#include <functional>
+#include <string>
+#include <system_error>
+
+namespace lycheereach {
+
+/// A request with its address and time limits.
+struct HttpCall
+{
+    /// `IP:port`.
+    std::string address_;
+    HttpRequest request_;
+    Duration connectTimeout_ = std::chrono::seconds(1);
+    /// Silence allowed before the first byte of the answer.
+    Duration firstByteTimeout_ = std::chrono::seconds(10);
+    /// Silence allowed within the answer.
+    Duration idleTimeout_ = std::chrono::seconds(10);
+    /// A new connection instead of one from the pool, for a request that must not be repeated.
+    bool freshConnection_ = false;
+};
+
+/// How a call ended.
+struct HttpOutcome
+{
+    /// Empty when the whole answer arrived.
+    std::error_code error_;
+    /// NotRun when no byte of the request left, Ran when the whole answer arrived.
+    Verdict verdict_ = Verdict::NotRun;
+    std::string message_;
+};
+
+/// Called from the client's thread, one at a time for a call, the last always ended_.
+struct HttpCallHooks
+{
+    /// Status and headers; the body of the response is empty.
+    std::function<void(const HttpResponse &)> head_;
+    std::function<void(std::string_view)> part_;
+    std::function<void(const HttpOutcome &)> ended_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/HttpRequest.h
@@ -0,0 +1,23 @@
+/// \file
+/// \brief An HTTP request.
+#pragma once
+
+#include "transport/HttpHeaders.h"
+
+#include <string>
+
+namespace lycheereach {
+
+/// A whole HTTP request.
+struct HttpRequest
+{
+    std::string method_;
+    /// Path and query.
+    std::string target_;
+    HttpHeaders headers_;
+    std::string body_;
+
+    auto operator==(const HttpRequest &) const -> bool = default;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/PeerMessage.h
@@ -0,0 +1,22 @@
+/// \file
+/// \brief A message between two processes of lycheereach.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/JsonCodec.h"
+
+#include <string>
+
+namespace lycheereach {
+
+/// One JSON-RPC notification; answers are notifications too and carry what ties them together.
+struct PeerMessage
+{
+    /// For example `log.append`.
+    std::string method_;
+    Json params_;
+
+    auto operator==(const PeerMessage &) const -> bool = default;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/PeerNetwork.h
@@ -0,0 +1,80 @@
+/// \file
+/// \brief Connections to the other processes of lycheereach.
+#pragma once
+
+#include "base/HybridClock.h"
+#include "base/Time.h"
+#include "transport/PeerMessage.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+namespace lycheereach {
+
+class WorkerPool;
+
+/// How a process talks to its peers.
+struct PeerNetworkSettings
+{
+    EntryId self_;
+    /// `IP:port` to listen on.
+    std::string address_;
+    /// The secret that all processes of one fleet share.
+    std::string key_;
+    /// A connection silent for this long is given up and made anew.
+    Duration silenceTimeout_ = std::chrono::milliseconds(1500);
+    Duration heartbeatInterval_ = std::chrono::milliseconds(400);
+    /// Bytes that may wait for one peer before messages to it are dropped.
+    std::size_t queueLimitBytes_ = 16U << 20U;
+};
+
+/// What happens on the network; called on worker threads, for one peer one at a time.
+struct PeerNetworkHooks
+{
+    std::function<void(const EntryId &from, const PeerMessage &)> received_;
+    /// Told of a connection whose peer did not prove that it has the key.
+    std::function<void(const std::string &remoteAddress)> keyRejected_;
+    /// Told of a connection that was given up as silent.
+    std::function<void(const EntryId &peer)> silent_;
+};
+
+/// Counters since the start.
+struct PeerNetworkCounters
+{
+    std::uint64_t messagesSent_ = 0;
+    std::uint64_t bytesSent_ = 0;
+    std::uint64_t messagesReceived_ = 0;
+    std::uint64_t bytesReceived_ = 0;
+    std::uint64_t messagesDropped_ = 0;
+};
+
+/// Persistent connections with length-framed JSON-RPC, heartbeats and proof of the shared key.
+/// Messages to one peer arrive in order or not at all. Thread-safe.
+class PeerNetwork
+{
+public:
+    PeerNetwork(WorkerPool &workers, HybridClock &clock, PeerNetworkSettings settings,
+                PeerNetworkHooks hooks);
+    ~PeerNetwork();
+    PeerNetwork(const PeerNetwork &) = delete;
+    auto operator=(const PeerNetwork &) -> PeerNetwork & = delete;
+
+    /// Listens; the error says why it can't.
+    auto start() -> std::error_code;
+    /// Says where a peer is; a changed address closes the old connection.
+    auto setPeer(const EntryId &peer, const std::string &address) -> void;
+    /// Sends or drops; a message to oneself is received like any other.
+    auto send(const EntryId &peer, PeerMessage message) -> void;
+    [[nodiscard]] auto counters() const -> PeerNetworkCounters;
+    /// Closes everything.
+    auto stop() -> void;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace lycheereach
