--- /dev/null
+++ b/packages/transport/HookGate.h
@@ -0,0 +1,39 @@
+/// \file
+/// \brief Keeps hooks from being called after their owner is gone.
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+
+namespace lycheereach {
+
+/// Open until close(), which waits for the calls that are inside. Thread-safe.
+class HookGate
+{
+public:
+    /// Runs \a call unless the gate is closed; says whether it ran.
+    template <typename Call>
+    auto run(const Call &call) -> bool
+    {
+        if (!enter())
+            return false;
+        call();
+        leave();
+        return true;
+    }
+
+    /// Closes the gate and waits for the calls inside. Not from within run().
+    auto close() -> void;
+
+private:
+    auto enter() -> bool;
+    auto leave() -> void;
+
+    std::mutex mutex_;
+    std::condition_variable empty_;
+    std::size_t inside_ = 0;
+    bool closed_ = false;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/HttpClient.cpp
@@ -0,0 +1,235 @@
+#include "transport/HttpClient.h"
+
+#include "base/ErrorCode.h"
+#include "base/RankedMutex.h"
+#include "transport/HttpTransfer.h"
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace lycheereach {
+
+namespace {
+
+/// How often silence is looked for while calls are in progress.
+constexpr auto silenceCheckPeriod = std::chrono::milliseconds(10);
+constexpr auto idlePollTimeout = std::chrono::seconds(1);
+constexpr long pooledConnections = 512;
+
+auto initializeCurl() -> void
+{
+    static const auto code = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(code);
+}
+
+/// The answer that fetch() gathers.
+struct FetchState
+{
+    HttpResponse response_;
+    std::promise<Result<HttpResponse>> promise_;
+};
+
+auto fetchHooks(const std::shared_ptr<FetchState> &state) -> HttpCallHooks
+{
+    auto hooks = HttpCallHooks{};
+    hooks.head_ = [state](const HttpResponse &head) { state->response_ = head; };
+    hooks.part_ = [state](std::string_view part) { state->response_.body_ += part; };
+    hooks.ended_ = [state](const HttpOutcome &outcome) {
+        if (outcome.error_)
+            state->promise_.set_value(
+                Failure{outcome.error_, outcome.message_, outcome.verdict_, {}});
+        else
+            state->promise_.set_value(std::move(state->response_));
+    };
+    return hooks;
+}
+
+} // namespace
+
+class HttpClient::Impl
+{
+public:
+    Impl()
+    {
+        initializeCurl();
+        multi_ = curl_multi_init();
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, pooledConnections);
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~Impl()
+    {
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            stopping_ = true;
+        }
+        curl_multi_wakeup(multi_);
+        thread_.join();
+        curl_multi_cleanup(multi_);
+    }
+    Impl(const Impl &) = delete;
+    auto operator=(const Impl &) -> Impl & = delete;
+
+    auto start(HttpCall call, HttpCallHooks hooks) -> HttpCallId
+    {
+        const auto id = ++lastId_;
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            starts_.push_back(Start{id, std::move(call), std::move(hooks)});
+        }
+        curl_multi_wakeup(multi_);
+        return id;
+    }
+
+    auto cancel(HttpCallId id) -> void
+    {
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            cancels_.push_back(id);
+        }
+        curl_multi_wakeup(multi_);
+    }
+
+private:
+    struct Start
+    {
+        HttpCallId id_;
+        HttpCall call_;
+        HttpCallHooks hooks_;
+    };
+    using Transfers = std::map<HttpCallId, std::unique_ptr<HttpTransfer>>;
+
+    auto run() -> void
+    {
+        while (takeCommands()) {
+            auto running = 0;
+            curl_multi_perform(multi_, &running);
+            endFinished();
+            endSilent();
+            const auto timeout = transfers_.empty() ? std::chrono::milliseconds(idlePollTimeout)
+                                                    : silenceCheckPeriod;
+            curl_multi_poll(multi_, nullptr, 0, static_cast<int>(timeout.count()), nullptr);
+        }
+    }
+
+    /// Carries out start() and cancel(); says whether to go on.
+    auto takeCommands() -> bool
+    {
+        auto starts = std::vector<Start>{};
+        auto cancels = std::vector<HttpCallId>{};
+        auto stopping = false;
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            starts.swap(starts_);
+            cancels.swap(cancels_);
+            stopping = stopping_;
+        }
+        for (auto &start : starts)
+            begin(std::move(start));
+        for (const auto id : cancels)
+            end(id, Error::Cancelled, "the call was cancelled");
+        if (!stopping)
+            return true;
+        while (!transfers_.empty())
+            end(transfers_.begin()->first, Error::ShuttingDown, "the client shuts down");
+        return false;
+    }
+
+    auto begin(Start start) -> void
+    {
+        auto transfer = std::make_unique<HttpTransfer>(
+            std::move(start.call_), std::move(start.hooks_), std::chrono::steady_clock::now());
+        curl_multi_add_handle(multi_, transfer->handle());
+        idOf_[transfer->handle()] = start.id_;
+        transfers_.emplace(start.id_, std::move(transfer));
+    }
+
+    /// Takes a call out of libcurl; closes its connection when the call is in progress.
+    auto remove(HttpCallId id) -> std::unique_ptr<HttpTransfer>
+    {
+        const auto found = transfers_.find(id);
+        if (found == transfers_.end())
+            return nullptr;
+        auto transfer = std::move(found->second);
+        transfers_.erase(found);
+        idOf_.erase(transfer->handle());
+        curl_multi_remove_handle(multi_, transfer->handle());
+        return transfer;
+    }
+
+    auto end(HttpCallId id, Error error, const std::string &message) -> void
+    {
+        if (const auto transfer = remove(id))
+            transfer->endWith(error, message);
+    }
+
+    auto endFinished() -> void
+    {
+        auto left = 0;
+        while (const auto *message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            const auto code = message->data.result;
+            if (const auto transfer = remove(idOf_.at(message->easy_handle)))
+                transfer->endWith(code);
+        }
+    }
+
+    auto endSilent() -> void
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (now < nextSilenceCheck_)
+            return;
+        nextSilenceCheck_ = now + silenceCheckPeriod;
+        auto silent = std::vector<HttpCallId>{};
+        for (const auto &[id, transfer] : transfers_) {
+            if (transfer->isSilent(now))
+                silent.push_back(id);
+        }
+        for (const auto id : silent)
+            end(id, Error::ConnectionSilent, "nothing came within the time limit");
+    }
+
+    std::atomic<HttpCallId> lastId_ = 0;
+    RankedMutex mutex_{LockRank::Transport};
+    std::vector<Start> starts_;
+    std::vector<HttpCallId> cancels_;
+    bool stopping_ = false;
+
+    CURLM *multi_ = nullptr;
+    Transfers transfers_;
+    std::map<CURL *, HttpCallId> idOf_;
+    MonotonicTime nextSilenceCheck_;
+    std::thread thread_;
+};
+
+HttpClient::HttpClient()
+    : impl_(std::make_unique<Impl>())
+{ }
+
+HttpClient::~HttpClient() = default;
+
+auto HttpClient::start(HttpCall call, HttpCallHooks hooks) -> HttpCallId
+{
+    return impl_->start(std::move(call), std::move(hooks));
+}
+
+auto HttpClient::cancel(HttpCallId id) -> void
+{
+    impl_->cancel(id);
+}
+
+auto HttpClient::fetch(HttpCall call) -> Result<HttpResponse>
+{
+    auto state = std::make_shared<FetchState>();
+    auto answer = state->promise_.get_future();
+    start(std::move(call), fetchHooks(state));
+    return answer.get();
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/HttpServer.cpp
@@ -0,0 +1,432 @@
+#include "transport/HttpServer.h"
+
+#include "transport/HookGate.h"
+#include "transport/WorkerPool.h"
+
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
+using WholeBuilder = restinio::response_builder_t<restinio::restinio_controlled_output_t>;
+
+/// Requests read from one connection before the first is answered; reading on shows when the
+/// caller closes the connection.
+constexpr std::size_t pipelinedRequests = 2;
+/// Bodies up to this many times the limit are read and answered with 413; larger ones close the
+/// connection.
+constexpr std::uint64_t hardBodyLimitFactor = 2;
+constexpr std::size_t headerLimitBytes = 64U << 10U;
+constexpr std::size_t headerCountLimit = 128;
+constexpr auto timeoutCheckPeriod = std::chrono::milliseconds(250);
+
+using ServerTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
+
+auto reasonPhrase(std::uint16_t status) -> std::string
+{
+    using Phrase = std::pair<std::uint16_t, const char *>;
+    static constexpr auto phrases = std::array{Phrase{200, "OK"},
+                                               Phrase{201, "Created"},
+                                               Phrase{202, "Accepted"},
+                                               Phrase{204, "No Content"},
+                                               Phrase{400, "Bad Request"},
+                                               Phrase{401, "Unauthorized"},
+                                               Phrase{403, "Forbidden"},
+                                               Phrase{404, "Not Found"},
+                                               Phrase{405, "Method Not Allowed"},
+                                               Phrase{408, "Request Timeout"},
+                                               Phrase{409, "Conflict"},
+                                               Phrase{413, "Content Too Large"},
+                                               Phrase{422, "Unprocessable Content"},
+                                               Phrase{429, "Too Many Requests"},
+                                               Phrase{500, "Internal Server Error"},
+                                               Phrase{502, "Bad Gateway"},
+                                               Phrase{503, "Service Unavailable"},
+                                               Phrase{504, "Gateway Timeout"}};
+    for (const auto &[candidate, phrase] : phrases) {
+        if (candidate == status)
+            return phrase;
+    }
+    return "Status";
+}
+
+auto statusLine(std::uint16_t status) -> restinio::http_status_line_t
+{
+    return {restinio::http_status_code_t(status), reasonPhrase(status)};
+}
+
+/// Whether the server writes the header field itself.
+auto isFramingHeader(const HttpHeader &header) -> bool
+{
+    const auto one = HttpHeaders{header};
+    return one.find("Content-Length") || one.find("Transfer-Encoding") || one.find("Connection");
+}
+
+template <typename Builder>
+auto appendHeaders(Builder &builder, const HttpHeaders &headers) -> void
+{
+    for (const auto &header : headers.all()) {
+        if (!isFramingHeader(header))
+            builder.append_header(header.name_, header.value_);
+    }
+}
+
+/// Runs the operations of one reply in order, one at a time.
+class ReplyCore : public std::enable_shared_from_this<ReplyCore>
+{
+public:
+    ReplyCore(asio::io_context &context, restinio::request_handle_t request,
+              std::shared_ptr<HookGate> gate)
+        : strand_(asio::make_strand(context))
+        , request_(std::move(request))
+        , connection_(restinio::impl::access_req_connection(*request_))
+        , gate_(std::move(gate))
+        , remote_(fmt::format("{}", fmt::streamed(request_->remote_endpoint())))
+    { }
+
+    /// Queues \a operation, which gets this object.
+    template <typename Operation>
+    auto queue(Operation operation) -> void
+    {
+        asio::post(strand_,
+                   [self = shared_from_this(), operation = std::move(operation)]() mutable {
+                       operation(*self);
+                   });
+    }
+
+    auto send(HttpResponse response, bool close) -> void
+    {
+        if (done_ || stream_)
+            return;
+        const auto isHead = request_->header().method() == restinio::http_method_head();
+        auto builder = request_->create_response<restinio::restinio_controlled_output_t>(
+            statusLine(response.status_));
+        appendHeaders(builder, response.headers_);
+        if (!isHead)
+            builder.set_body(std::move(response.body_));
+        if (isHead || close)
+            builder.connection_close();
+        builder.done();
+        release();
+    }
+
+    auto begin(HttpResponse head) -> void
+    {
+        if (done_ || stream_)
+            return;
+        stream_.emplace(
+            request_->create_response<restinio::chunked_output_t>(statusLine(head.status_)));
+        appendHeaders(*stream_, head.headers_);
+        if (!head.body_.empty())
+            stream_->append_chunk(std::move(head.body_));
+        stream_->flush();
+    }
+
+    auto write(std::string part, HttpReply::Written written) -> void
+    {
+        if (done_ || !stream_) {
+            tell(written, std::make_error_code(std::errc::not_connected));
+            return;
+        }
+        if (!part.empty())
+            stream_->append_chunk(std::move(part));
+        stream_->flush([self = shared_from_this(), written = std::move(written)](
+                           const std::error_code &error) { self->tell(written, error); });
+    }
+
+    auto finish() -> void
+    {
+        if (done_ || !stream_)
+            return;
+        stream_->done();
+        release();
+    }
+
+    /// Closes the connection behind what is already written.
+    auto abort() -> void
+    {
+        if (done_)
+            return;
+        const auto flags = restinio::response_output_flags_t{
+            restinio::response_parts_attr_t::final_parts,
+            restinio::response_connection_attr_t::connection_close};
+        connection_->write_response_parts(request_->request_id(), flags,
+                                          restinio::write_group_t{{}});
+        release();
+    }
+
+    [[nodiscard]] auto remoteAddress() const -> const std::string & { return remote_; }
+
+private:
+    auto tell(const HttpReply::Written &written, const std::error_code &error) -> void
+    {
+        if (written)
+            gate_->run([&] { written(error); });
+    }
+
+    auto release() -> void
+    {
+        done_ = true;
+        connection_.reset();
+    }
+
+    asio::strand<asio::io_context::executor_type> strand_;
+    restinio::request_handle_t request_;
+    restinio::impl::connection_handle_t connection_;
+    std::shared_ptr<HookGate> gate_;
+    std::string remote_;
+    std::optional<ChunkedBuilder> stream_;
+    bool done_ = false;
+};
+
+/// The reply that handlers hold.
+class Reply final : public HttpReply
+{
+public:
+    explicit Reply(std::shared_ptr<ReplyCore> core)
+        : core_(std::move(core))
+    { }
+
+    ~Reply() override { Reply::abort(); }
+    Reply(const Reply &) = delete;
+    auto operator=(const Reply &) -> Reply & = delete;
+
+    auto send(HttpResponse response) -> void override
+    {
+        core_->queue([response = std::move(response)](ReplyCore &core) mutable {
+            core.send(std::move(response), false);
+        });
+    }
+
+    auto begin(HttpResponse head) -> void override
+    {
+        core_->queue(
+            [head = std::move(head)](ReplyCore &core) mutable { core.begin(std::move(head)); });
+    }
+
+    auto write(std::string part, Written written) -> void override
+    {
+        core_->queue(
+            [part = std::move(part), written = std::move(written)](ReplyCore &core) mutable {
+                core.write(std::move(part), std::move(written));
+            });
+    }
+
+    auto finish() -> void override
+    {
+        core_->queue([](ReplyCore &core) { core.finish(); });
+    }
+
+    auto abort() -> void override
+    {
+        core_->queue([](ReplyCore &core) { core.abort(); });
+    }
+
+    [[nodiscard]] auto remoteAddress() const -> std::string override
+    {
+        return core_->remoteAddress();
+    }
+
+private:
+    std::shared_ptr<ReplyCore> core_;
+};
+
+auto toRequest(restinio::request_t &source) -> HttpRequest
+{
+    auto request = HttpRequest{};
+    request.method_ = source.header().method().c_str();
+    request.target_ = source.header().request_target();
+    source.header().for_each_field([&](const restinio::http_header_field_t &field) {
+        request.headers_.add(field.name(), field.value());
+    });
+    request.body_ = source.body();
+    return request;
+}
+
+auto bodyTooLarge(std::size_t limit) -> HttpResponse
+{
+    auto body = fmt::format(R"({{"type":"about:blank","title":"Content Too Large","status":413,)"
+                            R"("detail":"the body may have {} bytes","verdict":"not-run"}})",
+                            limit);
+    return {413, {{"Content-Type", "application/problem+json"}}, std::move(body)};
+}
+
+/// The part of a server that open connections keep alive.
+class ServerCore
+{
+public:
+    ServerCore(asio::io_context &context, std::size_t bodyLimit, HttpHandler handler)
+        : context_(context)
+        , bodyLimit_(bodyLimit)
+        , handler_(std::move(handler))
+    { }
+
+    auto handle(const restinio::request_handle_t &request) -> restinio::request_handling_status_t
+    {
+        auto core = std::make_shared<ReplyCore>(context_, request, gate_);
+        if (request->body().size() > bodyLimit_) {
+            core->send(bodyTooLarge(bodyLimit_), true);
+            return restinio::request_accepted();
+        }
+        remember(core);
+        const auto handled = gate_->run(
+            [&] { handler_(toRequest(*request), std::make_shared<Reply>(std::move(core))); });
+        if (!handled)
+            core->abort();
+        return restinio::request_accepted();
+    }
+
+    /// Waits for the handlers that run and closes the answers in progress.
+    auto close() -> void
+    {
+        gate_->close();
+        handler_ = nullptr;
+        const auto lock = std::scoped_lock(mutex_);
+        for (const auto &weak : replies_) {
+            if (const auto reply = weak.lock())
+                reply->queue([](ReplyCore &core) { core.abort(); });
+        }
+        replies_.clear();
+    }
+
+private:
+    auto remember(const std::shared_ptr<ReplyCore> &reply) -> void
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (replies_.size() >= nextSweep_) {
+            std::erase_if(replies_, [](const auto &weak) { return weak.expired(); });
+            nextSweep_ = std::max(minimumSweep, 2 * replies_.size());
+        }
+        replies_.push_back(reply);
+    }
+
+    static constexpr std::size_t minimumSweep = 64;
+
+    asio::io_context &context_;
+    std::size_t bodyLimit_;
+    HttpHandler handler_;
+    std::shared_ptr<HookGate> gate_ = std::make_shared<HookGate>();
+    std::mutex mutex_;
+    std::vector<std::weak_ptr<ReplyCore>> replies_;
+    std::size_t nextSweep_ = minimumSweep;
+};
+
+} // namespace
+
+class HttpServer::Impl
+{
+public:
+    Impl(WorkerPool &workers, HttpServerSettings settings, HttpHandler handler)
+        : context_(workers.context())
+        , settings_(std::move(settings))
+        , core_(
+              std::make_shared<ServerCore>(context_, settings_.bodyLimitBytes_, std::move(handler)))
+    { }
+
+    ~Impl()
+    {
+        stopListening();
+        core_->close();
+    }
+    Impl(const Impl &) = delete;
+    auto operator=(const Impl &) -> Impl & = delete;
+
+    auto start() -> std::error_code
+    {
+        auto error = std::error_code{};
+        const auto address = asio::ip::make_address(settings_.address_, error);
+        if (error)
+            return error;
+        const auto lock = std::scoped_lock(mutex_);
+        try {
+            server_ = std::make_unique<Server>(restinio::external_io_context(context_),
+                                               serverSettings(address));
+            server_->open_sync();
+        } catch (const std::system_error &failure) {
+            error = {failure.code().value(), std::system_category()};
+        }
+        return error;
+    }
+
+    auto stopListening() -> void
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (server_)
+            server_->close_sync();
+    }
+
+    [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
+
+private:
+    using Server = restinio::http_server_t<ServerTraits>;
+
+    auto serverSettings(const asio::ip::address &address)
+        -> restinio::server_settings_t<ServerTraits>
+    {
+        auto limits = restinio::incoming_http_msg_limits_t{};
+        limits.max_url_size(headerLimitBytes);
+        limits.max_field_name_size(headerLimitBytes);
+        limits.max_field_value_size(headerLimitBytes);
+        limits.max_field_count(headerCountLimit);
+        limits.max_body_size(settings_.bodyLimitBytes_ * hardBodyLimitFactor);
+        auto result = restinio::server_settings_t<ServerTraits>{};
+        result.address(address)
+            .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
+            .port(settings_.port_)
+            .incoming_http_msg_limits(limits)
+            .max_pipelined_requests(pipelinedRequests)
+            .timer_manager(timeoutCheckPeriod)
+            .read_next_http_message_timelimit(settings_.idleTimeout_)
+            .write_http_response_timelimit(settings_.idleTimeout_)
+            .handle_request_timeout(settings_.handleTimeout_)
+            .socket_options_setter([](restinio::socket_options_t &options) {
+                options.set_option(asio::ip::tcp::no_delay(true));
+            })
+            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
+                port_ = acceptor.local_endpoint().port();
+            })
+            .request_handler([core = core_](const restinio::request_handle_t &request) {
+                return core->handle(request);
+            });
+        return result;
+    }
+
+    asio::io_context &context_;
+    HttpServerSettings settings_;
+    std::shared_ptr<ServerCore> core_;
+    std::mutex mutex_;
+    std::unique_ptr<Server> server_;
+    std::atomic<std::uint16_t> port_ = 0;
+};
+
+HttpServer::HttpServer(WorkerPool &workers, HttpServerSettings settings, HttpHandler handler)
+    : impl_(std::make_unique<Impl>(workers, std::move(settings), std::move(handler)))
+{ }
+
+HttpServer::~HttpServer() = default;
+
+auto HttpServer::start() -> std::error_code
+{
+    return impl_->start();
+}
+
+auto HttpServer::stopListening() -> void
+{
+    impl_->stopListening();
+}
+
+auto HttpServer::port() const -> std::uint16_t
+{
+    return impl_->port();
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/HttpTransfer.cpp
@@ -0,0 +1,216 @@
+#include "transport/HttpTransfer.h"
+
+#include "base/ErrorCode.h"
+
+#include <charconv>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// A pooled connection idle for longer is not used again; servers close idle ones after 60 s.
+constexpr long idleConnectionSeconds = 30;
+
+auto now() -> MonotonicTime
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// Whether libcurl writes the header field itself.
+auto isFramingHeader(const HttpHeader &header) -> bool
+{
+    const auto one = HttpHeaders{header};
+    return one.find("Host") || one.find("Content-Length") || one.find("Transfer-Encoding")
+        || one.find("Connection") || one.find("Expect");
+}
+
+auto trimmed(std::string_view text) -> std::string_view
+{
+    constexpr auto space = " \t\r\n";
+    const auto first = text.find_first_not_of(space);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(space) - first + 1);
+}
+
+/// The status of `HTTP/1.1 200 OK`.
+auto parseStatus(std::string_view line) -> std::uint16_t
+{
+    const auto space = line.find(' ');
+    auto status = std::uint16_t{0};
+    if (space != std::string_view::npos)
+        std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
+    return status;
+}
+
+} // namespace
+
+HttpTransfer::HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now)
+    : call_(std::move(call))
+    , hooks_(std::move(hooks))
+    , easy_(curl_easy_init(), &curl_easy_cleanup)
+    , headers_(nullptr, &curl_slist_free_all)
+    , lastHeard_(now)
+{
+    configure();
+    configureBody();
+    configureHeaders();
+}
+
+auto HttpTransfer::configure() -> void
+{
+    auto *easy = easy_.get();
+    const auto url = "http://" + call_.address_ + call_.request_.target_;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long{CURL_HTTP_VERSION_1_1});
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, idleConnectionSeconds);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(toMilliseconds(call_.connectTimeout_)));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call_.freshConnection_ ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call_.freshConnection_ ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &HttpTransfer::onHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &HttpTransfer::onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &HttpTransfer::onConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+}
+
+auto HttpTransfer::configureBody() -> void
+{
+    auto *easy = easy_.get();
+    const auto &request = call_.request_;
+    if (request.method_ == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (!request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body_.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(request.body_.size()));
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
+}
+
+auto HttpTransfer::configureHeaders() -> void
+{
+    const auto &headers = call_.request_.headers_;
+    for (const auto *name : {"Expect", "Accept", "Content-Type"}) {
+        if (!headers.find(name))
+            appendHeader(std::string(name) + ":");
+    }
+    for (const auto &header : headers.all()) {
+        if (isFramingHeader(header))
+            continue;
+        const auto separator = header.value_.empty() ? ";" : ": ";
+        appendHeader(header.name_ + separator + header.value_);
+    }
+    curl_easy_setopt(easy_.get(), CURLOPT_HTTPHEADER, headers_.get());
+}
+
+auto HttpTransfer::appendHeader(const std::string &line) -> void
+{
+    auto *longer = curl_slist_append(headers_.get(), line.c_str());
+    if (longer == nullptr)
+        return;
+    static_cast<void>(headers_.release());
+    headers_.reset(longer);
+}
+
+auto HttpTransfer::isSilent(MonotonicTime now) const -> bool
+{
+    if (!connected_)
+        return false;
+    const auto allowed = headTold_ ? call_.idleTimeout_ : call_.firstByteTimeout_;
+    return now - lastHeard_ > allowed;
+}
+
+auto HttpTransfer::verdict() const -> Verdict
+{
+    auto sent = 0L;
+    curl_easy_getinfo(easy_.get(), CURLINFO_REQUEST_SIZE, &sent);
+    return connected_ || sent > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
+}
+
+auto HttpTransfer::endWith(CURLcode code) -> void
+{
+    if (code == CURLE_OK && headTold_) {
+        hooks_.ended_(HttpOutcome{{}, Verdict::Ran, {}});
+        return;
+    }
+    const auto message = call_.address_ + ": " + curl_easy_strerror(code);
+    if (verdict() == Verdict::NotRun)
+        endWith(code == CURLE_URL_MALFORMAT ? Error::InvalidArgument : Error::ConnectionFailed,
+                message);
+    else
+        endWith(Error::IncompleteAnswer, message);
+}
+
+auto HttpTransfer::endWith(std::error_code error, const std::string &message) -> void
+{
+    hooks_.ended_(HttpOutcome{error, verdict(), message});
+}
+
+auto HttpTransfer::takeHeaderLine(std::string_view line) -> void
+{
+    lastHeard_ = now();
+    if (headTold_)
+        return;
+    if (line.starts_with("HTTP/")) {
+        head_ = HttpResponse{};
+        head_.status_ = parseStatus(line);
+        return;
+    }
+    const auto colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        head_.headers_.add(std::string(trimmed(line.substr(0, colon))),
+                           std::string(trimmed(line.substr(colon + 1))));
+        return;
+    }
+    constexpr std::uint16_t firstFinalStatus = 200;
+    if (!trimmed(line).empty() || head_.status_ < firstFinalStatus)
+        return;
+    headTold_ = true;
+    if (hooks_.head_)
+        hooks_.head_(head_);
+}
+
+auto HttpTransfer::takeBody(std::string_view part) -> void
+{
+    lastHeard_ = now();
+    if (hooks_.part_)
+        hooks_.part_(part);
+}
+
+auto HttpTransfer::onHeader(char *data, std::size_t size, std::size_t count, void *self)
+    -> std::size_t
+{
+    static_cast<HttpTransfer *>(self)->takeHeaderLine({data, size * count});
+    return size * count;
+}
+
+auto HttpTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
+    -> std::size_t
+{
+    static_cast<HttpTransfer *>(self)->takeBody({data, size * count});
+    return size * count;
+}
+
+auto HttpTransfer::onConnected(void *self, char *, char *, int, int) -> int
+{
+    auto *transfer = static_cast<HttpTransfer *>(self);
+    transfer->connected_ = true;
+    transfer->lastHeard_ = now();
+    return CURL_PREREQFUNC_OK;
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/HttpTransfer.h
@@ -0,0 +1,58 @@
+/// \file
+/// \brief One HTTP call on a libcurl handle.
+#pragma once
+
+#include "base/Time.h"
+#include "transport/HttpCall.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <string_view>
+
+namespace lycheereach {
+
+/// One HTTP call. Used by the thread of its client only.
+class HttpTransfer
+{
+public:
+    HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now);
+    HttpTransfer(const HttpTransfer &) = delete;
+    auto operator=(const HttpTransfer &) -> HttpTransfer & = delete;
+
+    [[nodiscard]] auto handle() const -> CURL * { return easy_.get(); }
+    /// Whether nothing has come for longer than the call allows.
+    [[nodiscard]] auto isSilent(MonotonicTime now) const -> bool;
+    /// Tells the hooks how libcurl ended the call.
+    auto endWith(CURLcode code) -> void;
+    /// Tells the hooks that the call was ended by \a error.
+    auto endWith(std::error_code error, const std::string &message) -> void;
+
+private:
+    using EasyHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+    using HeaderList = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+    auto configure() -> void;
+    auto configureBody() -> void;
+    auto configureHeaders() -> void;
+    auto appendHeader(const std::string &line) -> void;
+    [[nodiscard]] auto verdict() const -> Verdict;
+    auto takeHeaderLine(std::string_view line) -> void;
+    auto takeBody(std::string_view part) -> void;
+
+    static auto onHeader(char *data, std::size_t size, std::size_t count, void *self)
+        -> std::size_t;
+    static auto onBody(char *data, std::size_t size, std::size_t count, void *self) -> std::size_t;
+    static auto onConnected(void *self, char *, char *, int, int) -> int;
+
+    HttpCall call_;
+    HttpCallHooks hooks_;
+    EasyHandle easy_;
+    HeaderList headers_;
+    HttpResponse head_;
+    MonotonicTime lastHeard_;
+    bool connected_ = false;
+    bool headTold_ = false;
+};
+
+} // namespace lycheereach
--- a/packages/transport/PeerNetwork.h
+++ b/packages/transport/PeerNetwork.h
@@ -64,12 +64,15 @@
 
     /// Listens; the error says why it can't.
     auto start() -> std::error_code;
-    /// Says where a peer is; a changed address closes the old connection.
+    /// The port in use after start().
+    [[nodiscard]] auto port() const -> std::uint16_t;
+    /// Says where a peer is; a changed address closes the old connection, an empty one forgets
+    /// the peer.
     auto setPeer(const EntryId &peer, const std::string &address) -> void;
     /// Sends or drops; a message to oneself is received like any other.
     auto send(const EntryId &peer, PeerMessage message) -> void;
     [[nodiscard]] auto counters() const -> PeerNetworkCounters;
-    /// Closes everything.
+    /// Closes everything and waits for hooks that run. Not from a hook.
     auto stop() -> void;
 
 private:
--- /dev/null
+++ b/tests/transport/HttpClientTest.cpp
@@ -0,0 +1,154 @@
+#include "transport/HttpClient.h"
+
+#include "base/ErrorCode.h"
+#include "transport/HttpFixture.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+namespace {
+
+/// Accepts one connection, reads a request head, writes \a answer and then closes or keeps silent.
+class RawServer
+{
+public:
+    RawServer(std::string answer, bool close)
+        : acceptor_(context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , socket_(context_)
+        , thread_([this, answer = std::move(answer), close] { serve(answer, close); })
+    { }
+
+    ~RawServer() { thread_.join(); }
+    RawServer(const RawServer &) = delete;
+    auto operator=(const RawServer &) -> RawServer & = delete;
+
+    auto address() -> std::string
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+private:
+    auto serve(const std::string &answer, bool close) -> void
+    {
+        acceptor_.accept(socket_);
+        auto head = asio::streambuf{};
+        asio::read_until(socket_, head, "\r\n\r\n");
+        asio::write(socket_, asio::buffer(answer));
+        if (close)
+            socket_.close();
+    }
+
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket socket_;
+    std::thread thread_;
+};
+
+} // namespace
+
+TEST_GROUP(HttpClient)
+{
+    HttpClient client_;
+
+    auto callTo(const std::string &address)->HttpCall
+    {
+        auto call = HttpCall{};
+        call.address_ = address;
+        call.request_.method_ = "GET";
+        call.request_.target_ = "/";
+        call.firstByteTimeout_ = std::chrono::milliseconds(200);
+        call.idleTimeout_ = std::chrono::milliseconds(200);
+        return call;
+    }
+
+    auto failureOf(std::string answer, bool close)->Failure
+    {
+        auto server = RawServer(std::move(answer), close);
+        auto call = callTo(server.address());
+        call.firstByteTimeout_ = close ? std::chrono::seconds(30) : call.firstByteTimeout_;
+        call.idleTimeout_ = close ? std::chrono::seconds(30) : call.idleTimeout_;
+        const auto answered = client_.fetch(call);
+        return answered ? Failure{} : answered.failure();
+    }
+};
+
+TEST(HttpClient, nobodyListening_fetch_hasNotRun)
+{
+    auto port = std::string{};
+    {
+        auto context = asio::io_context{};
+        auto acceptor = asio::ip::tcp::acceptor(
+            context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        port = std::to_string(acceptor.local_endpoint().port());
+    }
+    const auto answer = client_.fetch(callTo("127.0.0.1:" + port));
+    CHECK(answer.failure().code_ == Error::ConnectionFailed);
+    CHECK(answer.failure().verdict_ == Verdict::NotRun);
+}
+
+TEST(HttpClient, silenceBeforeTheAnswer_fetch_mayHaveRun)
+{
+    const auto failure = failureOf("", false);
+    CHECK(failure.code_ == Error::ConnectionSilent);
+    CHECK(failure.verdict_ == Verdict::MayHaveRun);
+}
+
+TEST(HttpClient, silenceWithinTheAnswer_fetch_isSilent)
+{
+    const auto failure = failureOf("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false);
+    CHECK(failure.code_ == Error::ConnectionSilent);
+}
+
+TEST(HttpClient, aBodyCutShort_fetch_isIncomplete)
+{
+    const auto failure = failureOf("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true);
+    CHECK(failure.code_ == Error::IncompleteAnswer);
+    CHECK(failure.verdict_ == Verdict::MayHaveRun);
+}
+
+TEST(HttpClient, chunksCutShort_fetch_isIncomplete)
+{
+    const auto failure
+        = failureOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true);
+    CHECK(failure.code_ == Error::IncompleteAnswer);
+}
+
+TEST(HttpClient, aRedirect_fetch_isGivenAsItIs)
+{
+    auto server = RawServer(
+        "HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n", true);
+    const auto answer = client_.fetch(callTo(server.address()));
+    CHECK(answer.ok());
+    CHECK_EQUAL(302, answer->status_);
+}
+
+TEST(HttpClient, anAddressThatIsNone_fetch_hasNotRun)
+{
+    const auto answer = client_.fetch(callTo("127.0.0.1:not a port"));
+    CHECK(answer.failure().verdict_ == Verdict::NotRun);
+}
+
+TEST(HttpClient, destroyed_callsInProgress_areEnded)
+{
+    auto context = asio::io_context{};
+    auto acceptor = asio::ip::tcp::acceptor(
+        context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    auto record = Watched<CallRecord>{};
+    auto client = std::make_unique<HttpClient>();
+    auto call = callTo("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    call.firstByteTimeout_ = std::chrono::hours(1);
+    client->start(call, HttpFixture::recordInto(record));
+    client.reset();
+    CHECK(HttpFixture::outcomeOf(record).error_ == Error::ShuttingDown);
+}
--- /dev/null
+++ b/tests/transport/HttpServerTest.cpp
@@ -0,0 +1,175 @@
+#include "transport/HttpServer.h"
+
+#include "base/ErrorCode.h"
+#include "transport/HttpFixture.h"
+
+#include <memory>
+#include <optional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+namespace {
+
+auto echo(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) -> void
+{
+    auto response = HttpResponse{200, {}, request.method_ + " " + request.target_};
+    response.body_ += " " + request.headers_.value("X-Workspace") + " " + request.body_;
+    response.headers_.add("X-Entry", "entry-1");
+    reply->send(std::move(response));
+}
+
+} // namespace
+
+TEST_GROUP(HttpServer)
+{
+    std::unique_ptr<HttpFixture> http_;
+    Watched<std::shared_ptr<HttpReply>> reply_;
+    Watched<CallRecord> record_;
+
+    auto serve(HttpHandler handler, HttpServerSettings settings = {})->void
+    {
+        http_ = std::make_unique<HttpFixture>(std::move(handler), std::move(settings));
+        CHECK(!http_->startError_);
+    }
+
+    /// Keeps the reply for the test.
+    auto keepReply()->HttpHandler
+    {
+        return [this](const HttpRequest &, std::shared_ptr<HttpReply> reply) {
+            reply_.change([&](auto &kept) { kept = std::move(reply); });
+        };
+    }
+
+    auto takeReply()->std::shared_ptr<HttpReply>
+    {
+        CHECK(reply_.waitFor([](const auto &kept) { return kept != nullptr; }));
+        auto reply = std::shared_ptr<HttpReply>{};
+        reply_.change([&](auto &kept) { reply = std::move(kept); });
+        return reply;
+    }
+
+    auto startCall()->void
+    {
+        http_->client_.start(http_->call("GET", "/"), http_->recordInto(record_));
+    }
+
+    void teardown() override
+    {
+        reply_.change([](auto &kept) { kept.reset(); });
+        http_.reset();
+    }
+};
+
+TEST(HttpServer, aRequest_handled_isAnsweredWhole)
+{
+    serve(echo);
+    auto call = http_->call("POST", "/v1/announce?x=1", "body");
+    call.request_.headers_.add("X-Workspace", "valle");
+    const auto answer = http_->client_.fetch(call);
+    CHECK(answer.ok());
+    CHECK_EQUAL(200, answer->status_);
+    CHECK(answer->body_ == "POST /v1/announce?x=1 valle body");
+    CHECK(answer->headers_.value("x-entry") == "entry-1");
+}
+
+TEST(HttpServer, aHeadRequest_answered_leavesTheConnectionUsable)
+{
+    serve(echo);
+    CHECK(http_->client_.fetch(http_->call("HEAD", "/")).ok());
+    CHECK(http_->client_.fetch(http_->call("GET", "/")).ok());
+}
+
+TEST(HttpServer, aStream_written_arrivesPartByPart)
+{
+    serve(keepReply());
+    startCall();
+    const auto reply = takeReply();
+    reply->begin({200, {{"Content-Type", "text/event-stream"}}, ""});
+    for (auto part = 1; part <= 3; ++part) {
+        reply->write("data: x\n\n", nullptr);
+        CHECK(record_.waitFor([&](const CallRecord &call) {
+            return call.body_.size() == part * std::string("data: x\n\n").size();
+        }));
+    }
+    reply->finish();
+    CHECK(!HttpFixture::outcomeOf(record_).error_);
+    CHECK(record_.get().parts_ >= 3);
+}
+
+TEST(HttpServer, aStream_aborted_isNoWholeAnswer)
+{
+    serve(keepReply());
+    startCall();
+    const auto reply = takeReply();
+    reply->begin({200, {}, "first"});
+    CHECK(record_.waitFor([](const CallRecord &call) { return call.body_ == "first"; }));
+    reply->abort();
+    const auto outcome = HttpFixture::outcomeOf(record_);
+    CHECK(outcome.error_ == Error::IncompleteAnswer);
+    CHECK(outcome.verdict_ == Verdict::MayHaveRun);
+}
+
+TEST(HttpServer, aReply_dropped_closesTheConnection)
+{
+    serve(keepReply());
+    startCall();
+    takeReply().reset();
+    CHECK(HttpFixture::outcomeOf(record_).error_ == Error::IncompleteAnswer);
+}
+
+TEST(HttpServer, aCallerThatIsGone_written_isTold)
+{
+    serve(keepReply());
+    const auto id = http_->client_.start(http_->call("GET", "/"), http_->recordInto(record_));
+    const auto reply = takeReply();
+    reply->begin({200, {}, "first"});
+    CHECK(record_.waitFor([](const CallRecord &call) { return call.body_ == "first"; }));
+    http_->client_.cancel(id);
+    CHECK(HttpFixture::outcomeOf(record_).error_ == Error::Cancelled);
+    auto gone = false;
+    for (auto attempt = 0; attempt < 3000 && !gone; ++attempt) {
+        auto written = Watched<std::optional<std::error_code>>{};
+        reply->write("more", [&](std::error_code error) {
+            written.change([&](auto &result) { result = error; });
+        });
+        CHECK(written.waitFor([](const auto &result) { return result.has_value(); }));
+        gone = static_cast<bool>(written.get().value());
+    }
+    CHECK(gone);
+}
+
+TEST(HttpServer, aBodyOverTheLimit_isAnsweredWith413)
+{
+    auto settings = HttpServerSettings{};
+    settings.bodyLimitBytes_ = 10;
+    serve(echo, settings);
+    const auto answer = http_->client_.fetch(http_->call("POST", "/", "eleven byte"));
+    CHECK(answer.ok());
+    CHECK_EQUAL(413, answer->status_);
+}
+
+TEST(HttpServer, aPortInUse_start_saysSo)
+{
+    serve(echo);
+    auto settings = HttpServerSettings{};
+    settings.port_ = http_->server_.port();
+    auto second = HttpServer(http_->workers_, settings, echo);
+    const auto error = second.start();
+    CHECK_TEXT(error == std::errc::address_in_use, error.message().c_str());
+}
+
+TEST(HttpServer, noMoreListening_openAnswers_areFinished)
+{
+    serve(keepReply());
+    startCall();
+    const auto reply = takeReply();
+    http_->server_.stopListening();
+    auto refused = http_->call("GET", "/");
+    refused.freshConnection_ = true;
+    CHECK(http_->client_.fetch(refused).failure().verdict_ == Verdict::NotRun);
+    reply->send({200, {}, "late"});
+    CHECK(!HttpFixture::outcomeOf(record_).error_);
+    CHECK(record_.get().body_ == "late");
+}
--- /dev/null
+++ b/tests/transport/WorkerPoolTest.cpp
@@ -0,0 +1,56 @@
+#include "transport/WorkerPool.h"
+
+#include "transport/Waiter.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+TEST_GROUP(WorkerPool)
+{
+    Watched<int> runs_;
+    WorkerPool workers_ = WorkerPool(2);
+
+    auto count()->std::function<void()>
+    {
+        return [this] { runs_.change([](int &runs) { ++runs; }); };
+    }
+
+    auto hasRun(int times)->bool
+    {
+        return runs_.waitFor([times](int runs) { return runs >= times; });
+    }
+
+    void teardown() override
+    {
+        workers_.stop();
+    }
+};
+
+TEST(WorkerPool, postedWork_isRun)
+{
+    workers_.post(count());
+    CHECK(hasRun(1));
+}
+
+TEST(WorkerPool, aTimer_due_runsOnce)
+{
+    const auto timer = workers_.after(std::chrono::milliseconds(1), count());
+    CHECK(hasRun(1));
+}
+
+TEST(WorkerPool, aRepeatingTimer_runsAgain)
+{
+    const auto timer = workers_.every(std::chrono::milliseconds(1), count());
+    CHECK(hasRun(3));
+}
+
+TEST(WorkerPool, aTimer_cancelled_doesNotRun)
+{
+    const auto cancelled = workers_.after(std::chrono::milliseconds(30), count());
+    cancelled->cancel();
+    workers_.after(std::chrono::milliseconds(30), count()).reset();
+    const auto later = workers_.after(std::chrono::milliseconds(60), count());
+    CHECK(hasRun(1));
+    CHECK_EQUAL(1, runs_.get());
+}
