--- /dev/null
+++ b/packages/groups/GroupPlanner.cpp
@@ -0,0 +1,1 @@
+#include "groups/GroupPlanner.h"
--- /dev/null
+++ b/packages/groups/GroupWatch.cpp
@@ -0,0 +1,1 @@
+#include "groups/GroupWatch.h"
--- /dev/null
+++ b/packages/groups/LeaseholderChoice.cpp
@@ -0,0 +1,1 @@
+#include "groups/LeaseholderChoice.h"
--- /dev/null
+++ b/packages/groups/MemberAddress.h
@@ -0,0 +1,26 @@
+/// \file
+/// \brief A member of a group and where it listens.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/JsonCodec.h"
+
+#include <string>
+
+namespace lycheereach {
+
+/// A member of a group and where it listens.
+struct MemberAddress
+{
+    UpstreamId upstream_;
+    std::string address_;
+
+    auto operator==(const MemberAddress &) const -> bool = default;
+    static constexpr auto fields()
+    {
+        return std::tuple{field("upstream", &MemberAddress::upstream_),
+                          field("address", &MemberAddress::address_)};
+    }
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/groups/MemberOrder.cpp
@@ -0,0 +1,1 @@
+#include "groups/MemberOrder.h"
--- /dev/null
+++ b/packages/groups/MemberOrder.h
@@ -0,0 +1,33 @@
+/// \file
+/// \brief An order to one engine.
+#pragma once
+
+#include "groups/MemberAddress.h"
+#include "groups/OrderKind.h"
+
+#include <vector>
+
+namespace lycheereach {
+
+/// An order to one engine; sent to its `/v1/orders` with fencing_ as `X-Fencing-Number`.
+struct MemberOrder
+{
+    UpstreamId upstream_;
+    std::string address_;
+    OrderKind kind_ = OrderKind::Join;
+    GroupId group_;
+    Epoch epoch_ = 0;
+    std::uint32_t rank_ = 0;
+    /// All members by rank; empty unless the order is to join.
+    std::vector<MemberAddress> members_;
+    /// The weights to load; empty when the order is to leave.
+    std::string model_;
+    FencingNumber fencing_ = 0;
+
+    auto operator==(const MemberOrder &) const -> bool = default;
+};
+
+/// The body of \a order as docs/API.md describes it.
+auto orderBody(const MemberOrder &order) -> Json;
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/groups/Placement.cpp
@@ -0,0 +1,1 @@
+#include "groups/Placement.h"
--- /dev/null
+++ b/packages/groups/PlannerAction.h
@@ -0,0 +1,15 @@
+/// \file
+/// \brief What the planner wants done.
+#pragma once
+
+#include "groups/MemberOrder.h"
+#include "state/Command.h"
+
+#include <variant>
+
+namespace lycheereach {
+
+/// A command to propose to the replicated log, or an order to send to an engine.
+using PlannerAction = std::variant<Command, MemberOrder>;
+
+} // namespace lycheereach
