--- /dev/null
+++ b/packages/routing/GroupChooser.cpp
@@ -0,0 +1,1 @@
+#include "routing/GroupChooser.h"
--- /dev/null
+++ b/packages/routing/GroupChooser.h
@@ -0,0 +1,61 @@
+/// \file
+/// \brief Picks the group that a request goes to.
+#pragma once
+
+#include "base/Time.h"
+#include "routing/Choice.h"
+#include "routing/ChoiceRequest.h"
+#include "routing/PrefixIndex.h"
+#include "routing/TargetLoad.h"
+#include "state/FleetState.h"
+
+#include <map>
+#include <optional>
+
+namespace lycheereach {
+
+/// Picks among the serving groups of a pool the one with the least load for its limit. A group of
+/// another zone is used only when it is less loaded by a margin, and one with more of the prefix
+/// is preferred while it is at most a margin more loaded. Low priorities leave the last of a
+/// group's capacity to others. Not thread-safe.
+class GroupChooser
+{
+public:
+    GroupChooser(ZoneName ownZone, RandomSource random);
+
+    /// Takes in the replicated state: which groups may get work. Call it after every change.
+    auto update(const FleetState &state) -> void;
+    /// Takes in what a leaseholder says; an older lease number changes nothing.
+    auto report(const TargetLoad &load) -> void;
+    /// A permit was taken, or the request of one ended, since the last report.
+    auto taken(const GroupId &group) -> void;
+    auto ended(const GroupId &group) -> void;
+
+    /// The best group; nothing when none may get work or all are full for this request.
+    [[nodiscard]] auto choose(const ChoiceRequest &request, const PrefixIndex &index) const
+        -> std::optional<Choice>;
+    /// Whether any group of \a pool may get work, full or not.
+    [[nodiscard]] auto hasTarget(const PoolName &pool) const -> bool;
+
+private:
+    struct Target
+    {
+        Choice choice_;
+        bool sameZone_ = false;
+        std::uint32_t limit_ = 0;
+        std::uint32_t inUse_ = 0;
+        /// Taken less ended since the last report.
+        std::int32_t pending_ = 0;
+    };
+
+    auto target(const GroupId &group) -> Target *;
+    static auto loadAfter(const Target &target) -> double;
+    static auto hasRoom(const Target &target, std::uint32_t priority) -> bool;
+
+    ZoneName ownZone_;
+    RandomSource random_;
+    std::map<PoolName, std::map<GroupId, Target>> targets_;
+    std::map<GroupId, PoolName> poolOf_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/routing/LimitRamp.cpp
@@ -0,0 +1,1 @@
+#include "routing/LimitRamp.h"
--- /dev/null
+++ b/packages/routing/PermitRefusal.h
@@ -0,0 +1,25 @@
+/// \file
+/// \brief The answer to a take that gets no permit.
+#pragma once
+
+#include "routing/RefusalReason.h"
+
+#include <cstdint>
+
+namespace lycheereach {
+
+/// The answer to a take that gets no permit.
+struct PermitRefusal
+{
+    RefusalReason reason_ = RefusalReason::NotHeld;
+    std::uint32_t retryAfterMs_ = 0;
+
+    auto operator==(const PermitRefusal &) const -> bool = default;
+    static constexpr auto fields()
+    {
+        return std::tuple{field("reason", &PermitRefusal::reason_),
+                          field("retryAfterMs", &PermitRefusal::retryAfterMs_)};
+    }
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/routing/PermitTable.cpp
@@ -0,0 +1,1 @@
+#include "routing/PermitTable.h"
--- /dev/null
+++ b/packages/routing/PrefixIndex.cpp
@@ -0,0 +1,1 @@
+#include "routing/PrefixIndex.h"
