state: Add the replicated state machine and its commands

Deterministic handlers for operators' operations, membership, groups and claims; a group stops serving within the state machine itself as soon as one member is lost, restarted or disagrees.

--- /dev/null
+++ b/packages/state/Command.cpp
@@ -0,0 +1,50 @@
+#include "state/Command.h"
+
+#include <array>
+
+namespace lycheereach {
+
+namespace {
+
+/// The tags of the commands in the log, in the order of the variant; never reordered or reused.
+constexpr auto tags = std::to_array<const char *>(
+    {"apply", "zone", "drain", "entry", "entryPhase", "upstream", "upstreamLost", "group",
+     "groupPhase", "leaseholder", "claim", "settle", "expire", "block"});
+static_assert(tags.size() == std::variant_size_v<Command>);
+
+template <std::size_t Index>
+auto decodeAs(const std::string &tag, const Json &body) -> Result<Command>
+{
+    if constexpr (Index == std::variant_size_v<Command>) {
+        return Failure{Error::InvalidJson, "unknown command '" + tag + "' in the log"};
+    } else {
+        if (tag != tags[Index])
+            return decodeAs<Index + 1>(tag, body);
+        auto result = decode<std::variant_alternative_t<Index, Command>>(body, "/" + tag);
+        if (!result)
+            return result.failure();
+        return Command(std::move(result.value()));
+    }
+}
+
+} // namespace
+
+auto encodeCommand(const Command &command) -> std::string
+{
+    auto json = Json::object();
+    json[tags.at(command.index())]
+        = std::visit([](const auto &body) { return encode(body); }, command);
+    const auto bytes = Json::to_msgpack(json);
+    return {bytes.begin(), bytes.end()};
+}
+
+auto decodeCommand(const std::string &bytes) -> Result<Command>
+{
+    const auto json = Json::from_msgpack(bytes, true, false);
+    if (!json.is_object() || json.size() != 1)
+        return Failure{Error::InvalidJson, "a log record is not a command"};
+    const auto item = json.begin();
+    return decodeAs<0>(item.key(), item.value());
+}
+
+} // namespace lycheereach
--- a/packages/state/FleetState.h
+++ b/packages/state/FleetState.h
@@ -27,6 +27,8 @@
     LogIndex operationIndex_ = 0;
     Declaration declaration_;
     std::set<ZoneName> zonesOut_;
+    /// Counts the accepted changes of zonesOut_.
+    Version zonesVersion_ = 0;
     std::map<EntryId, EntryRecord> entries_;
     std::map<UpstreamId, Upstream> upstreams_;
     /// Dissolved groups are left out.
@@ -48,6 +50,7 @@
                           field("operationIndex", &FleetState::operationIndex_),
                           field("declaration", &FleetState::declaration_),
                           field("zonesOut", &FleetState::zonesOut_),
+                          field("zonesVersion", &FleetState::zonesVersion_),
                           field("entries", &FleetState::entries_),
                           field("upstreams", &FleetState::upstreams_),
                           field("groups", &FleetState::groups_),
@@ -59,6 +62,14 @@
     }
 };
 
+/// Whether \a upstream takes its part in \a group, by its own last announcement.
+auto memberAgrees(const Group &group, const Upstream &upstream) -> bool;
+/// Whether every member of \a group is there and agrees.
+auto allMembersAgree(const FleetState &state, const Group &group) -> bool;
+/// The pool of that name.
+auto findPool(const Declaration &declaration, const PoolName &name) -> const Pool *;
+/// The plain service of that name.
+auto findService(const Declaration &declaration, const PoolName &name) -> const Service *;
 /// Whether \a zone gets no new work.
 auto isZoneOut(const FleetState &state, const ZoneName &zone) -> bool;
 /// The tunables for an upstream of \a pool in \a zone. Of the exceptions that match, the one with
--- a/packages/state/Group.h
+++ b/packages/state/Group.h
@@ -1,5 +1,7 @@
 /// \file
 /// \brief A serving group.
+///
+/// A plain service is a group of one whose pool is the name of the service; it gets no orders.
 #pragma once
 
 #include "base/Ids.h"
@@ -28,6 +30,9 @@
     EntryId leaseholder_;
     /// Rises with every grant of the lease.
     std::uint64_t leaseNumber_ = 0;
+    /// Place in the log of the last change of the lease; a revocation must be in force everywhere
+    /// before the lease is granted again.
+    LogIndex leaseChangedAt_ = 0;
 
     auto operator==(const Group &) const -> bool = default;
     static constexpr auto fields()
@@ -40,7 +45,8 @@
                           field("members", &Group::members_),
                           field("phase", &Group::phase_),
                           optionalField("leaseholder", &Group::leaseholder_),
-                          optionalField("leaseNumber", &Group::leaseNumber_)};
+                          optionalField("leaseNumber", &Group::leaseNumber_),
+                          optionalField("leaseChangedAt", &Group::leaseChangedAt_)};
     }
 };
 
--- /dev/null
+++ b/packages/state/StateMachine.cpp
@@ -0,0 +1,52 @@
+#include "state/StateMachine.h"
+
+#include "state/CommandHandlers.h"
+
+#include <utility>
+
+namespace lycheereach {
+
+auto accepted() -> CommandOutcome
+{
+    return CommandOutcome{.accepted_ = true};
+}
+
+auto refused(std::string why) -> CommandOutcome
+{
+    return CommandOutcome{.accepted_ = false, .message_ = std::move(why)};
+}
+
+StateMachine::StateMachine(EventSink sink)
+    : sink_(std::move(sink))
+{ }
+
+auto StateMachine::apply(LogIndex index, const Command &command) -> CommandOutcome
+{
+    if (index <= state_.applied_)
+        return refused("applied before");
+    state_.applied_ = index;
+    auto context = CommandContext{state_, index, sink_};
+    return std::visit([&](const auto &body) { return handle(context, body); }, command);
+}
+
+auto StateMachine::snapshot() const -> std::string
+{
+    const auto bytes = Json::to_msgpack(encode(state_));
+    return {bytes.begin(), bytes.end()};
+}
+
+auto StateMachine::restore(const std::string &snapshot) -> Result<Nothing>
+{
+    const auto json = Json::from_msgpack(snapshot, true, false);
+    if (json.is_discarded())
+        return Failure{Error::CorruptLog, "the snapshot of the control state is not readable"};
+    auto restored = decode<FleetState>(json);
+    if (!restored)
+        return restored.failure();
+    if (restored->applied_ < state_.applied_)
+        return Failure{Error::Conflict, "the snapshot is older than the present state"};
+    state_ = std::move(restored.value());
+    return Nothing{};
+}
+
+} // namespace lycheereach
