--- /dev/null
+++ b/tests/leases/StateLeaseTest.cpp
@@ -0,0 +1,50 @@
+#include "leases/StateLease.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(StateLease)
+{
+    MonotonicTime start_;
+    StateLease lease_;
+};
+
+TEST(StateLease, aHolderThatNeverRenewed_mayNotWork)
+{
+    CHECK_FALSE(lease_.allowsWork(100, start_));
+}
+
+TEST(StateLease, aGrant_runsFromTheSendingOfItsRenewal)
+{
+    const auto number = lease_.renewalSent(start_);
+    lease_.granted(number, 3s, 0);
+    CHECK(lease_.allowsWork(0, start_ + 2999ms));
+    CHECK_FALSE(lease_.allowsWork(0, start_ + 3s));
+}
+
+TEST(StateLease, anAnswerAfterAFreeze_givesNoLeaseFromItsArrival)
+{
+    const auto number = lease_.renewalSent(start_);
+    lease_.granted(number, 3s, 0);
+    CHECK_FALSE(lease_.allowsWork(0, start_ + 60s));
+}
+
+TEST(StateLease, aStateOlderThanTheLease_mayNotWork)
+{
+    lease_.granted(lease_.renewalSent(start_), 3s, 7);
+    CHECK_FALSE(lease_.allowsWork(6, start_));
+    CHECK(lease_.allowsWork(7, start_));
+}
+
+TEST(StateLease, answersCrossedOrRepeated_neverShortenNorLowerTheRequiredIndex)
+{
+    const auto first = lease_.renewalSent(start_);
+    const auto second = lease_.renewalSent(start_ + 1s);
+    lease_.granted(second, 3s, 9);
+    lease_.granted(first, 3s, 4);
+    lease_.granted(second, 30s, 4);
+    CHECK(lease_.requiredIndex() == 9);
+    CHECK(lease_.remaining(start_ + 1s) == 3s);
+}
