--- a/packages/state/Command.cpp
+++ b/packages/state/Command.cpp
@@ -34,13 +34,12 @@
     auto json = Json::object();
     json[tags.at(command.index())]
         = std::visit([](const auto &body) { return encode(body); }, command);
-    const auto bytes = Json::to_msgpack(json);
-    return {bytes.begin(), bytes.end()};
+    return json.dump();
 }
 
-auto decodeCommand(const std::string &bytes) -> Result<Command>
+auto decodeCommand(const std::string &text) -> Result<Command>
 {
-    const auto json = Json::from_msgpack(bytes, true, false);
+    const auto json = Json::parse(text, nullptr, false);
     if (!json.is_object() || json.size() != 1)
         return Failure{Error::InvalidJson, "a log record is not a command"};
     const auto item = json.begin();
--- a/packages/state/Command.h
+++ b/packages/state/Command.h
@@ -28,9 +28,9 @@
                              PutUpstream, LoseUpstream, FormGroup, SetGroupPhase, SetLeaseholder,
                              ClaimRequest, SettleClaim, ExpireClaims, BlockRequest>;
 
-/// The bytes of \a command in the log.
+/// \a command as JSON text for the log.
 auto encodeCommand(const Command &command) -> std::string;
 /// The inverse of encodeCommand(); fails with Error::InvalidJson.
-auto decodeCommand(const std::string &bytes) -> Result<Command>;
+auto decodeCommand(const std::string &text) -> Result<Command>;
 
 } // namespace lycheereach
--- a/packages/state/EntryRecord.h
+++ b/packages/state/EntryRecord.h
@@ -21,7 +21,8 @@
     /// `IP:port` for other entries.
     std::string peerAddress_;
     EntryPhase phase_ = EntryPhase::Live;
-    bool voter_ = false;
+    /// Whether it keeps the control log, as a voter or a learner.
+    bool control_ = false;
 
     auto operator==(const EntryRecord &) const -> bool = default;
     static constexpr auto fields()
@@ -32,7 +33,7 @@
                           field("address", &EntryRecord::address_),
                           field("peerAddress", &EntryRecord::peerAddress_),
                           field("phase", &EntryRecord::phase_),
-                          optionalField("voter", &EntryRecord::voter_)};
+                          optionalField("control", &EntryRecord::control_)};
     }
 };
 
--- a/packages/state/StateMachine.cpp
+++ b/packages/state/StateMachine.cpp
@@ -2,6 +2,7 @@
 
 #include "state/CommandHandlers.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheereach {
@@ -29,15 +30,19 @@
     return std::visit([&](const auto &body) { return handle(context, body); }, command);
 }
 
+auto StateMachine::advance(LogIndex index) -> void
+{
+    state_.applied_ = std::max(state_.applied_, index);
+}
+
 auto StateMachine::snapshot() const -> std::string
 {
-    const auto bytes = Json::to_msgpack(encode(state_));
-    return {bytes.begin(), bytes.end()};
+    return encode(state_).dump();
 }
 
 auto StateMachine::restore(const std::string &snapshot) -> Result<Nothing>
 {
-    const auto json = Json::from_msgpack(snapshot, true, false);
+    const auto json = Json::parse(snapshot, nullptr, false);
     if (json.is_discarded())
         return Failure{Error::CorruptLog, "the snapshot of the control state is not readable"};
     auto restored = decode<FleetState>(json);
--- a/packages/state/StateMachine.h
+++ b/packages/state/StateMachine.h
@@ -21,8 +21,11 @@
     /// Applies the command at \a index; indexes rise, and one at or below the last is ignored.
     auto apply(LogIndex index, const Command &command) -> CommandOutcome;
 
+    /// The record at \a index is no command.
+    auto advance(LogIndex index) -> void;
+
     [[nodiscard]] auto state() const -> const FleetState & { return state_; }
-    /// The whole state as bytes.
+    /// The whole state as JSON text.
     [[nodiscard]] auto snapshot() const -> std::string;
     /// Takes over a snapshot; one older than the present state is refused with Error::Conflict.
     auto restore(const std::string &snapshot) -> Result<Nothing>;
--- a/tests/state/CommandTest.cpp
+++ b/tests/state/CommandTest.cpp
@@ -39,6 +39,7 @@
 
 TEST(Command, bytesThatAreNoCommand_areRefused)
 {
-    for (const auto &bytes : {std::string(), std::string("\xc1"), std::string("\x81\xa1x\x01")})
+    for (const auto &bytes : {std::string(), std::string("[1]"), std::string("{\"x\": 1}"),
+                              std::string("{\"zone\": {}}")})
         CHECK_FALSE(decodeCommand(bytes).ok());
 }
