groups: Form, repair and drain groups, and watch their members

The planner compares the state with the declaration and proposes the next steps; orders wait for the read-back of the engine, one in flight each. The watch asks for a new epoch when a member left or restarted after it joined. A group of a zone taken out keeps its members, so that it comes back warm.

--- a/packages/groups/GroupPlanner.h
+++ b/packages/groups/GroupPlanner.h
@@ -2,6 +2,9 @@
 /// \brief Decides which instances form which group, and who holds the lease on each.
 #pragma once
 
+#include "base/Event.h"
+#include "groups/FreeInstance.h"
+#include "groups/OrderPlanner.h"
 #include "groups/PlannerAction.h"
 #include "groups/PlannerInputs.h"
 #include "state/FleetState.h"
@@ -11,6 +14,8 @@
 
 namespace lycheereach {
 
+struct PlannerPass;
+
 /// Drives the fleet towards what the declaration asks for. Runs on the control leader.
 ///
 /// plan() compares the replicated state with what it should be and returns the next steps. It is
@@ -18,11 +23,17 @@
 /// applied or refused. Everything kept between calls may be lost: a new leader only waits or
 /// repeats an order.
 ///
+/// A group with a lost member gets spares of its fabric domain in a new epoch, or is dissolved. A
+/// group with a member that leaves is drained; GroupWatch dissolves it when nothing runs. A group
+/// of a zone taken out keeps its members and weights, so that it comes back warm.
 /// A plain service is a group of its own with one member; it gets no orders.
 /// Not thread-safe.
 class GroupPlanner
 {
 public:
+    /// \a sink gets an event for every group that spans fabric domains.
+    explicit GroupPlanner(EventSink sink);
+
     /// The next steps for \a state. Every order in the result is in flight until orderEnded().
     auto plan(const FleetState &state, const PlannerInputs &inputs) -> std::vector<PlannerAction>;
 
@@ -33,29 +44,11 @@
     auto reset() -> void;
 
 private:
-    struct SentOrder
-    {
-        MemberOrder order_;
-        Incarnation incarnation_ = 0;
-        bool inFlight_ = true;
-        bool accepted_ = false;
-        MonotonicTime endedAt_;
-    };
-    struct Pass;
-
-    auto planLosses(Pass &pass) -> void;
-    auto planGroups(Pass &pass) -> void;
-    auto planNewGroups(Pass &pass) -> void;
-    auto planLeases(Pass &pass) -> void;
-    auto planOrders(Pass &pass) -> void;
-    auto planJoins(Pass &pass, std::uint32_t &loadsLeft) -> void;
-    auto planLeaves(Pass &pass) -> void;
-    auto planSpares(Pass &pass, std::uint32_t &loadsLeft) -> void;
-    auto loadsLeft(const Pass &pass) const -> std::uint32_t;
-    auto send(Pass &pass, MemberOrder order) -> bool;
-    auto maySend(const Pass &pass, const MemberOrder &order) const -> bool;
-
-    std::map<UpstreamId, SentOrder> sent_;
+    auto planLosses(PlannerPass &pass) -> void;
+    auto planNewGroups(PlannerPass &pass, const Pool &pool) const -> void;
+
+    EventSink sink_;
+    OrderPlanner orders_;
     /// Upstreams whose watcher is not live, and since when.
     std::map<UpstreamId, MonotonicTime> unwatchedSince_;
 };
--- a/packages/groups/GroupWatch.cpp
+++ b/packages/groups/GroupWatch.cpp
@@ -1,1 +1,226 @@
 #include "groups/GroupWatch.h"
+
+#include "groups/FreeInstances.h"
+
+#include <algorithm>
+
+namespace lycheereach {
+
+namespace {
+
+auto isNewer(const Announcement &left, const Announcement &right) -> bool
+{
+    return std::pair(left.incarnation_, left.sequence_)
+        > std::pair(right.incarnation_, right.sequence_);
+}
+
+auto silenceTimeout(const FleetState &state, const Announcement &announced) -> Duration
+{
+    const auto policy
+        = policyFor(state.declaration_, announced.zone_, announced.pool_, announced.upstream_);
+    return std::chrono::milliseconds(policy.silenceTimeoutMs_);
+}
+
+auto hasJoined(const Announcement &announced, const Group &group) -> bool
+{
+    if (announced.group_ != group.id_ || announced.epoch_ != group.epoch_)
+        return false;
+    const auto rank = std::size_t{announced.rank_};
+    return rank < group.members_.size() && group.members_[rank] == announced.upstream_;
+}
+
+/// Whether a member takes itself for one of another group.
+auto isElsewhere(const FleetState &state, const Group &group) -> bool
+{
+    const auto differs = [&](const UpstreamId &member) {
+        const auto &named = state.upstreams_.at(member).announced_.group_;
+        return !named.empty() && named != group.id_;
+    };
+    return std::any_of(group.members_.begin(), group.members_.end(), differs);
+}
+
+} // namespace
+
+auto differsBeyondLoad(const Announcement &left, const Announcement &right) -> bool
+{
+    auto adjusted = left;
+    adjusted.sequence_ = right.sequence_;
+    adjusted.carries_ = right.carries_;
+    adjusted.running_ = right.running_;
+    adjusted.queued_ = right.queued_;
+    return adjusted != right;
+}
+
+GroupWatch::GroupWatch(EntryId self)
+    : self_(std::move(self))
+{ }
+
+auto GroupWatch::update(const FleetState &state, MonotonicTime now) -> void
+{
+    auto watched = std::map<UpstreamId, MonotonicTime>{};
+    for (const auto &[id, upstream] : state.upstreams_) {
+        if (upstream.watcher_ != self_)
+            continue;
+        const auto known = watchedSince_.find(id);
+        watched.emplace(id, known == watchedSince_.end() ? now : known->second);
+    }
+    watchedSince_ = std::move(watched);
+    auto held = std::map<GroupId, Held>{};
+    for (const auto &[id, group] : state.groups_) {
+        if (group.leaseholder_ != self_)
+            continue;
+        const auto known = held_.find(id);
+        const auto isSame = known != held_.end() && known->second.epoch_ == group.epoch_;
+        held.emplace(id, isSame ? known->second : Held{group.epoch_, {}, false});
+    }
+    held_ = std::move(held);
+}
+
+auto GroupWatch::heard(const FleetState &state, const Announcement &announcement, MonotonicTime now)
+    -> AnnouncementEffect
+{
+    const auto &id = announcement.upstream_;
+    const auto before = heard_.find(id);
+    if (before != heard_.end() && !isNewer(announcement, before->second.announcement_))
+        return AnnouncementEffect::Stale;
+    const auto known = state.upstreams_.find(id);
+    if (known != state.upstreams_.end() && !isNewer(announcement, known->second.announced_))
+        return AnnouncementEffect::Stale;
+    heard_[id] = Heard{announcement, now};
+    noteMember(state, announcement);
+    if (known == state.upstreams_.end())
+        return AnnouncementEffect::Changed;
+    const auto &upstream = known->second;
+    const auto isNews = upstream.lost_ || upstream.watcher_ != self_
+        || differsBeyondLoad(announcement, upstream.announced_);
+    return isNews ? AnnouncementEffect::Changed : AnnouncementEffect::LoadOnly;
+}
+
+auto GroupWatch::noteMember(const FleetState &state, const Announcement &announcement) -> void
+{
+    const auto membership = state.groupOf_.find(announcement.upstream_);
+    if (membership == state.groupOf_.end() || announcement.kind_ == UpstreamKind::Service)
+        return;
+    const auto &group = state.groups_.at(membership->second);
+    const auto held = held_.find(group.id_);
+    if (held == held_.end() || held->second.epoch_ != group.epoch_)
+        return;
+    auto &joined = held->second.joined_;
+    const auto known = joined.find(announcement.upstream_);
+    const auto joins = hasJoined(announcement, group);
+    if (known == joined.end()) {
+        if (joins)
+            joined.emplace(announcement.upstream_, announcement.incarnation_);
+        return;
+    }
+    if (!joins || known->second != announcement.incarnation_)
+        held->second.isBroken_ = true;
+}
+
+auto GroupWatch::tick(const FleetState &state, MonotonicTime now,
+                      const std::function<bool(const GroupId &)> &isIdle) const
+    -> std::vector<Command>
+{
+    auto commands = losses(state, now);
+    for (const auto &[id, held] : held_) {
+        const auto group = state.groups_.find(id);
+        if (group == state.groups_.end() || group->second.epoch_ != held.epoch_)
+            continue;
+        if (auto step = nextStep(state, group->second, now, isIdle(id)))
+            commands.push_back(std::move(*step));
+    }
+    return commands;
+}
+
+auto GroupWatch::losses(const FleetState &state, MonotonicTime now) const -> std::vector<Command>
+{
+    auto commands = std::vector<Command>{};
+    for (const auto &[id, since] : watchedSince_) {
+        const auto upstream = state.upstreams_.find(id);
+        if (upstream == state.upstreams_.end() || upstream->second.lost_)
+            continue;
+        const auto heard = heard_.find(id);
+        const auto last = heard == heard_.end() ? since : std::max(since, heard->second.at_);
+        const auto &announced = upstream->second.announced_;
+        if (now - last >= silenceTimeout(state, announced))
+            commands.emplace_back(LoseUpstream{id, announced.incarnation_, self_});
+    }
+    return commands;
+}
+
+auto GroupWatch::nextStep(const FleetState &state, const Group &group, MonotonicTime now,
+                          bool idle) const -> std::optional<Command>
+{
+    const auto phase = [&](GroupPhase next) -> std::optional<Command> {
+        if (group.phase_ == next)
+            return std::nullopt;
+        return SetGroupPhase{group.id_, group.epoch_, next};
+    };
+    if (group.phase_ == GroupPhase::Draining)
+        return idle ? phase(GroupPhase::Dissolved) : std::nullopt;
+    const auto hasLost = std::any_of(group.members_.begin(), group.members_.end(),
+                                     [&](const UpstreamId &id) { return isLost(state, id); });
+    if (hasLost)
+        return std::nullopt;
+    if (isBroken(group.id_) && isElsewhere(state, group))
+        return std::nullopt;
+    if (isBroken(group.id_))
+        return FormGroup{group.id_, group.pool_, group.zone_, group.epoch_, group.members_};
+    if (haveJoined(state, group, now, MemberPhase::Ready))
+        return phase(GroupPhase::Serving);
+    if (group.phase_ == GroupPhase::Serving || haveJoined(state, group, now, MemberPhase::Loading))
+        return phase(GroupPhase::Loading);
+    return std::nullopt;
+}
+
+auto GroupWatch::mayServe(const FleetState &state, const GroupId &group, MonotonicTime now) const
+    -> bool
+{
+    const auto found = state.groups_.find(group);
+    if (found == state.groups_.end() || found->second.leaseholder_ != self_)
+        return false;
+    const auto held = held_.find(group);
+    if (held == held_.end() || held->second.epoch_ != found->second.epoch_)
+        return false;
+    return found->second.phase_ == GroupPhase::Serving && !held->second.isBroken_
+        && haveJoined(state, found->second, now, MemberPhase::Ready);
+}
+
+auto GroupWatch::last(const UpstreamId &upstream) const -> std::optional<Announcement>
+{
+    const auto found = heard_.find(upstream);
+    if (found == heard_.end())
+        return std::nullopt;
+    return found->second.announcement_;
+}
+
+auto GroupWatch::isLive(const FleetState &state, const UpstreamId &upstream,
+                        MonotonicTime now) const -> bool
+{
+    const auto heard = heard_.find(upstream);
+    if (heard == heard_.end() || isLost(state, upstream))
+        return false;
+    return now - heard->second.at_ < silenceTimeout(state, heard->second.announcement_);
+}
+
+auto GroupWatch::haveJoined(const FleetState &state, const Group &group, MonotonicTime now,
+                            MemberPhase least) const -> bool
+{
+    const auto hasArrived = [&](const UpstreamId &member) {
+        if (!isLive(state, member, now))
+            return false;
+        const auto &announced = heard_.at(member).announcement_;
+        if (announced.kind_ == UpstreamKind::Service)
+            return true;
+        return hasJoined(announced, group) && announced.phase_ >= least;
+    };
+    return std::all_of(group.members_.begin(), group.members_.end(), hasArrived);
+}
+
+auto GroupWatch::isBroken(const GroupId &group) const -> bool
+{
+    const auto held = held_.find(group);
+    return held != held_.end() && held->second.isBroken_;
+}
+
+} // namespace lycheereach
--- a/packages/groups/GroupWatch.h
+++ b/packages/groups/GroupWatch.h
@@ -19,7 +19,7 @@
 
 /// The announcements that one entry hears, and the groups whose lease it holds.
 ///
-/// Incarnation and sequence order the announcements of an upstream, not their arrival. A held
+/// Incarnation and sequence order the announcements of an upstream. A held
 /// group may serve while every member was heard by this entry within the silence timeout and its
 /// own last announcement says `ready` in this group, epoch and rank. Not thread-safe.
 class GroupWatch
@@ -27,20 +27,23 @@
 public:
     explicit GroupWatch(EntryId self);
 
-    /// Takes in the replicated state; call it after every change of groups or upstreams.
+    /// Notes which upstreams and groups this entry has now; call it after every change of \a state.
     auto update(const FleetState &state, MonotonicTime now) -> void;
 
     /// Takes in \a announcement.
-    auto heard(const Announcement &announcement, MonotonicTime now) -> AnnouncementEffect;
+    auto heard(const FleetState &state, const Announcement &announcement, MonotonicTime now)
+        -> AnnouncementEffect;
 
-    /// What to propose now: LoseUpstream for silent upstreams that this entry watches, and the
-    /// phases of held groups. \a isIdle says whether nothing runs in a group any more. Repeats
-    /// itself until the state has changed.
-    auto tick(MonotonicTime now, const std::function<bool(const GroupId &)> &isIdle) const
-        -> std::vector<Command>;
+    /// What to propose now: LoseUpstream for silent upstreams that this entry watches, the phases
+    /// of held groups, and a new epoch for a held group with a member that left or restarted after
+    /// it had joined. \a isIdle says whether nothing runs in a group any more. Repeats itself
+    /// until the state has changed.
+    auto tick(const FleetState &state, MonotonicTime now,
+              const std::function<bool(const GroupId &)> &isIdle) const -> std::vector<Command>;
 
-    /// Whether \a group is held here and all its members agree and live.
-    [[nodiscard]] auto mayServe(const GroupId &group, MonotonicTime now) const -> bool;
+    /// Whether \a group is held here and serving, and all its members agree and live.
+    [[nodiscard]] auto mayServe(const FleetState &state, const GroupId &group,
+                                MonotonicTime now) const -> bool;
 
     /// The last announcement heard from \a upstream.
     [[nodiscard]] auto last(const UpstreamId &upstream) const -> std::optional<Announcement>;
@@ -51,32 +54,30 @@
         Announcement announcement_;
         MonotonicTime at_;
     };
-    struct Watched
-    {
-        Announcement inState_;
-        bool lost_ = false;
-        bool watchedHere_ = false;
-        Duration silenceTimeout_{};
-        /// When this entry became the watcher.
-        MonotonicTime since_;
-    };
+    /// What is remembered of a group while this entry holds its lease.
     struct Held
     {
-        Group group_;
-        /// The incarnation of each member when it first agreed in this epoch.
-        std::map<UpstreamId, Incarnation> agreed_;
+        Epoch epoch_ = 0;
+        /// The incarnation of each member that joined.
+        std::map<UpstreamId, Incarnation> joined_;
+        /// Whether a member left or restarted after it had joined.
+        bool isBroken_ = false;
     };
 
-    auto isLive(const UpstreamId &upstream, MonotonicTime now) const -> bool;
-    auto agrees(const Group &group, std::size_t rank) const -> bool;
-    auto noteAgreement(Held &held) -> void;
-    auto hasRestarted(const Held &held) const -> bool;
-    auto silent(MonotonicTime now) const -> std::vector<Command>;
-    auto phaseOf(const Held &held, MonotonicTime now, bool idle) const -> GroupPhase;
+    auto isLive(const FleetState &state, const UpstreamId &upstream, MonotonicTime now) const
+        -> bool;
+    auto haveJoined(const FleetState &state, const Group &group, MonotonicTime now,
+                    MemberPhase least) const -> bool;
+    auto isBroken(const GroupId &group) const -> bool;
+    auto noteMember(const FleetState &state, const Announcement &announcement) -> void;
+    auto losses(const FleetState &state, MonotonicTime now) const -> std::vector<Command>;
+    auto nextStep(const FleetState &state, const Group &group, MonotonicTime now, bool idle) const
+        -> std::optional<Command>;
 
     EntryId self_;
     std::map<UpstreamId, Heard> heard_;
-    std::map<UpstreamId, Watched> watched_;
+    /// The upstreams that this entry watches, and since when.
+    std::map<UpstreamId, MonotonicTime> watchedSince_;
     std::map<GroupId, Held> held_;
 };
 
--- /dev/null
+++ b/packages/groups/OrderPlanner.h
@@ -0,0 +1,61 @@
+/// \file
+/// \brief Decides which orders engines get.
+#pragma once
+
+#include "base/Time.h"
+#include "groups/MemberOrder.h"
+#include "state/FleetState.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace lycheereach {
+
+/// Sends orders until the announcement of every engine agrees with the replicated state.
+///
+/// An engine has one order in flight. The next one waits until the first was answered or its
+/// connection is closed, and a repetition also until the engine had time to announce the effect.
+/// Orders that make engines load weights are held to the policy's loads at once over the fleet.
+/// Not thread-safe.
+class OrderPlanner
+{
+public:
+    /// The orders to send now; each is in flight until orderEnded().
+    auto plan(const FleetState &state, MonotonicTime now) -> std::vector<MemberOrder>;
+
+    /// The order in flight to \a upstream was answered, or its connection is closed for good.
+    auto orderEnded(const UpstreamId &upstream, bool accepted, MonotonicTime now) -> void;
+
+    /// Forgets all that is in flight.
+    auto reset() -> void;
+
+private:
+    struct SentOrder
+    {
+        MemberOrder order_;
+        Incarnation incarnation_ = 0;
+        bool inFlight_ = true;
+        bool accepted_ = false;
+        MonotonicTime endedAt_;
+    };
+    struct Pass
+    {
+        const FleetState &state_;
+        MonotonicTime now_;
+        std::uint32_t loadsLeft_ = 0;
+        std::vector<MemberOrder> orders_;
+    };
+
+    auto planJoins(Pass &pass, const Group &group, const Pool &pool) -> void;
+    auto planLeaves(Pass &pass) -> void;
+    auto planSpares(Pass &pass) -> void;
+    auto loadsLeft(const FleetState &state, MonotonicTime now) const -> std::uint32_t;
+    auto isWaitingForReadBack(const SentOrder &sent, const Upstream &upstream,
+                              MonotonicTime now) const -> bool;
+    auto send(Pass &pass, const Upstream &upstream, const MemberOrder &order) -> void;
+
+    std::map<UpstreamId, SentOrder> sent_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/groups/PlacedGroup.h
@@ -0,0 +1,21 @@
+/// \file
+/// \brief The members of a group to form.
+#pragma once
+
+#include "base/Ids.h"
+
+#include <vector>
+
+namespace lycheereach {
+
+/// The members of a group to form.
+struct PlacedGroup
+{
+    ZoneName zone_;
+    std::vector<UpstreamId> members_;
+    bool acrossDomains_ = false;
+
+    auto operator==(const PlacedGroup &) const -> bool = default;
+};
+
+} // namespace lycheereach
