--- /dev/null
+++ b/packages/requests/SuspicionTable.h
@@ -0,0 +1,64 @@
+/// \file
+/// \brief Finds the request that kills the upstreams that run it.
+#pragma once
+
+#include "base/Time.h"
+#include "requests/CrashReport.h"
+#include "requests/SuspicionRuling.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheereach {
+
+/// Every request in flight at a crash is a suspect. Every entry has this table and hears of every
+/// crash before a suspect goes out again. The leaseholder of a target lets one suspect at a time
+/// run there, so a second crash has one suspect of the first among its requests: that one is
+/// named, and the others of both crashes are cleared. Not thread-safe.
+class SuspicionTable
+{
+public:
+    /// Suspicions older than \a keep are forgotten.
+    explicit SuspicionTable(Duration keep = std::chrono::minutes(10));
+
+    /// Takes a crash, of this entry or another; the same report twice counts once. Returns the
+    /// fingerprints that it names, each to be made a BlockRequest.
+    auto report(const CrashReport &crash, MonotonicTime now) -> std::vector<std::string>;
+    /// Takes over the fingerprints of FleetState::blocked_.
+    auto setBlocked(std::set<std::string> fingerprints) -> void;
+    [[nodiscard]] auto ruling(const std::string &fingerprint) const -> SuspicionRuling;
+
+    /// For the leaseholder: whether \a fingerprint may start at \a target. Requests that are clear
+    /// always may; a suspect may when no other suspect runs there, and then is counted as running.
+    auto admit(const std::string &target, const std::string &fingerprint) -> bool;
+    /// For the leaseholder: the request no longer runs at \a target.
+    auto leave(const std::string &target, const std::string &fingerprint) -> void;
+    /// The request was served whole; it is cleared.
+    auto served(const std::string &fingerprint) -> void;
+    /// Forgets old suspicions.
+    auto forget(MonotonicTime now) -> void;
+    [[nodiscard]] auto suspects() const -> std::size_t { return suspects_.size(); }
+
+private:
+    /// One incarnation of a target.
+    using Crash = std::pair<std::string, Epoch>;
+
+    struct Suspicion
+    {
+        std::set<Crash> crashes_;
+        MonotonicTime since_;
+    };
+
+    auto name(const std::string &fingerprint) -> void;
+
+    Duration keep_;
+    std::map<std::string, Suspicion> suspects_;
+    /// The suspect that runs at a target.
+    std::map<std::string, std::string> running_;
+    std::set<std::string> blocked_;
+};
+
+} // namespace lycheereach
