--- a/packages/base/RankedMutex.h
+++ b/packages/base/RankedMutex.h
@@ -8,6 +8,8 @@
 
 /// The lock order: a thread takes locks in rising rank only.
 enum class LockRank {
+    /// The planner of the control leader.
+    Planner = 5,
     /// The replicated log, the state machine and the state leases.
     Control = 10,
     /// Watched upstreams and the permits of the groups held here.
--- /dev/null
+++ b/packages/control/ControlLeases.cpp
@@ -0,0 +1,361 @@
+#include "control/ControlService.h"
+
+#include "control/LeaseGrant.h"
+#include "control/Proposal.h"
+#include "control/ProposalAnswer.h"
+#include "control/Renewal.h"
+#include "log/Replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// Bytes of records in one answer to a renewal.
+constexpr auto recordLimitBytes = std::size_t{256} * 1024;
+/// A grantor that has not answered for so many renewal intervals is given up for another one.
+constexpr auto unansweredRenewals = 3;
+/// An entry is lost when no relay has named it for so many leases.
+constexpr auto leasesUntilLost = 2;
+/// The lease of the leader's own grants is not limited by another lease.
+constexpr auto noLimit = std::chrono::hours(1);
+
+} // namespace
+
+auto ControlService::receive(const EntryId &from, const std::string &method, const Json &params)
+    -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto dispatch = [&]<typename Message>(auto handler) {
+        if (const auto message = decode<Message>(params))
+            handler(*message);
+    };
+    if (method == "control.log") {
+        if (replica_ != nullptr)
+            replica_->receive(from, params, hooks_.now_());
+    } else if (method == "control.renew") {
+        dispatch.operator()<Renewal>([&](const Renewal &message) { onRenewal(from, message); });
+    } else if (method == "control.grant") {
+        dispatch.operator()<LeaseGrant>([&](const LeaseGrant &message) { onGrant(from, message); });
+    } else if (method == "control.propose") {
+        dispatch.operator()<Proposal>([&](const Proposal &message) { onProposal(from, message); });
+    } else if (method == "control.proposed") {
+        dispatch.operator()<ProposalAnswer>(
+            [&](const ProposalAnswer &message) { onProposalAnswer(message); });
+    } else {
+        return false;
+    }
+    return true;
+}
+
+auto ControlService::renewWhenDue(MonotonicTime now) -> void
+{
+    if (now - renewedAt_ < settings_.renewEvery_)
+        return;
+    renewedAt_ = now;
+    if (isLeaderNow(now)) {
+        renewAsLeader(now);
+        return;
+    }
+    if (const auto grantor = grantorToAsk())
+        sendRenewal(*grantor, now);
+}
+
+auto ControlService::renewAsLeader(MonotonicTime now) -> void
+{
+    const auto number = lease_.renewalSent(now);
+    lease_.granted(number, settings_.stateLease_, machine_.state().requiredIndex_);
+    leader_ = settings_.self_.id_;
+    beginRelaying(now);
+}
+
+auto ControlService::grantorToAsk() -> std::optional<EntryId>
+{
+    const auto now = hooks_.now_();
+    if (replica_ != nullptr) {
+        if (const auto known = replica_->leader())
+            leader_ = *known;
+    }
+    const auto silent = now - answeredAt_ > unansweredRenewals * settings_.renewEvery_;
+    if (replica_ != nullptr && !leader_.empty() && leader_ != settings_.self_.id_ && !silent)
+        return leader_;
+    if (replica_ == nullptr && !grantor_.empty() && !silent)
+        return grantor_;
+    const auto candidates = relays();
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[asked_++ % candidates.size()];
+}
+
+auto ControlService::relays() const -> std::vector<EntryId>
+{
+    auto near = std::vector<EntryId>{};
+    auto far = std::vector<EntryId>{};
+    const auto &self = settings_.self_;
+    for (const auto &[id, entry] : machine_.state().entries_) {
+        if (!entry.control_ || id == self.id_ || entry.phase_ == EntryPhase::Lost)
+            continue;
+        (entry.zone_ == self.zone_ ? near : far).push_back(id);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    for (const auto &voter : settings_.voters_) {
+        if (voter != self.id_ && std::find(near.begin(), near.end(), voter) == near.end())
+            near.push_back(voter);
+    }
+    return near;
+}
+
+auto ControlService::sendRenewal(const EntryId &to, MonotonicTime now) -> void
+{
+    auto renewal = Renewal{.number_ = lease_.renewalSent(now),
+                           .entry_ = settings_.self_,
+                           .confirmed_ = confirmedHere(now),
+                           .applied_ = machine_.state().applied_};
+    if (relaying_)
+        renewal.holders_ = relayed_.holders(now);
+    hooks_.send_(to, "control.renew", encode(renewal));
+}
+
+auto ControlService::confirmedHere(MonotonicTime now) const -> LogIndex
+{
+    const auto applied = machine_.state().applied_;
+    if (replica_ == nullptr)
+        return applied;
+    return relaying_ ? relayed_.confirmedIndex(applied, now) : LogIndex{0};
+}
+
+auto ControlService::onRenewal(const EntryId &from, const Renewal &renewal) -> void
+{
+    const auto now = hooks_.now_();
+    hooks_.setPeer_(from, renewal.entry_.peerAddress_);
+    if (replica_ == nullptr)
+        return;
+    auto grant = LeaseGrant{.number_ = renewal.number_, .leader_ = leader_};
+    if (renewal.entry_.control_ && isLeaderNow(now))
+        grant = grantAsLeader(renewal, now);
+    else if (!renewal.entry_.control_)
+        grant = grantAsRelay(renewal, now);
+    grant.inForceIndex_ = inForceIndex_;
+    hooks_.send_(from, "control.grant", encode(grant));
+}
+
+auto ControlService::grantAsLeader(const Renewal &renewal, MonotonicTime now) -> LeaseGrant
+{
+    const auto &id = renewal.entry_.id_;
+    replica_->addLearner(id);
+    heardOf_[id] = now;
+    for (const auto &holder : renewal.holders_)
+        heardOf_[holder] = now;
+    const auto &state = machine_.state();
+    auto grant = LeaseGrant{.number_ = renewal.number_,
+                            .requiredIndex_ = state.requiredIndex_,
+                            .leader_ = settings_.self_.id_};
+    if (state.entries_.contains(id))
+        grant.durationMs_ = toMilliseconds(granted_.grant(id, renewal.confirmed_, noLimit, now));
+    return grant;
+}
+
+auto ControlService::grantAsRelay(const Renewal &renewal, MonotonicTime now) -> LeaseGrant
+{
+    const auto &state = machine_.state();
+    auto grant = LeaseGrant{
+        .number_ = renewal.number_, .requiredIndex_ = state.applied_, .leader_ = leader_};
+    const auto mayGrant = relaying_ && lease_.allowsWork(state.applied_, now)
+        && state.entries_.contains(renewal.entry_.id_);
+    if (mayGrant)
+        grant.durationMs_ = toMilliseconds(
+            relayed_.grant(renewal.entry_.id_, renewal.applied_, lease_.remaining(now), now));
+    else if (relaying_)
+        heardOf_[renewal.entry_.id_] = now;
+    addRecords(grant, renewal.applied_);
+    return grant;
+}
+
+auto ControlService::addRecords(LeaseGrant &grant, LogIndex applied) const -> void
+{
+    const auto committed = replica_->recordsFrom(applied + 1, recordLimitBytes);
+    if (committed.needsSnapshot_) {
+        grant.snapshot_ = replica_->latestSnapshot().bytes_;
+        return;
+    }
+    for (const auto &record : committed.records_) {
+        const auto isCommand = record.kind_ == RecordKind::Command;
+        grant.records_.push_back(
+            StateRecord{record.index_, isCommand ? record.payload_ : std::string()});
+    }
+}
+
+auto ControlService::onGrant(const EntryId &from, const LeaseGrant &grant) -> void
+{
+    const auto now = hooks_.now_();
+    if (!grant.leader_.empty())
+        leader_ = grant.leader_;
+    if (replica_ == nullptr)
+        takeRecords(grant);
+    inForceIndex_ = std::max(inForceIndex_, grant.inForceIndex_);
+    if (grant.durationMs_ == 0)
+        return;
+    grantor_ = from;
+    answeredAt_ = now;
+    lease_.granted(grant.number_, std::chrono::milliseconds(grant.durationMs_),
+                   grant.requiredIndex_);
+    beginRelaying(now);
+    noteLeaseChange(now);
+}
+
+auto ControlService::takeRecords(const LeaseGrant &grant) -> void
+{
+    if (grant.snapshot_)
+        restoreSnapshot(*grant.snapshot_);
+    for (const auto &record : grant.records_) {
+        if (record.index_ != machine_.state().applied_ + 1)
+            continue;
+        if (!record.command_.empty())
+            applyCommand(record.index_, record.command_);
+        machine_.advance(record.index_);
+    }
+}
+
+auto ControlService::beginRelaying(MonotonicTime now) -> void
+{
+    if (relaying_ || replica_ == nullptr)
+        return;
+    // An earlier run of this process may have granted leases that it no longer knows of.
+    auto holders = std::vector<EntryId>{};
+    for (const auto &[id, entry] : machine_.state().entries_) {
+        if (!entry.control_)
+            holders.push_back(id);
+    }
+    relayed_.takeOver(holders, now);
+    relaying_ = true;
+}
+
+auto ControlService::noteLeadership(MonotonicTime now) -> void
+{
+    const auto leads = isLeaderNow(now);
+    if (leads == leading_)
+        return;
+    leading_ = leads;
+    if (!leads)
+        return;
+    leadingSince_ = now;
+    heardOf_.clear();
+    auto relays = std::vector<EntryId>{};
+    for (const auto &[id, entry] : machine_.state().entries_) {
+        if (entry.control_ && id != settings_.self_.id_)
+            relays.push_back(id);
+    }
+    granted_.takeOver(relays, now);
+    renewAsLeader(now);
+}
+
+auto ControlService::updateInForce(MonotonicTime now) -> void
+{
+    if (!leading_ || !relaying_)
+        return;
+    const auto confirmed = granted_.confirmedIndex(confirmedHere(now), now);
+    inForceIndex_ = std::max(inForceIndex_, confirmed);
+    const auto &state = machine_.state();
+    if (inForceIndex_ < state.requiredIndex_ || versionInForce_ == state.version_)
+        return;
+    versionInForce_ = state.version_;
+    hooks_.event_(
+        Event{EventNumber::ConfigurationInForce, {{"version", std::to_string(state.version_)}}});
+}
+
+auto ControlService::loseSilentEntries(MonotonicTime now) -> void
+{
+    const auto patience = leasesUntilLost * settings_.stateLease_;
+    if (!leading_ || now - leadingSince_ < patience)
+        return;
+    for (const auto &holder : relayed_.holders(now))
+        heardOf_[holder] = now;
+    for (const auto &[id, entry] : machine_.state().entries_) {
+        if (entry.phase_ == EntryPhase::Lost || id == settings_.self_.id_)
+            continue;
+        auto &heard = heardOf_.try_emplace(id, now).first->second;
+        if (now - heard < patience)
+            continue;
+        heard = now;
+        appendHere(SetEntryPhase{id, entry.incarnation_, EntryPhase::Lost}, nullptr,
+                   now + settings_.proposalTimeout_);
+    }
+}
+
+auto ControlService::registerWhenNeeded(MonotonicTime now) -> void
+{
+    if (now - registeredAt_ < settings_.renewEvery_)
+        return;
+    registeredAt_ = now;
+    const auto &entries = machine_.state().entries_;
+    const auto found = entries.find(settings_.self_.id_);
+    if (found != entries.end() && found->second == settings_.self_)
+        return;
+    if (found != entries.end() && found->second.incarnation_ > settings_.self_.incarnation_)
+        settings_.self_.incarnation_ = found->second.incarnation_ + 1;
+    const auto command = Command(PutEntry{settings_.self_});
+    const auto giveUpAt = now + settings_.renewEvery_;
+    if (appendHere(command, nullptr, giveUpAt))
+        return;
+    const auto number = ++lastNumber_;
+    auto &remote = remote_[number];
+    remote = Remote{.command_ = command, .giveUpAt_ = giveUpAt};
+    forward(remote, number, now);
+}
+
+auto ControlService::leave() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    leaving_ = true;
+    settings_.self_.phase_ = EntryPhase::Leaving;
+    registeredAt_ = MonotonicTime{};
+}
+
+auto ControlService::noteLeaseChange(MonotonicTime now) -> void
+{
+    const auto mayWork = lease_.allowsWork(machine_.state().applied_, now);
+    if (mayWork == mayWork_)
+        return;
+    mayWork_ = mayWork;
+    const auto number = mayWork ? EventNumber::StateLeaseRenewed : EventNumber::StateLeaseExpired;
+    hooks_.event_(Event{number, {{"entry", settings_.self_.id_.text()}}});
+}
+
+auto ControlService::mayTakeWork() const -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return lease_.allowsWork(machine_.state().applied_, hooks_.now_());
+}
+
+auto ControlService::inForceIndex() const -> LogIndex
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return inForceIndex_;
+}
+
+auto ControlService::waitingFor(LogIndex index) const -> std::vector<EntryId>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    if (!leading_)
+        return {};
+    const auto now = hooks_.now_();
+    auto waiting = granted_.waitingFor(index, now);
+    const auto here = relayed_.waitingFor(index, now);
+    waiting.insert(waiting.end(), here.begin(), here.end());
+    return waiting;
+}
+
+auto ControlService::liveEntries() const -> std::set<EntryId>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto live = std::set<EntryId>{};
+    for (const auto &[id, entry] : machine_.state().entries_) {
+        if (entry.phase_ == EntryPhase::Live)
+            live.insert(id);
+    }
+    return live;
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/control/ControlService.cpp
@@ -0,0 +1,205 @@
+#include "control/ControlService.h"
+
+#include "log/LogRecord.h"
+#include "log/LogStorage.h"
+#include "log/Replica.h"
+
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+auto replicaSettings(const ControlSettings &settings) -> ReplicaSettings
+{
+    return ReplicaSettings{.self_ = settings.self_.id_,
+                           .initialVoters_ = settings.voters_,
+                           .heartbeatInterval_ = settings.logHeartbeat_,
+                           .electionTimeout_ = settings.logElection_};
+}
+
+auto roleName(ReplicaRole role) -> std::string
+{
+    switch (role) {
+    case ReplicaRole::Follower:
+        return "follower";
+    case ReplicaRole::PreCandidate:
+    case ReplicaRole::Candidate:
+        return "candidate";
+    case ReplicaRole::Leader:
+        return "leader";
+    case ReplicaRole::Learner:
+        return "learner";
+    }
+    return "";
+}
+
+} // namespace
+
+ControlService::ControlService(ControlSettings settings, std::unique_ptr<LogStorage> storage,
+                               ControlHooks hooks)
+    : settings_(std::move(settings))
+    , hooks_(std::move(hooks))
+    , mutex_(LockRank::Control)
+    , machine_([this](const Event &event) { emitWhenLeader(event); })
+    , relayed_(settings_.stateLease_)
+    , granted_(settings_.stateLease_)
+{
+    if (storage == nullptr)
+        return;
+    auto replicaHooks = ReplicaHooks{
+        .send_ = [this](const EntryId &to,
+                        const Json &message) { hooks_.send_(to, "control.log", message); },
+        .apply_ = [this](const LogRecord &record) { applyRecord(record); },
+        .takeSnapshot_ = [this] { return machine_.snapshot(); },
+        .restore_ =
+            [this](LogIndex index, const std::string &snapshot) {
+                restoreSnapshot(snapshot);
+                failOvertaken(index);
+            },
+        .random_ = hooks_.random_,
+        .event_ = hooks_.event_};
+    replica_ = std::make_unique<Replica>(replicaSettings(settings_), std::move(storage),
+                                         std::move(replicaHooks));
+}
+
+ControlService::~ControlService() = default;
+
+auto ControlService::open() -> Result<Nothing>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    if (replica_ == nullptr)
+        return Nothing{};
+    return replica_->open(hooks_.now_());
+}
+
+auto ControlService::tick() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto now = hooks_.now_();
+    if (replica_ != nullptr)
+        replica_->tick(now);
+    noteLeadership(now);
+    renewWhenDue(now);
+    updateInForce(now);
+    loseSilentEntries(now);
+    registerWhenNeeded(now);
+    resendProposals(now);
+    giveUpProposals(now);
+    noteLeaseChange(now);
+}
+
+auto ControlService::applyRecord(const LogRecord &record) -> void
+{
+    auto outcome = std::optional<CommandOutcome>{};
+    if (record.kind_ == RecordKind::Command)
+        outcome = applyCommand(record.index_, record.payload_);
+    machine_.advance(record.index_);
+    failOvertaken(record.index_ - 1);
+    const auto found = waiting_.find(record.index_);
+    if (found == waiting_.end())
+        return;
+    auto waiting = std::move(found->second);
+    waiting_.erase(found);
+    if (waiting.term_ == record.term_ && outcome)
+        answer(std::move(waiting.done_), *outcome);
+    else
+        proposeLater(std::move(waiting));
+}
+
+auto ControlService::applyCommand(LogIndex index, const std::string &text)
+    -> std::optional<CommandOutcome>
+{
+    const auto command = decodeCommand(text);
+    if (!command)
+        return CommandOutcome{.accepted_ = false, .message_ = command.failure().message_};
+    auto outcome = machine_.apply(index, *command);
+    noteStateChanged();
+    return outcome;
+}
+
+auto ControlService::restoreSnapshot(const std::string &snapshot) -> void
+{
+    if (snapshot.empty())
+        return;
+    if (machine_.restore(snapshot))
+        noteStateChanged();
+}
+
+auto ControlService::noteStateChanged() -> void
+{
+    if (changeNoted_)
+        return;
+    changeNoted_ = true;
+    hooks_.post_([this] {
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            changeNoted_ = false;
+            notePeers();
+        }
+        hooks_.stateChanged_();
+    });
+}
+
+auto ControlService::notePeers() -> void
+{
+    for (const auto &[id, entry] : machine_.state().entries_) {
+        if (id != settings_.self_.id_)
+            hooks_.setPeer_(id, entry.peerAddress_);
+    }
+}
+
+auto ControlService::emitWhenLeader(const Event &event) -> void
+{
+    const auto isLeader = replica_ != nullptr && replica_->role() == ReplicaRole::Leader;
+    if (isLeader)
+        hooks_.event_(event);
+}
+
+auto ControlService::isLeaderNow(MonotonicTime now) const -> bool
+{
+    return replica_ != nullptr && replica_->role() == ReplicaRole::Leader
+        && replica_->holdsLeaderLease(now);
+}
+
+auto ControlService::changeVoters(const std::optional<EntryId> &add,
+                                  const std::optional<EntryId> &remove) -> Result<Nothing>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    if (replica_ == nullptr)
+        return Failure{Error::NotLeader, "this entry keeps no control log"};
+    const auto now = hooks_.now_();
+    const auto position = replica_->changeVoters(add, remove, now);
+    replica_->flush(now);
+    if (!position)
+        return position.failure();
+    return Nothing{};
+}
+
+auto ControlService::leads() const -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return isLeaderNow(hooks_.now_());
+}
+
+auto ControlService::status() const -> ControlStatus
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto now = hooks_.now_();
+    auto status = ControlStatus{.entry_ = settings_.self_.id_,
+                                .role_ = "entry",
+                                .leader_ = leader_,
+                                .applied_ = machine_.state().applied_,
+                                .inForceIndex_ = inForceIndex_,
+                                .mayTakeWork_ = lease_.allowsWork(machine_.state().applied_, now)};
+    if (replica_ == nullptr)
+        return status;
+    status.role_ = roleName(replica_->role());
+    status.term_ = replica_->term();
+    status.diskFailed_ = replica_->diskFailed();
+    for (const auto &voter : replica_->voters().voters_)
+        status.voters_.push_back(voter.name_);
+    return status;
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/control/ControlSettings.h
@@ -0,0 +1,29 @@
+/// \file
+/// \brief The settings of a ControlService.
+#pragma once
+
+#include "base/Time.h"
+#include "state/EntryRecord.h"
+
+#include <vector>
+
+namespace lycheereach {
+
+/// The settings of a ControlService.
+struct ControlSettings
+{
+    /// This entry as it registers itself.
+    EntryRecord self_;
+    /// The first voters; where an entry asks while it knows no state.
+    std::vector<EntryId> voters_;
+    Duration stateLease_ = std::chrono::seconds(3);
+    Duration renewEvery_ = std::chrono::milliseconds(500);
+    Duration logHeartbeat_ = std::chrono::milliseconds(100);
+    Duration logElection_ = std::chrono::milliseconds(600);
+    /// A proposal without an outcome is given up after this time.
+    Duration proposalTimeout_ = std::chrono::seconds(6);
+    /// A proposal without an answer is sent again after this time.
+    Duration proposalResend_ = std::chrono::milliseconds(800);
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/serving/LeaseholderService.cpp
@@ -0,0 +1,219 @@
+#include "serving/LeaseholderService.h"
+
+#include "control/ControlService.h"
+#include "groups/LeaseholderChoice.h"
+#include "serving/LoadReport.h"
+
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// Loads that have not changed are reported again after this time.
+constexpr auto loadRefresh = std::chrono::seconds(1);
+/// Addresses that an upstream is told.
+constexpr auto announceChoices = std::size_t{4};
+
+} // namespace
+
+LeaseholderService::LeaseholderService(EntryId self, ControlService &control,
+                                       LeaseholderHooks hooks)
+    : self_(std::move(self))
+    , control_(control)
+    , hooks_(std::move(hooks))
+    , mutex_(LockRank::Leaseholder)
+    , watch_(self_)
+    , permits_(self_)
+{ }
+
+auto LeaseholderService::stateChanged() -> void
+{
+    const auto now = hooks_.now_();
+    const auto mayWork = control_.mayTakeWork();
+    control_.read([&](const FleetState &state) {
+        const auto lock = std::scoped_lock(mutex_);
+        watch_.update(state, now);
+        permits_.update(state, now);
+        held_.clear();
+        for (const auto &[id, group] : state.groups_) {
+            if (group.leaseholder_ == self_)
+                held_.insert(id);
+        }
+        updateServing(state, mayWork, now);
+    });
+}
+
+auto LeaseholderService::updateServing(const FleetState &state, bool mayWork, MonotonicTime now)
+    -> void
+{
+    for (const auto &group : held_)
+        permits_.setServing(group, mayWork && watch_.mayServe(state, group, now));
+}
+
+auto LeaseholderService::tick() -> void
+{
+    const auto now = hooks_.now_();
+    const auto mayWork = control_.mayTakeWork();
+    auto commands = std::vector<Command>{};
+    auto recalls = std::vector<PermitRecall>{};
+    control_.read([&](const FleetState &state) {
+        const auto lock = std::scoped_lock(mutex_);
+        updateServing(state, mayWork, now);
+        permits_.tick(now);
+        const auto isIdle = [this](const GroupId &group) { return permits_.isIdle(group); };
+        commands = watch_.tick(state, now, isIdle);
+        recalls = permits_.recalled();
+    });
+    for (const auto &command : commands)
+        proposeOnce(command);
+    for (const auto &recall : recalls)
+        hooks_.send_(recall.entry_, "permit.recall", encode(recall.permit_));
+    reportLoads(now);
+}
+
+auto LeaseholderService::reportLoads(MonotonicTime now) -> void
+{
+    auto report = LoadReport{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        report.loads_ = permits_.loads();
+        if (report.loads_ == reported_ && now - reportedAt_ < loadRefresh)
+            return;
+        reported_ = report.loads_;
+        reportedAt_ = now;
+    }
+    if (report.loads_.empty())
+        return;
+    const auto message = encode(report);
+    for (const auto &entry : control_.liveEntries()) {
+        if (entry != self_)
+            hooks_.send_(entry, "permit.loads", message);
+    }
+    hooks_.loads_(report);
+}
+
+auto LeaseholderService::proposeOnce(const Command &command) -> void
+{
+    auto key = encodeCommand(command);
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (!underWay_.insert(key).second)
+            return;
+    }
+    const auto done = [self = weak_from_this(), key](const Result<CommandOutcome> &) {
+        if (const auto service = self.lock())
+            service->proposalEnded(key);
+    };
+    control_.propose(command, done);
+}
+
+auto LeaseholderService::proposalEnded(const std::string &key) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    underWay_.erase(key);
+}
+
+auto LeaseholderService::announce(const Announcement &announcement) -> AnnouncementAnswer
+{
+    const auto now = hooks_.now_();
+    const auto effect = control_.read([&](const FleetState &state) {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto heard = watch_.heard(state, announcement, now);
+        if (heard != AnnouncementEffect::Stale)
+            permits_.report(announcement, now);
+        return heard;
+    });
+    auto answer = answerFor(announcement);
+    answer.accepted_ = effect != AnnouncementEffect::Stale;
+    const auto isNews = control_.read([&](const FleetState &state) {
+        const auto known = state.upstreams_.find(announcement.upstream_);
+        return known == state.upstreams_.end() || known->second.lost_
+            || known->second.watcher_ != self_
+            || differsBeyondLoad(known->second.announced_, announcement);
+    });
+    if (answer.accepted_ && isNews)
+        proposeOnce(PutUpstream{announcement, self_});
+    return answer;
+}
+
+auto LeaseholderService::answerFor(const Announcement &announcement) const -> AnnouncementAnswer
+{
+    const auto live = control_.liveEntries();
+    return control_.read([&](const FleetState &state) {
+        auto answer = AnnouncementAnswer{};
+        const auto &upstream = announcement.upstream_;
+        for (const auto &entry : announceTo(state, live, upstream, announcement.zone_)) {
+            if (answer.announceTo_.size() < announceChoices)
+                answer.announceTo_.push_back(state.entries_.at(entry).address_);
+        }
+        const auto policy
+            = policyFor(state.declaration_, announcement.zone_, announcement.pool_, upstream);
+        answer.everyMs_ = policy.announceEveryMs_;
+        return answer;
+    });
+}
+
+auto LeaseholderService::receive(const EntryId &from, const std::string &method, const Json &params)
+    -> bool
+{
+    if (method == "permit.take") {
+        const auto message = decode<PermitTake>(params);
+        if (message)
+            hooks_.send_(from, "permit.answer", encode(take(from, *message)));
+        return true;
+    }
+    if (method == "permit.note") {
+        const auto message = decode<PermitNote>(params);
+        if (message)
+            note(*message);
+        return true;
+    }
+    return false;
+}
+
+auto LeaseholderService::take(const EntryId &entry, const PermitTake &request) -> PermitAnswer
+{
+    const auto now = hooks_.now_();
+    auto answer = PermitAnswer{.number_ = request.number_};
+    if (!control_.mayTakeWork()) {
+        answer.refusal_ = PermitRefusal{RefusalReason::NotServing};
+        return answer;
+    }
+    const auto isSuspect = !request.suspect_.empty();
+    if (isSuspect && !hooks_.admitSuspect_(request.group_, request.suspect_)) {
+        answer.refusal_ = PermitRefusal{RefusalReason::Full};
+        return answer;
+    }
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto result = permits_.take(request.group_, entry, request.request_, now);
+        if (const auto *permit = std::get_if<Permit>(&result))
+            answer.permit_ = *permit;
+        else
+            answer.refusal_ = std::get<PermitRefusal>(result);
+    }
+    if (isSuspect && answer.refusal_)
+        hooks_.suspectLeft_(request.group_, request.suspect_);
+    return answer;
+}
+
+auto LeaseholderService::note(const PermitNote &note) -> void
+{
+    if (note.outcome_ && !note.suspect_.empty())
+        hooks_.suspectLeft_(note.group_, note.suspect_);
+    const auto lock = std::scoped_lock(mutex_);
+    if (note.outcome_)
+        permits_.finished(note.group_, note.leaseNumber_, note.number_, *note.outcome_,
+                          std::chrono::milliseconds(note.latencyMs_));
+    else
+        permits_.started(note.group_, note.leaseNumber_, note.number_, hooks_.now_());
+}
+
+auto LeaseholderService::holdsNothing() const -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return held_.empty();
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/serving/PermitBroker.h
@@ -0,0 +1,104 @@
+/// \file
+/// \brief Finds a group and a permit for each request of this entry.
+#pragma once
+
+#include "base/RankedMutex.h"
+#include "base/Result.h"
+#include "requests/FairQueue.h"
+#include "routing/GroupChooser.h"
+#include "routing/PrefixIndex.h"
+#include "serving/BrokeredPermit.h"
+#include "serving/PermitBrokerHooks.h"
+#include "serving/PermitRequest.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheereach {
+
+class ControlService;
+struct LoadReport;
+
+/// Told once for each request, outside of every lock: a permit, or Error::Overloaded, NotFound or
+/// Cancelled, all Verdict::NotRun.
+using PermitCallback = std::function<void(const Result<BrokeredPermit> &)>;
+
+/// Queues the requests of this entry for each pool and gets permits for them from leaseholders.
+/// Thread-safe; guarded by one lock of rank LockRank::Routing.
+class PermitBroker
+{
+public:
+    PermitBroker(EntryId self, ZoneName zone, ControlService &control, PermitBrokerHooks hooks);
+
+    /// Takes in the replicated state.
+    auto stateChanged() -> void;
+    /// Gives up what has waited too long and starts what can start.
+    auto tick() -> void;
+    /// Queues a request.
+    auto request(PermitRequest request, PermitCallback done) -> void;
+    /// A request no longer wants its permit; its callback hears Error::Cancelled.
+    auto cancel(const RequestId &request) -> void;
+    /// The request of a permit was sent.
+    auto started(const BrokeredPermit &permit) -> void;
+    /// The request of a permit has ended.
+    auto ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency) -> void;
+    /// Takes a message of a peer; true when it was one for this broker.
+    auto receive(const EntryId &from, const std::string &method, const Json &params) -> bool;
+    /// Takes the loads of groups.
+    auto report(const LoadReport &report) -> void;
+    [[nodiscard]] auto waiting() const -> std::size_t;
+
+private:
+    struct Pending
+    {
+        PermitRequest request_;
+        PermitCallback done_;
+    };
+    struct Take
+    {
+        RequestId request_;
+        Choice choice_;
+        MonotonicTime askedAt_;
+    };
+    struct PoolQueue
+    {
+        FairQueue queue_;
+        /// Taken out of the queue but without a group; they go first.
+        std::deque<RequestId> stalled_;
+    };
+    /// Something to do after the lock is released.
+    using Work = std::vector<std::function<void()>>;
+
+    static auto run(const Work &work) -> void;
+    auto poolQueue(const PoolName &pool) -> PoolQueue &;
+    auto pump(Work &work) -> void;
+    auto pumpPool(const PoolName &pool, PoolQueue &queue, Work &work) -> void;
+    auto nextWaiting(PoolQueue &queue, MonotonicTime now) -> std::optional<RequestId>;
+    auto startTake(const RequestId &request, Work &work) -> bool;
+    [[nodiscard]] auto choose(const PermitRequest &request) const -> std::optional<Choice>;
+    auto onAnswer(const PermitAnswer &answer) -> void;
+    auto grant(const Take &take, const Permit &permit, Work &work) -> void;
+    auto putBack(const Take &take, Work &work) -> void;
+    auto giveUpTakes(MonotonicTime now, Work &work) -> void;
+    auto shed(const std::vector<ShedItem> &items, Work &work) -> void;
+    auto fail(const RequestId &request, Failure failure, Work &work) -> void;
+    auto sendNote(const Choice &choice, PermitNote note, Work &work) -> void;
+
+    EntryId self_;
+    ControlService &control_;
+    PermitBrokerHooks hooks_;
+    mutable RankedMutex mutex_;
+    GroupChooser chooser_;
+    PrefixIndex prefixes_;
+    Policy policy_;
+    std::map<PoolName, PoolQueue> pools_;
+    std::map<RequestId, Pending> pending_;
+    std::map<std::uint64_t, Take> takes_;
+    std::uint64_t lastTake_ = 0;
+};
+
+} // namespace lycheereach
--- a/packages/state/FleetState.h
+++ b/packages/state/FleetState.h
@@ -23,8 +23,9 @@
     /// The last command applied.
     LogIndex applied_ = 0;
     Version version_ = 0;
-    /// The place in the log of the last accepted operation.
-    LogIndex operationIndex_ = 0;
+    /// The last accepted operation or change of a group's lease: an entry takes new work only when
+    /// it has applied this record.
+    LogIndex requiredIndex_ = 0;
     Declaration declaration_;
     std::set<ZoneName> zonesOut_;
     /// Counts the accepted changes of zonesOut_.
@@ -47,7 +48,7 @@
     {
         return std::tuple{field("applied", &FleetState::applied_),
                           field("version", &FleetState::version_),
-                          field("operationIndex", &FleetState::operationIndex_),
+                          field("requiredIndex", &FleetState::requiredIndex_),
                           field("declaration", &FleetState::declaration_),
                           field("zonesOut", &FleetState::zonesOut_),
                           field("zonesVersion", &FleetState::zonesVersion_),
--- a/packages/state/GroupCommands.cpp
+++ b/packages/state/GroupCommands.cpp
@@ -176,6 +176,7 @@
         return refused("the lease on group '" + command.id_.text() + "' is held; revoke it first");
     group.leaseholder_ = command.entry_;
     group.leaseChangedAt_ = context.index_;
+    state.requiredIndex_ = context.index_;
     if (command.entry_.empty())
         return accepted();
     ++group.leaseNumber_;
--- a/packages/state/MembershipCommands.cpp
+++ b/packages/state/MembershipCommands.cpp
@@ -34,7 +34,8 @@
         return refused("an older incarnation of entry '" + entry.id_.text() + "'");
     abandonClaims(context, entry.id_, entry.incarnation_);
     entries[entry.id_] = entry;
-    emitEntry(context, EventNumber::EntryJoined, entry.id_);
+    const auto leaves = entry.phase_ == EntryPhase::Leaving;
+    emitEntry(context, leaves ? EventNumber::EntryLeft : EventNumber::EntryJoined, entry.id_);
     return accepted();
 }
 
--- a/packages/state/OperatorCommands.cpp
+++ b/packages/state/OperatorCommands.cpp
@@ -29,7 +29,7 @@
     outcome.index_ = context.index_;
     const auto isAccepted = outcome.status_ == OperationStatus::Accepted;
     if (isAccepted)
-        context.state_.operationIndex_ = context.index_;
+        context.state_.requiredIndex_ = context.index_;
     operations.push_back(outcome);
     return CommandOutcome{
         .accepted_ = isAccepted, .message_ = outcome.message_, .operation_ = outcome};
