--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -182,6 +182,12 @@
     return isLeaderNow(hooks_.now_());
 }
 
+auto ControlService::incarnation() const -> Incarnation
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return settings_.self_.incarnation_;
+}
+
 auto ControlService::status() const -> ControlStatus
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -84,6 +84,8 @@
     /// has as live.
     [[nodiscard]] auto liveEntries() const -> std::set<EntryId>;
     [[nodiscard]] auto status() const -> ControlStatus;
+    /// The incarnation that this entry is registered under.
+    [[nodiscard]] auto incarnation() const -> Incarnation;
 
 private:
     struct Waiting
--- /dev/null
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -0,0 +1,250 @@
+#include "gateway/ActiveRequest.h"
+
+#include "control/ControlService.h"
+#include "gateway/Metrics.h"
+#include "gateway/SuspicionService.h"
+#include "serving/PermitBroker.h"
+#include "transport/WorkerPool.h"
+
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+constexpr auto cancelTimeout = std::chrono::seconds(1);
+constexpr auto probeTimeout = std::chrono::milliseconds(800);
+
+auto outcomeOf(PermitUse use) -> PermitOutcome
+{
+    switch (use) {
+    case PermitUse::Unused:
+        return PermitOutcome::NotStarted;
+    case PermitUse::Refused:
+        return PermitOutcome::Overloaded;
+    case PermitUse::Completed:
+        return PermitOutcome::Completed;
+    case PermitUse::Failed:
+        return PermitOutcome::Failed;
+    case PermitUse::Abandoned:
+        return PermitOutcome::Unknown;
+    }
+    return PermitOutcome::Unknown;
+}
+
+auto headOf(const HttpResponse &response) -> AnswerHead
+{
+    const auto &headers = response.headers_;
+    return AnswerHead{.status_ = response.status_,
+                      .contentType_ = headers.value("Content-Type"),
+                      .request_ = RequestId(headers.value("X-Request-Id")),
+                      .attempt_ = AttemptId(headers.value("X-Attempt-Id")),
+                      .verdict_ = parseVerdict(headers.value("X-Verdict"))};
+}
+
+auto wallMilliseconds(const WallClock &clock) -> std::int64_t
+{
+    const auto since = clock().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+} // namespace
+
+auto ActiveRequest::perform(const request_action::TakePermit &action) -> void
+{
+    auto wanted = PermitRequest{};
+    wanted.item_ = QueueItem{request_.id_, request_.workspace_, request_.weight_,
+                             request_.priority_, request_.deadline_};
+    wanted.choice_.pool_ = request_.pool_;
+    wanted.choice_.prefix_ = request_.prefix_;
+    wanted.choice_.priority_ = request_.priority_;
+    for (const auto &name : action.avoid_)
+        wanted.choice_.avoid_.emplace(name);
+    if (action.alone_)
+        wanted.suspect_ = request_.digest_;
+    const auto done = [self = shared_from_this()](const Result<BrokeredPermit> &result) {
+        if (!result) {
+            self->post(request_event::PermitRefused{result.failure()});
+            return;
+        }
+        const auto &choice = result->choice_;
+        self->permit_ = *result;
+        self->post(request_event::PermitGranted{
+            RequestTarget{choice.group_.text(), choice.epoch_, choice.address_},
+            result->validUntil_});
+    };
+    context_.broker_.request(std::move(wanted), done);
+}
+
+auto ActiveRequest::perform(const request_action::AbandonPermit &) -> void
+{
+    context_.broker_.cancel(request_.id_);
+}
+
+auto ActiveRequest::perform(const request_action::CommitClaim &) -> void
+{
+    const auto claim = ClaimRequest{.key_ = request_.key_,
+                                    .digest_ = request_.digest_,
+                                    .holder_ = context_.self_,
+                                    .holderIncarnation_ = context_.incarnation_(),
+                                    .request_ = request_.id_,
+                                    .atMs_ = wallMilliseconds(context_.wallNow_)};
+    context_.control_.propose(claim,
+                              [self = shared_from_this()](const Result<CommandOutcome> &result) {
+                                  if (result)
+                                      self->post(request_event::ClaimAnswered{*result});
+                                  else
+                                      self->post(request_event::ClaimFailed{result.failure()});
+                              });
+}
+
+auto ActiveRequest::perform(const request_action::SettleClaim &action) -> void
+{
+    context_.control_.propose(action.command_,
+                              [self = shared_from_this()](const Result<CommandOutcome> &) {
+                                  self->post(request_event::ClaimSettled{});
+                              });
+}
+
+auto ActiveRequest::callFor(const request_action::StartAttempt &action) const -> HttpCall
+{
+    auto call
+        = HttpCall{.address_ = action.target_.address_,
+                   .connectTimeout_ = std::chrono::milliseconds(policy_.connectTimeoutMs_),
+                   .firstByteTimeout_ = std::chrono::milliseconds(policy_.firstByteTimeoutMs_),
+                   .idleTimeout_ = std::chrono::milliseconds(policy_.streamIdleTimeoutMs_),
+                   .freshConnection_ = action.freshConnection_};
+    auto &request = call.request_;
+    request.method_ = request_.method_;
+    request.target_ = request_.target_;
+    request.body_ = request_.body_;
+    if (request_.chat_ && !action.textSoFar_.empty())
+        request.body_ = continuedBody(*request_.chat_, action.textSoFar_, action.tokensSoFar_);
+    auto &headers = request.headers_;
+    if (!request_.contentType_.empty())
+        headers.add("Content-Type", request_.contentType_);
+    headers.add("X-Request-Id", request_.id_.text());
+    headers.add("X-Attempt-Id", action.attempt_.text());
+    headers.add("X-Group", action.target_.name_);
+    headers.add("X-Group-Epoch", std::to_string(action.target_.epoch_));
+    headers.add("X-Priority", std::to_string(request_.priority_));
+    headers.add("X-Workspace", request_.workspace_.text());
+    if (!request_.callerKey_.empty())
+        headers.add("Idempotency-Key", request_.callerKey_);
+    if (!action.resumeAttempt_.empty()) {
+        headers.add("X-Resume-Attempt", action.resumeAttempt_.text());
+        headers.add("X-Resume-Offset", std::to_string(action.resumeOffset_));
+    }
+    return call;
+}
+
+auto ActiveRequest::hooksFor(const AttemptId &attempt) -> HttpCallHooks
+{
+    const auto self = shared_from_this();
+    return HttpCallHooks{
+        .head_ =
+            [self, attempt](const HttpResponse &response) {
+                self->firstByteNs_ = (self->context_.now_() - self->startedAt_).count();
+                self->post(request_event::AttemptHead{attempt, headOf(response)});
+            },
+        .part_ =
+            [self, attempt](std::string_view bytes) {
+                self->post(request_event::AttemptPart{attempt, std::string(bytes)});
+            },
+        .ended_
+        = [self, attempt](const HttpOutcome &outcome) { self->attemptEnded(attempt, outcome); }};
+}
+
+auto ActiveRequest::perform(const request_action::StartAttempt &action) -> void
+{
+    emit(EventNumber::AttemptStarted,
+         {{"attempt", action.attempt_.text()}, {"group", action.target_.name_}});
+    target_ = action.target_.name_;
+    if (!machine_.mayDispatch(action.attempt_, context_.now_())
+        || !context_.control_.mayTakeWork()) {
+        post(request_event::AttemptEnded{.attempt_ = action.attempt_,
+                                         .error_ = Error::LeaseExpired,
+                                         .verdict_ = Verdict::NotRun,
+                                         .message_ = "the right to start ran out"});
+        return;
+    }
+    startedAt_ = context_.now_();
+    firstByteNs_ = 0;
+    context_.metrics_.attemptStarted();
+    call_ = context_.client_.start(callFor(action), hooksFor(action.attempt_));
+    if (permit_)
+        context_.broker_.started(*permit_);
+}
+
+auto ActiveRequest::attemptEnded(const AttemptId &attempt, const HttpOutcome &outcome) -> void
+{
+    if (outcome.error_ == Error::ConnectionSilent)
+        emit(EventNumber::ConnectionSilent, {{"attempt", attempt.text()}});
+    emit(EventNumber::AttemptEnded,
+         {{"attempt", attempt.text()},
+          {"verdict", std::string(toString(outcome.verdict_))},
+          {"reason", outcome.error_ ? outcome.error_.message() : std::string("whole answer")}});
+    post(request_event::AttemptEnded{.attempt_ = attempt,
+                                     .error_ = outcome.error_,
+                                     .verdict_ = outcome.verdict_,
+                                     .message_ = outcome.message_,
+                                     .stopped_ = lastStopped_.exchange(false)});
+}
+
+auto ActiveRequest::perform(const request_action::CancelAttempt &action) -> void
+{
+    auto cancel = HttpCall{.address_ = action.target_.address_,
+                           .connectTimeout_ = cancelTimeout,
+                           .firstByteTimeout_ = cancelTimeout,
+                           .freshConnection_ = true};
+    cancel.request_ = HttpRequest{"POST",
+                                  "/v1/cancel",
+                                  {{"Content-Type", "application/json"}},
+                                  Json{{"attempt", action.attempt_.text()}}.dump()};
+    const auto call = call_;
+    auto status = std::make_shared<std::atomic<int>>(0);
+    const auto finish = [self = shared_from_this(), call, status](const HttpOutcome &outcome) {
+        static constexpr auto stopped = 200;
+        self->lastStopped_ = !outcome.error_ && *status == stopped;
+        if (call)
+            self->context_.client_.cancel(*call);
+    };
+    const auto noteStatus = [status](const HttpResponse &response) { *status = response.status_; };
+    context_.client_.start(std::move(cancel), HttpCallHooks{noteStatus, nullptr, finish});
+}
+
+auto ActiveRequest::perform(const request_action::ReturnPermit &action) -> void
+{
+    if (!permit_)
+        return;
+    context_.broker_.ended(*permit_, outcomeOf(action.use_), Duration(firstByteNs_.load()));
+    permit_.reset();
+}
+
+auto ActiveRequest::perform(const request_action::Probe &action) -> void
+{
+    auto probe = HttpCall{.address_ = action.target_.address_,
+                          .connectTimeout_ = probeTimeout,
+                          .firstByteTimeout_ = probeTimeout,
+                          .freshConnection_ = true};
+    probe.request_ = HttpRequest{"GET", "/healthz", {}, {}};
+    const auto ended = [self = shared_from_this()](const HttpOutcome &outcome) {
+        self->post(request_event::ProbeAnswered{!outcome.error_});
+    };
+    context_.client_.start(std::move(probe), HttpCallHooks{nullptr, nullptr, ended});
+}
+
+auto ActiveRequest::perform(const request_action::ReportSuspect &action) -> void
+{
+    context_.suspicion_.report(action.target_.name_, action.target_.epoch_, action.fingerprint_,
+                               [self = shared_from_this()](SuspicionRuling ruling) {
+                                   self->post(request_event::SuspicionShared{ruling});
+                               });
+}
+
+auto ActiveRequest::perform(const request_action::ClearSuspect &action) -> void
+{
+    context_.suspicion_.served(action.fingerprint_);
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/gateway/ProblemResponse.h
@@ -0,0 +1,35 @@
+/// \file
+/// \brief Problem documents as HTTP responses.
+#pragma once
+
+#include "requests/ProblemDocument.h"
+#include "transport/HttpResponse.h"
+
+#include <algorithm>
+#include <string>
+
+namespace lycheereach {
+
+/// \a problem as an HTTP response, with its verdict and the time to come back as headers.
+inline auto problemResponse(const ProblemDocument &problem) -> HttpResponse
+{
+    auto response = HttpResponse{.status_ = problem.status_, .body_ = problem.body()};
+    response.headers_.add("Content-Type", "application/problem+json");
+    if (problem.retryAfter_) {
+        const auto milliseconds = std::max<std::int64_t>(1, toMilliseconds(*problem.retryAfter_));
+        response.headers_.add("Retry-After", std::to_string((milliseconds + 999) / 1000));
+        response.headers_.add("X-Retry-After-Ms", std::to_string(milliseconds));
+    }
+    return response;
+}
+
+/// The response for \a failure of \a request, with its verdict as a header.
+inline auto failureResponse(const Failure &failure, const RequestId &request) -> HttpResponse
+{
+    auto response = problemResponse(problemFor(failure, request));
+    response.headers_.add("X-Request-Id", request.text());
+    response.headers_.add("X-Verdict", std::string(toString(failure.verdict_)));
+    return response;
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/gateway/RequestService.cpp
@@ -0,0 +1,187 @@
+#include "gateway/RequestService.h"
+
+#include "control/ControlService.h"
+#include "gateway/ActiveRequest.h"
+#include "gateway/BudgetService.h"
+#include "gateway/ProblemResponse.h"
+#include "gateway/RequestReader.h"
+#include "gateway/SuspicionService.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <mutex>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+constexpr auto longestCallerId = std::size_t{64};
+constexpr auto refusalRetryAfter = std::chrono::milliseconds(100);
+
+auto mayBeInId(char c) -> bool
+{
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-'
+        || c == '_' || c == '.';
+}
+
+auto workspaceOf(const Declaration &declaration, const WorkspaceName &name) -> Workspace
+{
+    for (const auto &workspace : declaration.workspaces_) {
+        if (workspace.name_ == name)
+            return workspace;
+    }
+    return Workspace{.name_ = name};
+}
+
+} // namespace
+
+RequestService::RequestService(RequestContext context, ZoneName zone, Duration addressKeep,
+                               BudgetService &budgets)
+    : context_(std::move(context))
+    , zone_(std::move(zone))
+    , addressKeep_(addressKeep)
+    , budgets_(budgets)
+    , mutex_(LockRank::Requests)
+    , retries_(Policy{}.retryPercent_)
+{
+    context_.takeRetry_ = [this] {
+        const auto lock = std::scoped_lock(mutex_);
+        return retries_.takeRetry(context_.now_());
+    };
+}
+
+RequestService::~RequestService() = default;
+
+auto RequestService::stateChanged() -> void
+{
+    context_.control_.read([this](const FleetState &state) {
+        const auto lock = std::scoped_lock(mutex_);
+        retries_.setPercent(state.declaration_.defaults_.retryPercent_);
+        zoneOut_ = isZoneOut(state, zone_);
+        if (!zoneOut_ && !leaving_)
+            unlistedSince_.reset();
+        else if (!unlistedSince_)
+            unlistedSince_ = context_.now_();
+    });
+}
+
+auto RequestService::leave() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    leaving_ = true;
+    if (!unlistedSince_)
+        unlistedSince_ = context_.now_();
+}
+
+auto RequestService::refusal() const -> std::optional<Failure>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    if (!unlistedSince_ || context_.now_() - *unlistedSince_ < addressKeep_)
+        return std::nullopt;
+    return Failure{.code_ = Error::ShuttingDown,
+                   .message_ = "this entry takes no new requests; ask GET /v1/entries for another",
+                   .retryAfter_ = refusalRetryAfter};
+}
+
+auto RequestService::takesWork() const -> bool
+{
+    return !refusal() && context_.control_.mayTakeWork();
+}
+
+auto RequestService::newId(const HttpRequest &request) const -> RequestId
+{
+    static constexpr auto hexadecimal = 16;
+    auto digits = std::array<char, hexadecimal>{};
+    const auto *end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                    context_.random_(), hexadecimal)
+                          .ptr;
+    const auto unique = std::string(digits.data(), end);
+    const auto given = request.headers_.value("X-Request-Id");
+    const auto usable = !given.empty() && given.size() <= longestCallerId
+        && std::all_of(given.begin(), given.end(), mayBeInId);
+    return RequestId(usable ? given + "." + unique : "r-" + unique);
+}
+
+auto RequestService::handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void
+{
+    const auto id = newId(request);
+    if (const auto failure = refusal()) {
+        refuse(*failure, id, reply);
+        return;
+    }
+    auto workspace = Workspace{};
+    auto read = context_.control_.read([&](const FleetState &state) {
+        auto result = readCallerRequest(request, state.declaration_, id, context_.now_());
+        if (result)
+            workspace = workspaceOf(state.declaration_, result->workspace_);
+        return result;
+    });
+    if (!read) {
+        if (read.failure().code_ == Error::Unauthorized)
+            context_.event_(Event{EventNumber::KeyRejected, {{"request", id.text()}}});
+        refuse(read.failure(), id, reply);
+        return;
+    }
+    context_.event_(Event{EventNumber::RequestReceived,
+                          {{"request", id.text()}, {"workspace", read->workspace_.text()}}});
+    const auto done
+        = [this, read = std::move(read.value()), reply](bool isAdmitted, Duration retryAfter) {
+              if (isAdmitted) {
+                  admitted(read, reply);
+                  return;
+              }
+              context_.event_(
+                  Event{EventNumber::BudgetExceeded,
+                        {{"request", read.id_.text()}, {"workspace", read.workspace_.text()}}});
+              refuse(Failure{.code_ = Error::Overloaded,
+                             .message_ = "workspace '" + read.workspace_.text()
+                                 + "' has spent its budget of requests",
+                             .retryAfter_ = retryAfter},
+                     read.id_, reply);
+          };
+    budgets_.admit(workspace, done);
+}
+
+auto RequestService::admitted(CallerRequest request, const std::shared_ptr<HttpReply> &reply)
+    -> void
+{
+    const auto policy = context_.control_.read([&](const FleetState &state) {
+        return policyFor(state.declaration_, zone_, request.pool_, UpstreamId());
+    });
+    const auto ruling = context_.suspicion_.ruling(request.digest_);
+    const auto id = request.id_;
+    const auto finished = [this](const RequestId &ended) {
+        const auto lock = std::scoped_lock(mutex_);
+        active_.erase(ended);
+    };
+    const auto active = std::make_shared<ActiveRequest>(context_, std::move(request), policy,
+                                                        ruling, reply, finished);
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        retries_.noteFirstAttempt();
+        active_[id] = active;
+    }
+    active->post(request_event::Start{});
+}
+
+auto RequestService::refuse(const Failure &failure, const RequestId &id,
+                            const std::shared_ptr<HttpReply> &reply) -> void
+{
+    context_.event_(Event{EventNumber::RequestRefused,
+                          {{"request", id.text()},
+                           {"verdict", std::string(toString(failure.verdict_))},
+                           {"reason", failure.message_}}});
+    auto response = failureResponse(failure, id);
+    response.headers_.add("X-Entry", context_.self_.text());
+    reply->send(std::move(response));
+}
+
+auto RequestService::active() const -> std::size_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return active_.size();
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/gateway/UpstreamApi.cpp
@@ -0,0 +1,90 @@
+#include "gateway/UpstreamApi.h"
+
+#include "control/ControlService.h"
+#include "gateway/JsonResponse.h"
+#include "gateway/KeyCheck.h"
+#include "gateway/ProblemResponse.h"
+#include "serving/LeaseholderService.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+constexpr auto ok = std::uint16_t{200};
+constexpr auto highestCarries = std::uint32_t{100'000};
+
+auto isAddress(const std::string &text) -> bool
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size())
+        return false;
+    const auto digit = [](char c) { return c >= '0' && c <= '9'; };
+    const auto port = std::string_view(text).substr(colon + 1);
+    const auto numeric = [&](char c) {
+        return digit(c) || c == '.' || c == ':' || c == '[' || c == ']' || (c >= 'a' && c <= 'f');
+    };
+    return std::all_of(port.begin(), port.end(), digit)
+        && std::all_of(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(colon), numeric);
+}
+
+} // namespace
+
+UpstreamApi::UpstreamApi(ControlService &control, LeaseholderService &leaseholder,
+                         std::optional<std::string> key, EventSink event)
+    : control_(control)
+    , leaseholder_(leaseholder)
+    , key_(std::move(key))
+    , event_(std::move(event))
+{ }
+
+auto UpstreamApi::announce(const HttpRequest &request) -> HttpResponse
+{
+    if (key_ && !sameKey(request.headers_.value("X-Upstream-Key"), *key_)) {
+        event_(Event{EventNumber::KeyRejected, {{"reason", "X-Upstream-Key"}}});
+        return failureResponse(Failure{Error::Unauthorized, "X-Upstream-Key: is missing or wrong"},
+                               RequestId());
+    }
+    const auto announcement = decodeText<Announcement>(request.body_, "announcement");
+    if (!announcement)
+        return refuse(announcement.failure());
+    if (const auto problem = problemOf(*announcement); !problem.empty())
+        return refuse(Failure{Error::InvalidArgument, "announcement: " + problem});
+    return jsonResponse(ok, encode(leaseholder_.announce(*announcement)));
+}
+
+auto UpstreamApi::problemOf(const Announcement &announcement) const -> std::string
+{
+    if (announcement.upstream_.empty())
+        return "/upstream: is empty";
+    if (announcement.incarnation_ == 0)
+        return "/incarnation: must be above 0 and rise with every start";
+    if (!isAddress(announcement.address_))
+        return "/address: expected IP:port, found '" + announcement.address_ + "'";
+    if (announcement.carries_ && *announcement.carries_ > highestCarries)
+        return "/carries: at most " + std::to_string(highestCarries);
+    const auto isEngine = announcement.kind_ == UpstreamKind::Engine;
+    if (isEngine && announcement.fabricDomain_.empty())
+        return "/fabricDomain: is missing; an engine names the instances it has a fast fabric with";
+    return control_.read([&](const FleetState &state) -> std::string {
+        const auto &declaration = state.declaration_;
+        const auto &zones = declaration.zones_;
+        if (std::find(zones.begin(), zones.end(), announcement.zone_) == zones.end())
+            return "/zone: '" + announcement.zone_.text() + "' is not declared";
+        const auto known = isEngine ? findPool(declaration, announcement.pool_) != nullptr
+                                    : findService(declaration, announcement.pool_) != nullptr;
+        if (!known)
+            return "/pool: '" + announcement.pool_.text() + "' is not declared";
+        return {};
+    });
+}
+
+auto UpstreamApi::refuse(const Failure &failure) -> HttpResponse
+{
+    event_(Event{EventNumber::AnnouncementRefused, {{"reason", failure.message_}}});
+    return failureResponse(failure, RequestId());
+}
+
+} // namespace lycheereach
