--- /dev/null
+++ b/packages/log/FileLogStorage.cpp
@@ -0,0 +1,381 @@
+#include "log/FileLogStorage.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <iterator>
+#include <sys/file.h>
+#include <unistd.h>
+
+namespace lycheereach {
+
+namespace {
+
+constexpr auto logName = "log";
+constexpr auto snapshotName = "snapshot";
+constexpr auto identityName = "identity";
+constexpr auto lockName = "lock";
+constexpr auto filePermissions = mode_t(0600);
+/// Kept free for terms, votes and snapshots.
+constexpr auto reserveBytes = std::uintmax_t(16) * 1024 * 1024;
+
+/// Closes a file at the end of its scope.
+class FileCloser
+{
+public:
+    explicit FileCloser(int file)
+        : file_(file)
+    { }
+    FileCloser(const FileCloser &) = delete;
+    auto operator=(const FileCloser &) -> FileCloser & = delete;
+    ~FileCloser() { ::close(file_); }
+
+private:
+    int file_;
+};
+
+auto systemFailure(const std::string &call, const std::filesystem::path &path) -> Failure
+{
+    const auto number = errno;
+    const auto full = number == ENOSPC || number == EDQUOT;
+    const auto advice
+        = full ? "; free space there" : "; check the disk, replace it if it is faulty";
+    return {full ? Error::DiskFull : Error::DiskFailed,
+            path.string() + ": " + call + " failed: " + std::strerror(number) + advice};
+}
+
+auto readFile(const std::filesystem::path &path) -> Result<std::string>
+{
+    auto stream = std::ifstream(path, std::ios::binary);
+    auto bytes = std::string(std::istreambuf_iterator<char>(stream), {});
+    if (!stream.good() && !stream.eof())
+        return systemFailure("read", path);
+    return bytes;
+}
+
+} // namespace
+
+FileLogStorage::FileLogStorage(std::filesystem::path folder, FileLogStorageHooks hooks)
+    : folder_(std::move(folder))
+    , hooks_(std::move(hooks))
+{
+    if (!hooks_.write_)
+        hooks_.write_ = [](int file, const char *bytes, std::size_t count) {
+            return ::write(file, bytes, count);
+        };
+    if (!hooks_.sync_)
+        hooks_.sync_ = [](int file) { return ::fdatasync(file); };
+    if (!hooks_.freeBytes_)
+        hooks_.freeBytes_ = [this] {
+            auto error = std::error_code{};
+            const auto space = std::filesystem::space(folder_, error);
+            return error ? 0 : space.available;
+        };
+}
+
+FileLogStorage::~FileLogStorage()
+{
+    if (logFile_ >= 0)
+        ::close(logFile_);
+    if (lockFile_ >= 0)
+        ::close(lockFile_);
+}
+
+auto FileLogStorage::load() -> Result<StoredLog>
+{
+    auto stored = StoredLog{};
+    auto content = FrameContent{};
+    auto result = lockFolder();
+    if (result)
+        result = loadIdentity(stored);
+    if (result)
+        result = loadSnapshot(stored);
+    if (result)
+        result = loadFrames(content);
+    if (result && !stored.identity_ && (logLength_ > 0 || stored.snapshot_.position_.index_ > 0))
+        result = corrupt(identityName, 0, "is missing beside a log");
+    if (result)
+        result = joinWithSnapshot(std::move(content), stored);
+    if (!result)
+        return result.failure();
+    return stored;
+}
+
+auto FileLogStorage::lockFolder() -> Result<Nothing>
+{
+    auto error = std::error_code{};
+    std::filesystem::create_directories(folder_, error);
+    if (error)
+        return Failure{Error::DiskFailed, folder_.string() + ": " + error.message()};
+    const auto path = folder_ / lockName;
+    lockFile_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, filePermissions);
+    if (lockFile_ < 0)
+        return systemFailure("open", path);
+    if (::flock(lockFile_, LOCK_EX | LOCK_NB) != 0) {
+        return Failure{Error::Conflict,
+                       folder_.string()
+                           + " is in use by another process; stop that process "
+                             "or set another data folder"};
+    }
+    return Nothing{};
+}
+
+auto FileLogStorage::loadIdentity(StoredLog &stored) -> Result<Nothing>
+{
+    const auto path = folder_ / identityName;
+    if (!std::filesystem::exists(path))
+        return Nothing{};
+    const auto text = readFile(path);
+    if (!text)
+        return text.failure();
+    auto identity = decodeText<VoterIdentity>(*text, path.string());
+    if (!identity)
+        return corrupt(identityName, 0, identity.failure().message_);
+    if (!std::filesystem::exists(folder_ / logName))
+        return corrupt(logName, 0, "is missing beside an identity");
+    stored.identity_ = *identity;
+    return Nothing{};
+}
+
+auto FileLogStorage::loadSnapshot(StoredLog &stored) -> Result<Nothing>
+{
+    const auto path = folder_ / snapshotName;
+    if (!std::filesystem::exists(path))
+        return Nothing{};
+    const auto bytes = readFile(path);
+    if (!bytes)
+        return bytes.failure();
+    const auto body = readFrame(*bytes, 0);
+    if (!body || frameLength(*body) != bytes->size())
+        return corrupt(snapshotName, 0, "the checksum is wrong");
+    auto snapshot = decodeText<LogSnapshot>(std::string(*body), path.string());
+    if (!snapshot)
+        return corrupt(snapshotName, 0, snapshot.failure().message_);
+    stored.snapshot_ = std::move(snapshot.value());
+    return Nothing{};
+}
+
+auto FileLogStorage::loadFrames(FrameContent &content) -> Result<Nothing>
+{
+    const auto path = folder_ / logName;
+    if (!std::filesystem::exists(path))
+        return Nothing{};
+    const auto bytes = readFile(path);
+    if (!bytes)
+        return bytes.failure();
+    auto offset = std::size_t(0);
+    while (const auto body = readFrame(*bytes, offset)) {
+        if (!replayBody(*body, content))
+            return corrupt(logName, offset, "the records don't continue the ones before");
+        offset += frameLength(*body);
+    }
+    if (offset < bytes->size() && findFrame(*bytes, offset + 1))
+        return corrupt(logName, offset, "the checksum is wrong, and whole records follow");
+    logLength_ = offset;
+    if (auto opened = openLog(); !opened)
+        return opened;
+    return offset < bytes->size() ? cutTail(offset) : Nothing{};
+}
+
+auto FileLogStorage::cutTail(std::size_t length) -> Result<Nothing>
+{
+    if (::ftruncate(logFile_, static_cast<off_t>(length)) != 0)
+        return systemFailure("ftruncate", folder_ / logName);
+    return syncFile(logFile_, folder_ / logName);
+}
+
+auto FileLogStorage::joinWithSnapshot(FrameContent content, StoredLog &stored) -> Result<Nothing>
+{
+    const auto position = stored.snapshot_.position_;
+    stored.state_ = std::move(content.state_);
+    stored.records_ = std::move(content.records_);
+    if (content.base_ == position)
+        return Nothing{};
+    if (content.base_.index_ >= position.index_)
+        return corrupt(snapshotName, 0, "is older than the log that continues it");
+    const auto covered = position.index_ - content.base_.index_;
+    auto &records = stored.records_;
+    const auto continues
+        = covered <= records.size() && records[covered - 1].term_ == position.term_;
+    if (continues)
+        records.erase(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(covered));
+    else
+        records.clear();
+    if (stored.state_.term_ < position.term_) {
+        stored.state_.term_ = position.term_;
+        stored.state_.votedFor_ = EntryId();
+    }
+    return rewriteLog(position, stored.state_, records);
+}
+
+auto FileLogStorage::openLog() -> Result<Nothing>
+{
+    const auto path = folder_ / logName;
+    const auto file
+        = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, filePermissions);
+    if (file < 0)
+        return systemFailure("open", path);
+    if (logFile_ >= 0)
+        ::close(logFile_);
+    logFile_ = file;
+    return Nothing{};
+}
+
+auto FileLogStorage::writeIdentity(const VoterIdentity &identity) -> Result<Nothing>
+{
+    if (auto opened = openLog(); !opened)
+        return opened;
+    if (auto synced = syncFolder(); !synced)
+        return synced;
+    return replaceFile(identityName, encode(identity).dump() + "\n");
+}
+
+auto FileLogStorage::stageState(const LogState &state) -> void
+{
+    stagedState_ = state;
+}
+
+auto FileLogStorage::stageTruncation(LogIndex index) -> void
+{
+    appendTruncateOperation(stagedOperations_, index);
+}
+
+auto FileLogStorage::stageRecords(const std::vector<LogRecord> &records) -> void
+{
+    for (const auto &record : records)
+        appendRecordOperation(stagedOperations_, record);
+}
+
+auto FileLogStorage::sync() -> Result<Nothing>
+{
+    if (failed_)
+        return *failed_;
+    if (!stagedState_ && stagedOperations_.empty())
+        return Nothing{};
+    auto body = std::string{};
+    if (stagedState_)
+        appendStateOperation(body, *stagedState_);
+    body += stagedOperations_;
+    auto result = writeAll(logFile_, encodeFrame(logLength_, body));
+    if (!result && result.failure().code_ == Error::DiskFull) {
+        if (::ftruncate(logFile_, static_cast<off_t>(logLength_)) == 0)
+            return result;
+        result = systemFailure("ftruncate", folder_ / logName);
+    }
+    if (result)
+        result = syncFile(logFile_, folder_ / logName);
+    if (!result) {
+        failed_ = result.failure();
+        failed_->code_ = Error::DiskFailed;
+        return *failed_;
+    }
+    logLength_ += frameLength(body);
+    stagedState_.reset();
+    stagedOperations_.clear();
+    return Nothing{};
+}
+
+auto FileLogStorage::writeSnapshot(const LogSnapshot &snapshot, const LogState &state,
+                                   const std::vector<LogRecord> &following) -> Result<Nothing>
+{
+    if (failed_)
+        return *failed_;
+    auto result = replaceFile(snapshotName, encodeFrame(0, encode(snapshot).dump()));
+    if (!result && result.failure().code_ == Error::DiskFull)
+        return result;
+    if (result)
+        result = rewriteLog(snapshot.position_, state, following);
+    if (!result) {
+        failed_ = result.failure();
+        failed_->code_ = Error::DiskFailed;
+        return *failed_;
+    }
+    return result;
+}
+
+auto FileLogStorage::rewriteLog(const LogPosition &base, const LogState &state,
+                                const std::vector<LogRecord> &records) -> Result<Nothing>
+{
+    auto body = std::string{};
+    appendStateOperation(body, state);
+    appendBaseOperation(body, base);
+    for (const auto &record : records)
+        appendRecordOperation(body, record);
+    if (auto replaced = replaceFile(logName, encodeFrame(0, body)); !replaced)
+        return replaced;
+    logLength_ = frameLength(body);
+    stagedState_.reset();
+    stagedOperations_.clear();
+    return openLog();
+}
+
+auto FileLogStorage::replaceFile(const std::string &name, const std::string &bytes)
+    -> Result<Nothing>
+{
+    const auto path = folder_ / name;
+    const auto temporary = folder_ / (name + ".tmp");
+    const auto file
+        = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, filePermissions);
+    if (file < 0)
+        return systemFailure("open", temporary);
+    const auto closer = FileCloser(file);
+    if (auto written = writeAll(file, bytes); !written) {
+        ::unlink(temporary.c_str());
+        return written;
+    }
+    if (auto synced = syncFile(file, temporary); !synced)
+        return synced;
+    if (::rename(temporary.c_str(), path.c_str()) != 0)
+        return systemFailure("rename", path);
+    return syncFolder();
+}
+
+auto FileLogStorage::writeAll(int file, const std::string &bytes) -> Result<Nothing>
+{
+    auto written = std::size_t(0);
+    while (written < bytes.size()) {
+        const auto count = hooks_.write_(file, bytes.data() + written, bytes.size() - written);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0)
+            return systemFailure("write", folder_);
+        written += static_cast<std::size_t>(count);
+    }
+    return Nothing{};
+}
+
+auto FileLogStorage::syncFile(int file, const std::filesystem::path &path) -> Result<Nothing>
+{
+    if (hooks_.sync_(file) == 0)
+        return Nothing{};
+    auto failure = systemFailure("sync", path);
+    failure.code_ = Error::DiskFailed;
+    return failure;
+}
+
+auto FileLogStorage::syncFolder() -> Result<Nothing>
+{
+    const auto file = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (file < 0)
+        return systemFailure("open", folder_);
+    const auto closer = FileCloser(file);
+    return syncFile(file, folder_);
+}
+
+auto FileLogStorage::hasRoom(std::size_t bytes) const -> bool
+{
+    return hooks_.freeBytes_() > reserveBytes + bytes;
+}
+
+auto FileLogStorage::corrupt(const std::string &name, std::size_t offset,
+                             const std::string &problem) const -> Failure
+{
+    return {Error::CorruptLog,
+            (folder_ / name).string() + ", offset " + std::to_string(offset) + ": " + problem
+                + "; move the data folder away and start with an empty one, which joins as a "
+                  "learner, then remove this voter and add it again"};
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/log/FileLogStorage.h
@@ -0,0 +1,75 @@
+/// \file
+/// \brief The LogStorage in a folder.
+#pragma once
+
+#include "log/FrameCodec.h"
+#include "log/LogStorage.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+
+namespace lycheereach {
+
+/// The system calls that tests replace; an empty hook is the real call.
+struct FileLogStorageHooks
+{
+    /// As write(2).
+    std::function<ssize_t(int file, const char *bytes, std::size_t count)> write_;
+    /// As fdatasync(2) and fsync(2).
+    std::function<int(int file)> sync_;
+    /// The free bytes of the file system.
+    std::function<std::uintmax_t()> freeBytes_;
+};
+
+/// Keeps three files: `identity`, the `snapshot`, and the `log` after it (FrameCodec.h). A sync
+/// appends one frame to the log, so a damaged frame is a torn tail when it is the last one and
+/// corruption otherwise. A new snapshot is renamed into place before the log that continues it;
+/// load() finishes that when the process died in between.
+class FileLogStorage : public LogStorage
+{
+public:
+    explicit FileLogStorage(std::filesystem::path folder, FileLogStorageHooks hooks = {});
+    ~FileLogStorage() override;
+
+    auto load() -> Result<StoredLog> override;
+    auto writeIdentity(const VoterIdentity &identity) -> Result<Nothing> override;
+    auto stageState(const LogState &state) -> void override;
+    auto stageTruncation(LogIndex index) -> void override;
+    auto stageRecords(const std::vector<LogRecord> &records) -> void override;
+    auto sync() -> Result<Nothing> override;
+    auto writeSnapshot(const LogSnapshot &snapshot, const LogState &state,
+                       const std::vector<LogRecord> &following) -> Result<Nothing> override;
+    [[nodiscard]] auto hasRoom(std::size_t bytes) const -> bool override;
+
+private:
+    auto lockFolder() -> Result<Nothing>;
+    auto loadIdentity(StoredLog &stored) -> Result<Nothing>;
+    auto loadSnapshot(StoredLog &stored) -> Result<Nothing>;
+    auto loadFrames(FrameContent &content) -> Result<Nothing>;
+    auto cutTail(std::size_t length) -> Result<Nothing>;
+    auto joinWithSnapshot(FrameContent content, StoredLog &stored) -> Result<Nothing>;
+    auto openLog() -> Result<Nothing>;
+    auto rewriteLog(const LogPosition &base, const LogState &state,
+                    const std::vector<LogRecord> &records) -> Result<Nothing>;
+    auto replaceFile(const std::string &name, const std::string &bytes) -> Result<Nothing>;
+    auto writeAll(int file, const std::string &bytes) -> Result<Nothing>;
+    auto syncFile(int file, const std::filesystem::path &path) -> Result<Nothing>;
+    auto syncFolder() -> Result<Nothing>;
+    [[nodiscard]] auto corrupt(const std::string &name, std::size_t offset,
+                               const std::string &problem) const -> Failure;
+
+    std::filesystem::path folder_;
+    FileLogStorageHooks hooks_;
+    int lockFile_ = -1;
+    int logFile_ = -1;
+    std::size_t logLength_ = 0;
+    std::optional<LogState> stagedState_;
+    std::string stagedOperations_;
+    std::optional<Failure> failed_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/log/LogCoreReplication.cpp
@@ -0,0 +1,323 @@
+#include "log/LogCore.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace lycheereach {
+
+namespace {
+
+/// How far a learner's log may be behind the committed one when it becomes a voter.
+constexpr auto catchUpMarginRecords = LogIndex(64);
+/// How many records may be under way to a peer.
+constexpr auto maximumRecordsInFlight = LogIndex(4096);
+
+} // namespace
+
+auto LogCore::followLeaderOf(const EntryId &from, const LogMessage &message) -> bool
+{
+    if (message.term_ < state_.term_)
+        return false;
+    if (state_.cluster_.empty()) {
+        state_.cluster_ = message.cluster_;
+        markUnsynced();
+    }
+    becomeFollower(message.term_, from);
+    leaderHeard_ = now_;
+    resetElectionTimer();
+    return true;
+}
+
+auto LogCore::handle(const EntryId &from, const LogMessage &message, const AppendRequest &body)
+    -> void
+{
+    auto reply = AppendReply{};
+    if (followLeaderOf(from, message))
+        reply = takeRecords(body);
+    reply.previous_ = body.previous_.index_;
+    reply.sentAt_ = body.sentAt_;
+    send(from, reply);
+}
+
+auto LogCore::takeRecords(const AppendRequest &body) -> AppendReply
+{
+    auto reply = AppendReply{};
+    const auto previous = body.previous_.index_;
+    const auto base = log_.base().index_;
+    if (previous > log_.last().index_) {
+        reply.match_ = log_.last().index_;
+        return reply;
+    }
+    if (previous > base && *log_.termAt(previous) != body.previous_.term_) {
+        reply.match_ = std::max(log_.firstOfTermAt(previous) - 1, state_.commitIndex_);
+        return reply;
+    }
+    reply.accepted_ = true;
+    reply.match_ = previous;
+    for (const auto &record : body.records_) {
+        const auto held = log_.termAt(record.index_);
+        if (record.index_ > base && held != record.term_) {
+            reply.full_ = !room_;
+            if (reply.full_)
+                break;
+            if (held)
+                truncateAfter(record.index_ - 1);
+            appendRecord(record);
+        }
+        reply.match_ = record.index_;
+    }
+    const auto commit = std::min(body.commitIndex_, reply.match_);
+    state_.commitIndex_ = std::max(state_.commitIndex_, commit);
+    return reply;
+}
+
+auto LogCore::handle(const EntryId &from, const LogMessage &message, const InstallRequest &body)
+    -> void
+{
+    const auto &snapshot = body.snapshot_;
+    auto reply = AppendReply{false, snapshot.position_.index_, 0, body.sentAt_, false};
+    if (followLeaderOf(from, message)) {
+        reply.accepted_ = true;
+        reply.full_ = !room_;
+        reply.match_ = room_ ? snapshot.position_.index_ : state_.commitIndex_;
+        if (reply.match_ > state_.commitIndex_) {
+            log_.install(snapshot);
+            state_.commitIndex_ = snapshot.position_.index_;
+            appliedIndex_ = snapshot.position_.index_;
+            pendingInstall_ = true;
+            unsynced_ = true;
+        }
+    }
+    send(from, reply);
+}
+
+auto LogCore::handle(const EntryId &from, const LogMessage &message, const AppendReply &body)
+    -> void
+{
+    if (message.term_ > state_.term_) {
+        becomeFollower(message.term_, std::nullopt);
+        return;
+    }
+    const auto found = peers_.find(from);
+    if (role_ != ReplicaRole::Leader || message.term_ < state_.term_ || found == peers_.end())
+        return;
+    auto &peer = found->second;
+    if (peer.generation_ != message.generation_) {
+        peer = Peer{};
+        peer.next_ = log_.last().index_ + 1;
+        peer.generation_ = message.generation_;
+    }
+    const auto sentAt = MonotonicTime(Duration(body.sentAt_));
+    peer.contact_ = std::max(sentAt, peer.contact_.value_or(sentAt));
+    peer.full_ = body.full_;
+    if (body.accepted_) {
+        peer.match_ = std::max(peer.match_, body.match_);
+        peer.next_ = body.full_ ? peer.match_ + 1 : std::max(peer.next_, peer.match_ + 1);
+        advanceCommit();
+        peer.probing_ = false;
+    } else if (body.previous_ > peer.match_
+               && (!peer.probing_ || body.previous_ + 1 == peer.next_)) {
+        peer.next_ = std::max(std::min(body.match_, body.previous_ - 1), peer.match_) + 1;
+        peer.probing_ = true;
+        peer.probeSent_ = false;
+    }
+}
+
+auto LogCore::countedVoter(const VoterIdentity &voter) const -> const Peer *
+{
+    const auto found = peers_.find(voter.name_);
+    if (found == peers_.end() || found->second.generation_ != voter.generation_)
+        return nullptr;
+    return &found->second;
+}
+
+auto LogCore::advanceCommit() -> void
+{
+    auto matches = std::vector<LogIndex>{};
+    for (const auto &voter : log_.voters().voters_) {
+        const auto *peer = countedVoter(voter);
+        if (voter == self_)
+            matches.push_back(syncedIndex_);
+        else
+            matches.push_back(peer == nullptr ? 0 : peer->match_);
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const auto index = matches[log_.voters().quorum() - 1];
+    if (index <= state_.commitIndex_ || log_.termAt(index) != state_.term_)
+        return;
+    state_.commitIndex_ = index;
+    if (!isVoter() && index >= log_.votersIndex())
+        becomeFollower(state_.term_, std::nullopt);
+}
+
+auto LogCore::appendOwn(RecordKind kind, std::string payload) -> LogPosition
+{
+    const auto record = LogRecord{log_.last().index_ + 1, state_.term_, kind, std::move(payload)};
+    appendRecord(record);
+    return record.position();
+}
+
+auto LogCore::leaderTick() -> void
+{
+    const auto contact = quorumContact().value_or(leaderSince_);
+    if (now_ > std::max(contact, leaderSince_) + settings_.electionTimeout_)
+        becomeFollower(state_.term_, std::nullopt);
+}
+
+auto LogCore::updatePeers() -> void
+{
+    auto names = learners_;
+    for (const auto &voter : log_.voters().voters_)
+        names.insert(voter.name_);
+    names.erase(self_.name_);
+    std::erase_if(peers_, [&](const auto &peer) { return !names.contains(peer.first); });
+    for (const auto &name : names) {
+        const auto [position, inserted] = peers_.try_emplace(name);
+        if (inserted)
+            position->second.next_ = log_.last().index_ + 1;
+    }
+}
+
+auto LogCore::sendToPeers() -> void
+{
+    // A record must not leave under a term that a restart could forget and use again.
+    if (syncedTerm_ != state_.term_)
+        return;
+    updatePeers();
+    for (auto &[name, peer] : peers_) {
+        const auto reachable = peer.contact_ && now_ < *peer.contact_ + settings_.electionTimeout_;
+        if (now_ >= peer.heartbeatDue_) {
+            peer.heartbeatDue_ = now_ + settings_.heartbeatInterval_;
+            peer.probeSent_ = false;
+            sendRecords(name, peer, true);
+        }
+        if (reachable && !peer.full_)
+            sendNewRecords(name, peer);
+    }
+}
+
+auto LogCore::sendNewRecords(const EntryId &name, Peer &peer) -> void
+{
+    while (peer.next_ <= log_.last().index_ && peer.next_ <= peer.match_ + maximumRecordsInFlight) {
+        if (peer.probing_ && peer.probeSent_)
+            return;
+        const auto before = peer.next_;
+        sendRecords(name, peer, false);
+        if (peer.next_ == before)
+            return;
+        if (peer.probing_) {
+            peer.next_ = before;
+            peer.probeSent_ = true;
+        }
+    }
+}
+
+auto LogCore::sendRecords(const EntryId &name, Peer &peer, bool heartbeat) -> void
+{
+    const auto needsSnapshot = peer.next_ <= log_.base().index_;
+    if (needsSnapshot)
+        sendSnapshot(name, peer);
+    if (needsSnapshot && !heartbeat)
+        return;
+    const auto previous = needsSnapshot ? log_.base().index_ : peer.next_ - 1;
+    auto body = AppendRequest{};
+    body.previous_ = {previous, *log_.termAt(previous)};
+    body.commitIndex_ = state_.commitIndex_;
+    body.sentAt_ = now_.time_since_epoch().count();
+    if (!needsSnapshot && (!heartbeat || peer.full_)) {
+        body.records_ = log_.range(peer.next_, log_.last().index_, settings_.appendLimitBytes_);
+        peer.next_ += body.records_.size();
+    }
+    sendsBeforeSync_.push_back(
+        {name, {state_.cluster_, self_.generation_, state_.term_, std::move(body)}});
+}
+
+auto LogCore::sendSnapshot(const EntryId &name, Peer &peer) -> void
+{
+    if (now_ < peer.installDue_)
+        return;
+    peer.installDue_ = now_ + settings_.electionTimeout_;
+    auto body = InstallRequest{log_.snapshot(), now_.time_since_epoch().count()};
+    sendsBeforeSync_.push_back(
+        {name, {state_.cluster_, self_.generation_, state_.term_, std::move(body)}});
+}
+
+auto LogCore::addLearner(const EntryId &name) -> void
+{
+    learners_.insert(name);
+}
+
+auto LogCore::removeLearner(const EntryId &name) -> void
+{
+    learners_.erase(name);
+}
+
+auto LogCore::notLeader() const -> Failure
+{
+    const auto where = leader_ ? "ask " + leader_->text() : std::string("no leader is known");
+    return {Error::NotLeader, self_.name_.text() + " is not the leader of the log; " + where};
+}
+
+auto LogCore::quorumIsFull() const -> bool
+{
+    auto full = std::size_t(0);
+    for (const auto &voter : log_.voters().voters_) {
+        const auto *peer = countedVoter(voter);
+        if (voter == self_ ? !room_ : peer != nullptr && peer->full_)
+            ++full;
+    }
+    return log_.voters().voters_.size() - full < log_.voters().quorum();
+}
+
+auto LogCore::propose(std::string payload, MonotonicTime now) -> Result<LogPosition>
+{
+    now_ = now;
+    if (role_ != ReplicaRole::Leader)
+        return notLeader();
+    if (!room_ || quorumIsFull()) {
+        return Failure{Error::DiskFull,
+                       "the disks of the replicated log are full; free space under the data "
+                       "folders of the voters and try again"};
+    }
+    return appendOwn(RecordKind::Command, std::move(payload));
+}
+
+auto LogCore::checkVoterChange(const std::optional<EntryId> &add,
+                               const std::optional<EntryId> &remove) const -> Result<Nothing>
+{
+    if (add.has_value() == remove.has_value())
+        return Failure{Error::InvalidArgument, "voters change one at a time: add or remove one"};
+    if (state_.commitIndex_ < std::max(log_.votersIndex(), termStart_))
+        return Failure{Error::Conflict, "the previous voter change is not committed; try later"};
+    if (remove) {
+        if (!log_.voters().containsName(*remove))
+            return Failure{Error::NotFound, remove->text() + " is not a voter"};
+        if (log_.voters().voters_.size() == 1)
+            return Failure{Error::InvalidArgument, "the last voter can't be removed"};
+        return Nothing{};
+    }
+    if (log_.voters().containsName(*add))
+        return Failure{Error::Conflict, add->text() + " is a voter already; remove it first"};
+    const auto peer = peers_.find(*add);
+    if (peer == peers_.end() || peer->second.match_ + catchUpMarginRecords < state_.commitIndex_
+        || peer->second.match_ == 0)
+        return Failure{Error::Conflict,
+                       add->text() + " has not caught up; add it as a learner and try later"};
+    return Nothing{};
+}
+
+auto LogCore::changeVoters(const std::optional<EntryId> &add, const std::optional<EntryId> &remove,
+                           MonotonicTime now) -> Result<LogPosition>
+{
+    now_ = now;
+    if (role_ != ReplicaRole::Leader)
+        return notLeader();
+    if (auto checked = checkVoterChange(add, remove); !checked)
+        return checked.failure();
+    const auto &voters = log_.voters();
+    const auto changed
+        = add ? voters.with({*add, peers_.at(*add).generation_}) : voters.without(*remove);
+    return appendOwn(RecordKind::Voters, toPayload(changed));
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/log/ReplicaSettings.h
@@ -0,0 +1,27 @@
+/// \file
+/// \brief The settings of a replica.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace lycheereach {
+
+struct ReplicaSettings
+{
+    EntryId self_;
+    /// Who founds a fresh cluster; of no consequence afterwards.
+    std::vector<EntryId> initialVoters_;
+    Duration heartbeatInterval_ = std::chrono::milliseconds(50);
+    /// Elections start after one to two of these without a leader.
+    Duration electionTimeout_ = std::chrono::milliseconds(500);
+    /// A snapshot is taken after this many applied records.
+    std::size_t snapshotAfterRecords_ = 2000;
+    /// The most payload bytes of a message with several records.
+    std::size_t appendLimitBytes_ = 256 * 1024;
+};
+
+} // namespace lycheereach
