routing: Grant permits, choose groups and index prompt prefixes

A permit counts from its grant until its end is known. A new leaseholder grants nothing until the permits of the last one have run out, and then counts what the upstream reports.

--- a/packages/routing/GroupChooser.cpp
+++ b/packages/routing/GroupChooser.cpp
@@ -1,1 +1,174 @@
 #include "routing/GroupChooser.h"
+
+#include <algorithm>
+
+namespace lycheereach {
+
+namespace {
+
+/// How much more of its limit a group of the own zone may have in use than one of another zone.
+constexpr auto zoneMargin = 0.15;
+/// How much more of its limit a group may have in use for its cached prefix.
+constexpr auto prefixMargin = 0.25;
+/// The share of a limit that low priorities leave free.
+constexpr auto reservedShare = 0.1;
+/// Priorities below this one leave the reserve free.
+constexpr auto reservedFrom = 5U;
+
+auto mayGetWork(const FleetState &state, const Group &group) -> bool
+{
+    if (group.phase_ != GroupPhase::Serving || group.leaseholder_.empty())
+        return false;
+    const auto holder = state.entries_.find(group.leaseholder_);
+    if (holder == state.entries_.end() || holder->second.phase_ == EntryPhase::Lost)
+        return false;
+    if (isZoneOut(state, group.zone_))
+        return false;
+    const auto isUsable = [&](const UpstreamId &member) {
+        const auto found = state.upstreams_.find(member);
+        if (found == state.upstreams_.end())
+            return false;
+        const auto &upstream = found->second;
+        return !upstream.lost_ && !upstream.draining_ && !upstream.announced_.leaving_
+            && !isZoneOut(state, upstream.announced_.zone_);
+    };
+    return std::all_of(group.members_.begin(), group.members_.end(), isUsable);
+}
+
+auto choiceOf(const FleetState &state, const Group &group) -> Choice
+{
+    const auto &first = group.members_.front();
+    const auto &address = state.upstreams_.at(first).announced_.address_;
+    return Choice{group.id_, group.epoch_, group.leaseholder_, group.leaseNumber_, first, address,
+                  0};
+}
+
+} // namespace
+
+GroupChooser::GroupChooser(ZoneName ownZone, RandomSource random)
+    : ownZone_(std::move(ownZone))
+    , random_(std::move(random))
+{ }
+
+auto GroupChooser::update(const FleetState &state) -> void
+{
+    const auto before = std::move(targets_);
+    targets_.clear();
+    const auto poolBefore = std::move(poolOf_);
+    poolOf_.clear();
+    for (const auto &[id, group] : state.groups_) {
+        if (!mayGetWork(state, group))
+            continue;
+        auto next = Target{choiceOf(state, group), group.zone_ == ownZone_, 0, 0, 0};
+        const auto pool = poolBefore.find(id);
+        if (pool != poolBefore.end()) {
+            const auto &known = before.at(pool->second).at(id);
+            if (known.choice_ == next.choice_)
+                next = known;
+        }
+        targets_[group.pool_].emplace(id, next);
+        poolOf_[id] = group.pool_;
+    }
+}
+
+auto GroupChooser::report(const TargetLoad &load) -> void
+{
+    auto *found = target(load.group_);
+    if (found == nullptr || load.leaseNumber_ != found->choice_.leaseNumber_)
+        return;
+    found->limit_ = load.limit_;
+    found->inUse_ = load.inUse_;
+    found->pending_ = 0;
+    found->isReported_ = true;
+}
+
+auto GroupChooser::taken(const GroupId &group) -> void
+{
+    if (auto *found = target(group))
+        ++found->pending_;
+}
+
+auto GroupChooser::ended(const GroupId &group) -> void
+{
+    if (auto *found = target(group))
+        --found->pending_;
+}
+
+auto GroupChooser::choose(const ChoiceRequest &request, const PrefixIndex &index) const
+    -> std::optional<Choice>
+{
+    const auto pool = targets_.find(request.pool_);
+    if (pool == targets_.end())
+        return std::nullopt;
+    auto candidates = std::vector<Candidate>{};
+    for (const auto &[id, target] : pool->second) {
+        if (!hasRoom(target, request.priority_) || request.avoid_.contains(id))
+            continue;
+        const auto cost = loadAfter(target) + (target.sameZone_ ? 0.0 : zoneMargin);
+        candidates.push_back({cost, 0, random_(), &target});
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    const auto *best = pick(candidates, request.prefix_, index);
+    auto choice = best->target_->choice_;
+    choice.matched_ = best->matched_;
+    return choice;
+}
+
+auto GroupChooser::pick(std::vector<Candidate> &candidates, const PrefixChain &prefix,
+                        const PrefixIndex &index) -> const Candidate *
+{
+    const auto byCost = [](const Candidate &left, const Candidate &right) {
+        return std::pair(left.cost_, left.tieBreak_) < std::pair(right.cost_, right.tieBreak_);
+    };
+    const auto *cheapest = &*std::min_element(candidates.begin(), candidates.end(), byCost);
+    if (prefix.empty())
+        return cheapest;
+    const auto matched = index.match(prefix);
+    const auto *best = cheapest;
+    for (auto &candidate : candidates) {
+        const auto found = matched.find(candidate.target_->choice_.group_);
+        if (found == matched.end())
+            continue;
+        candidate.matched_ = found->second;
+        if (candidate.cost_ > cheapest->cost_ + prefixMargin)
+            continue;
+        const auto isLonger = candidate.matched_ > best->matched_;
+        if (isLonger || (candidate.matched_ == best->matched_ && byCost(candidate, *best)))
+            best = &candidate;
+    }
+    return best;
+}
+
+auto GroupChooser::hasTarget(const PoolName &pool) const -> bool
+{
+    return targets_.contains(pool);
+}
+
+auto GroupChooser::target(const GroupId &group) -> Target *
+{
+    const auto pool = poolOf_.find(group);
+    if (pool == poolOf_.end())
+        return nullptr;
+    return &targets_.at(pool->second).at(group);
+}
+
+auto GroupChooser::loadAfter(const Target &target) -> double
+{
+    const auto inUse = std::max<std::int64_t>(0, std::int64_t{target.inUse_} + target.pending_);
+    return static_cast<double>(inUse + 1) / std::max(target.limit_, 1U);
+}
+
+auto GroupChooser::hasRoom(const Target &target, std::uint32_t priority) -> bool
+{
+    const auto inUse = std::int64_t{target.inUse_} + target.pending_;
+    if (!target.isReported_)
+        return inUse <= 0;
+    if (inUse >= std::int64_t{target.limit_})
+        return false;
+    if (priority >= reservedFrom || inUse <= 0)
+        return true;
+    return loadAfter(target) <= 1.0 - reservedShare;
+}
+
+} // namespace lycheereach
--- a/packages/routing/GroupChooser.h
+++ b/packages/routing/GroupChooser.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace lycheereach {
 
@@ -25,7 +26,7 @@
 
     /// Takes in the replicated state: which groups may get work. Call it after every change.
     auto update(const FleetState &state) -> void;
-    /// Takes in what a leaseholder says; an older lease number changes nothing.
+    /// Takes in what a leaseholder says; another lease number than the present one changes nothing.
     auto report(const TargetLoad &load) -> void;
     /// A permit was taken, or the request of one ended, since the last report.
     auto taken(const GroupId &group) -> void;
@@ -46,9 +47,20 @@
         std::uint32_t inUse_ = 0;
         /// Taken less ended since the last report.
         std::int32_t pending_ = 0;
+        /// Without a report one request at a time is tried.
+        bool isReported_ = false;
+    };
+    struct Candidate
+    {
+        double cost_ = 0;
+        std::size_t matched_ = 0;
+        std::uint64_t tieBreak_ = 0;
+        const Target *target_ = nullptr;
     };
 
     auto target(const GroupId &group) -> Target *;
+    static auto pick(std::vector<Candidate> &candidates, const PrefixChain &prefix,
+                     const PrefixIndex &index) -> const Candidate *;
     static auto loadAfter(const Target &target) -> double;
     static auto hasRoom(const Target &target, std::uint32_t priority) -> bool;
 
--- a/packages/routing/LimitRamp.h
+++ b/packages/routing/LimitRamp.h
@@ -19,6 +19,8 @@
     auto restart() -> void;
     /// Goes to the warm limit.
     auto skip() -> void;
+    /// Goes up to \a limit, which was seen to be carried.
+    auto raiseTo(std::uint32_t limit) -> void;
     /// A request completed with its first byte after \a latency; true when the group became slow
     /// so suddenly that it is taken for cold.
     auto completed(Duration latency) -> bool;
--- a/packages/routing/PermitTable.h
+++ b/packages/routing/PermitTable.h
@@ -37,7 +37,8 @@
     /// Whether all members of \a group agree and live; GroupWatch::mayServe() says so.
     auto setServing(const GroupId &group, bool serving) -> void;
 
-    /// Asks for the right of \a entry to start \a request at \a group.
+    /// Asks for the right of \a entry to start \a request at \a group. Asked again for a permit
+    /// that was not started, it gives the same one with its time to live anew.
     auto take(const GroupId &group, const EntryId &entry, const RequestId &request,
               MonotonicTime now) -> std::variant<Permit, PermitRefusal>;
 
@@ -48,7 +49,7 @@
 
     /// The request of a permit ended. \a latency is the time to the first byte of the answer.
     auto finished(const GroupId &group, std::uint64_t leaseNumber, std::uint64_t number,
-                  PermitOutcome outcome, Duration latency) -> void;
+                  PermitOutcome outcome, Duration latency, MonotonicTime now) -> void;
 
     /// Takes in an announcement that GroupWatch found to be new.
     auto report(const Announcement &announcement, MonotonicTime now) -> void;
@@ -69,25 +70,26 @@
     struct Use
     {
         EntryId entry_;
+        /// Of the entry.
+        Incarnation incarnation_ = 0;
         RequestId request_;
         Epoch epoch_ = 0;
         MonotonicTime grantedAt_;
         std::optional<MonotonicTime> startedAt_;
-        bool recalled_ = false;
+        bool isRecalled_ = false;
     };
     struct Member
     {
         Incarnation incarnation_ = 0;
         bool cold_ = true;
         std::optional<std::uint32_t> carries_;
-        std::uint32_t active_ = 0;
     };
     struct Held
     {
         Group group_;
         Policy policy_;
-        bool serving_ = false;
-        bool draining_ = false;
+        bool isServing_ = false;
+        bool isDraining_ = false;
         std::map<UpstreamId, Member> members_;
         std::map<std::uint64_t, Use> uses_;
         std::uint64_t lastNumber_ = 0;
@@ -95,26 +97,33 @@
         std::uint32_t unaccounted_ = 0;
         /// Reports before this time don't bring unaccounted_ down.
         MonotonicTime settledAt_;
-        /// Whether an earlier leaseholder's requests have not been counted yet.
-        bool takingOver_ = false;
+        /// Whether the requests of the last leaseholder have not been counted yet.
+        bool isTakingOver_ = false;
         LimitRamp ramp_;
     };
+    using Uses = std::map<std::uint64_t, Use>;
 
     auto adopt(const FleetState &state, const Group &group, MonotonicTime now) -> void;
-    auto renew(Held &held, const Group &group, MonotonicTime now) -> void;
-    auto abandon(Held &held, std::map<std::uint64_t, Use>::iterator use, MonotonicTime now)
-        -> std::map<std::uint64_t, Use>::iterator;
-    auto recall(Held &held) -> void;
-    auto settle(Held &held, std::uint32_t active, MonotonicTime now) -> void;
+    auto refresh(const FleetState &state, Held &held, const Group &group, MonotonicTime now)
+        -> void;
+    auto dropLostEntries(const FleetState &state, Held &held, MonotonicTime now) -> void;
+    auto recallUnstarted(Held &held) -> void;
+    auto refusal(const Held &held, MonotonicTime now) const -> std::optional<PermitRefusal>;
     auto limit(const Held &held) const -> std::uint32_t;
-    auto inUse(const Held &held) const -> std::uint32_t;
-    auto isCold(const Held &held) const -> bool;
     auto slowness(const Held &held) const -> double;
-    auto refusal(const Held &held) const -> std::optional<PermitRefusal>;
+    auto find(const GroupId &group, std::uint64_t leaseNumber) -> Held *;
+    auto permitOf(const Held &held, std::uint64_t number) const -> Permit;
+    static auto inUse(const Held &held) -> std::uint32_t;
+    static auto isCold(const Held &held) -> bool;
+    static auto carries(const Held &held) -> std::optional<std::uint32_t>;
+    static auto restartRamp(Held &held) -> void;
+    static auto addUnaccounted(Held &held, MonotonicTime now) -> void;
+    static auto settle(Held &held, std::uint32_t active, MonotonicTime now) -> void;
 
     EntryId self_;
     std::map<GroupId, Held> held_;
     std::map<UpstreamId, GroupId> groupOf_;
+    std::map<EntryId, Incarnation> entries_;
     std::vector<PermitRecall> recalled_;
 };
 
