requests: Test every fault at every step of a request

A simulated fleet with three upstreams and a ledger of claims runs the machine; the same key is sent again through a second entry each time.

--- a/packages/requests/FairQueue.cpp
+++ b/packages/requests/FairQueue.cpp
@@ -57,6 +57,7 @@
 
 auto FairQueue::pop(MonotonicTime now) -> std::optional<QueueItem>
 {
+    dropExpired(now);
     auto best = lanes_.end();
     for (auto lane = lanes_.begin(); lane != lanes_.end();) {
         auto &[name, entry] = *lane;
@@ -76,8 +77,6 @@
     const auto waiting = first->second;
     lane.waiting_.erase(first);
     --size_;
-    if (waiting.until_ <= now)
-        return pop(now);
     virtualTime_ = std::max(virtualTime_, lane.due_);
     lane.due_ += 1.0 / lane.weight_;
     noteStart(now);
@@ -86,9 +85,14 @@
 
 auto FairQueue::expire(MonotonicTime now) -> std::vector<ShedItem>
 {
-    auto shed = std::vector<ShedItem>{};
+    dropExpired(now);
+    return std::exchange(expired_, {});
+}
+
+auto FairQueue::dropExpired(MonotonicTime now) -> void
+{
     if (now < earliestExpiry_)
-        return shed;
+        return;
     earliestExpiry_ = MonotonicTime::max();
     for (auto &[name, lane] : lanes_) {
         for (auto place = lane.waiting_.begin(); place != lane.waiting_.end();) {
@@ -97,12 +101,11 @@
                 ++place;
                 continue;
             }
-            shed.push_back({place->second.item_, retryAfter()});
+            expired_.push_back({place->second.item_, retryAfter()});
             place = lane.waiting_.erase(place);
             --size_;
         }
     }
-    return shed;
 }
 
 auto FairQueue::remove(const RequestId &request) -> bool
--- a/packages/requests/FairQueue.h
+++ b/packages/requests/FairQueue.h
@@ -21,12 +21,13 @@
     /// At most \a limit requests wait, none longer than \a timeout.
     FairQueue(std::uint32_t limit, Duration timeout);
 
-    /// Adds \a item and returns what is shed for it, which may be \a item itself: a request whose
-    /// expected wait is beyond its deadline, or of a full queue the least entitled one.
+    /// Adds \a item and returns what has expired and what is shed for it, which may be \a item
+    /// itself: a request whose expected wait is beyond its deadline, or of a full queue the least
+    /// entitled one.
     auto push(const QueueItem &item, MonotonicTime now) -> std::vector<ShedItem>;
     /// Takes the next request, to be called when one can start; nothing that has expired.
     auto pop(MonotonicTime now) -> std::optional<QueueItem>;
-    /// Takes out what has waited too long or missed its deadline.
+    /// Takes out what has waited too long or missed its deadline, also on behalf of pop().
     auto expire(MonotonicTime now) -> std::vector<ShedItem>;
     /// Takes out a request whose caller is gone; false when it does not wait.
     auto remove(const RequestId &request) -> bool;
@@ -59,6 +60,7 @@
     using Lanes = std::map<WorkspaceName, Lane>;
 
     auto laneOf(const QueueItem &item) -> Lane &;
+    auto dropExpired(MonotonicTime now) -> void;
     auto shedLeastEntitled() -> ShedItem;
     auto noteStart(MonotonicTime now) -> void;
     /// How many requests start before one that \a ownAhead of its own workspace precede.
@@ -69,6 +71,8 @@
 
     std::uint32_t limit_;
     Duration timeout_;
+    /// Taken out, but not yet returned by push() or expire().
+    std::vector<ShedItem> expired_;
     Lanes lanes_;
     std::size_t size_ = 0;
     std::uint64_t nextNumber_ = 0;
--- a/packages/requests/SuspicionTable.cpp
+++ b/packages/requests/SuspicionTable.cpp
@@ -2,10 +2,19 @@
 
 #include "requests/Rendezvous.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheereach {
 
+namespace {
+
+/// So many crashes of targets within the window, with no request in common, are an outage.
+constexpr auto outageCrashes = std::size_t{3};
+constexpr auto outageWindow = std::chrono::seconds(1);
+
+} // namespace
+
 SuspicionTable::SuspicionTable(Duration keep)
     : keep_(keep)
 { }
@@ -16,20 +25,52 @@
     const auto crash = Crash{report.target_, report.epoch_};
     if (explained_.contains(crash))
         return {};
+    if (hasBlocked(report)) {
+        explain(crash, now);
+        return {};
+    }
+    crashes_.emplace(crash, now);
     for (const auto &fingerprint : report.fingerprints_) {
-        if (blocked_.contains(fingerprint)) {
-            block(fingerprint, now);
-            continue;
-        }
         auto &suspicion = suspects_[fingerprint];
         suspicion.crashes_.insert(crash);
         suspicion.since_ = now;
     }
     const auto named = namedBy(crash);
-    if (named.empty())
-        return {};
-    block(named, now);
-    return {named};
+    if (!named.empty()) {
+        block(named, now);
+        return {named};
+    }
+    explainOutage(now);
+    return {};
+}
+
+auto SuspicionTable::hasBlocked(const CrashReport &report) const -> bool
+{
+    const auto &fingerprints = report.fingerprints_;
+    return std::any_of(fingerprints.begin(), fingerprints.end(),
+                       [&](const auto &fingerprint) { return blocked_.contains(fingerprint); });
+}
+
+auto SuspicionTable::explain(const Crash &crash, MonotonicTime now) -> void
+{
+    crashes_.erase(crash);
+    explained_[crash] = now;
+    for (auto &[fingerprint, suspicion] : suspects_)
+        suspicion.crashes_.erase(crash);
+    std::erase_if(suspects_, [](const auto &entry) { return entry.second.crashes_.empty(); });
+}
+
+auto SuspicionTable::explainOutage(MonotonicTime now) -> void
+{
+    auto together = std::vector<Crash>{};
+    for (const auto &[crash, at] : crashes_) {
+        if (at + outageWindow > now)
+            together.push_back(crash);
+    }
+    if (together.size() < outageCrashes)
+        return;
+    for (const auto &crash : together)
+        explain(crash, now);
 }
 
 auto SuspicionTable::namedBy(const Crash &crash) const -> std::string
@@ -53,19 +94,16 @@
         return;
     const auto crashes = std::move(found->second.crashes_);
     suspects_.erase(found);
-    for (const auto &crash : crashes) {
-        explained_[crash] = now;
-        for (auto &[other, suspicion] : suspects_)
-            suspicion.crashes_.erase(crash);
-    }
-    std::erase_if(suspects_, [](const auto &entry) { return entry.second.crashes_.empty(); });
+    for (const auto &crash : crashes)
+        explain(crash, now);
 }
 
-auto SuspicionTable::setBlocked(std::set<std::string> fingerprints) -> void
+auto SuspicionTable::setBlocked(const std::set<std::string> &fingerprints, MonotonicTime now)
+    -> void
 {
     for (const auto &fingerprint : fingerprints)
-        suspects_.erase(fingerprint);
-    blocked_ = std::move(fingerprints);
+        block(fingerprint, now);
+    blocked_ = fingerprints;
 }
 
 auto SuspicionTable::ruling(const std::string &fingerprint) const -> SuspicionRuling
@@ -105,6 +143,7 @@
 auto SuspicionTable::forget(MonotonicTime now) -> void
 {
     std::erase_if(suspects_, [&](const auto &entry) { return entry.second.since_ + keep_ < now; });
+    std::erase_if(crashes_, [&](const auto &entry) { return entry.second + keep_ < now; });
     std::erase_if(explained_, [&](const auto &entry) { return entry.second + keep_ < now; });
 }
 
--- a/packages/requests/SuspicionTable.h
+++ b/packages/requests/SuspicionTable.h
@@ -20,7 +20,8 @@
 /// run there, so a second crash has one suspect of the first among its requests: that one is
 /// named, and the others of both crashes are cleared. Every entry sends a suspect to the target
 /// that suspectTarget() picks, so that two callers who send it at once cost one target together.
-/// Not thread-safe.
+/// Several crashes at once that have no request in common are an outage, and their requests are no
+/// suspects. Not thread-safe.
 class SuspicionTable
 {
 public:
@@ -29,9 +30,9 @@
 
     /// Takes a crash, of this entry or another; the same report twice counts once. Returns the
     /// fingerprints that it names, each to be made a BlockRequest.
-    auto report(const CrashReport &crash, MonotonicTime now) -> std::vector<std::string>;
+    auto report(const CrashReport &report, MonotonicTime now) -> std::vector<std::string>;
     /// Takes over the fingerprints of FleetState::blocked_.
-    auto setBlocked(std::set<std::string> fingerprints) -> void;
+    auto setBlocked(const std::set<std::string> &fingerprints, MonotonicTime now) -> void;
     [[nodiscard]] auto ruling(const std::string &fingerprint) const -> SuspicionRuling;
 
     /// For the leaseholder: whether \a fingerprint may start at \a target. Requests that are clear
@@ -64,11 +65,17 @@
     /// The fingerprint that alone explains \a crash and an earlier one; empty when there is none.
     [[nodiscard]] auto namedBy(const Crash &crash) const -> std::string;
     auto block(const std::string &fingerprint, MonotonicTime now) -> void;
+    [[nodiscard]] auto hasBlocked(const CrashReport &report) const -> bool;
+    /// Clears the suspects of \a crash.
+    auto explain(const Crash &crash, MonotonicTime now) -> void;
+    auto explainOutage(MonotonicTime now) -> void;
 
     Duration keep_;
     std::map<std::string, Suspicion> suspects_;
     /// The suspect that runs at a target.
     std::map<std::string, Running> running_;
+    /// Crashes whose cause is not known, and when each was reported.
+    std::map<Crash, MonotonicTime> crashes_;
     /// Crashes whose cause is known, and since when.
     std::map<Crash, MonotonicTime> explained_;
     std::set<std::string> blocked_;
--- /dev/null
+++ b/tests/requests/RequestMatrixTest.cpp
@@ -0,0 +1,107 @@
+#include "requests/FleetFake.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto steps = 40U;
+
+auto planOf(AnswerKind kind, const char *request) -> RequestPlan
+{
+    auto plan = RequestPlan{};
+    plan.request_ = RequestId(request);
+    plan.repeatable_ = kind != AnswerKind::Bytes;
+    plan.key_ = plan.repeatable_ ? IdempotencyKey() : IdempotencyKey("key");
+    plan.digest_ = "digest";
+    plan.answer_ = kind;
+    return plan;
+}
+
+} // namespace
+
+TEST_GROUP(RequestMatrix)
+{
+    std::string scenario_;
+    int wholeFirst_ = 0;
+    int runs_ = 0;
+
+    auto checkReply(const FleetFake &fleet, std::size_t entry, const RequestPlan &plan) const->void
+    {
+        const auto *text = scenario_.c_str();
+        const auto unheard = !fleet.alive(entry) || fleet.callerGone(entry);
+        const auto reply = fleet.reply(entry);
+        CHECK_TEXT(reply || unheard, text);
+        if (fleet.alive(entry))
+            CHECK_TEXT(fleet.finished(entry), text);
+        if (!reply)
+            return;
+        if (reply->whole_)
+            STRCMP_EQUAL_TEXT(FleetFake::answerTo(plan).c_str(), reply->text_.c_str(), text);
+        else
+            CHECK_TEXT(reply->text_.find("second reply") == std::string::npos, text);
+        if (reply->verdict_ == Verdict::NotRun)
+            CHECK_EQUAL_TEXT(0U, reply->runsThen_, text);
+        CHECK_TEXT(reply->whole_ == (reply->verdict_ == Verdict::Ran), text);
+    }
+
+    auto runScenario(AnswerKind kind, Fault fault, std::uint32_t step)->bool
+    {
+        scenario_ = "kind " + std::to_string(static_cast<int>(kind)) + " fault "
+            + std::to_string(static_cast<int>(fault)) + " step " + std::to_string(step);
+        auto fleet = FleetFake(fault, step);
+        const auto plan = planOf(kind, "request-1");
+        const auto deadline = fleet.now() + 2s;
+        const auto first = fleet.send(plan);
+        checkReply(fleet, first, plan);
+        const auto reply = fleet.reply(first);
+        const auto latest = std::max(deadline, fleet.frozenUntil(first));
+        if (reply)
+            CHECK_TEXT(reply->at_ <= latest, scenario_.c_str());
+        if (reply && reply->verdict_ == Verdict::NotRun)
+            CHECK_EQUAL_TEXT(0U, fleet.runs(FleetFake::nameOf(plan)), scenario_.c_str());
+        if (fleet.alive(first))
+            CHECK_EQUAL_TEXT(0, fleet.permitsOut(), scenario_.c_str());
+        const auto resent = planOf(kind, "request-2");
+        const auto second = fleet.send(resent);
+        checkReply(fleet, second, resent);
+        if (!plan.repeatable_)
+            CHECK_TEXT(fleet.runs("key") <= 1, scenario_.c_str());
+        if (plan.repeatable_ && fault != Fault::StopEntry && fault != Fault::CallerGone
+            && fault != Fault::FreezeEntry)
+            CHECK_TEXT(reply && reply->whole_, scenario_.c_str());
+        wholeFirst_ += reply && reply->whole_ ? 1 : 0;
+        ++runs_;
+        return fleet.injected();
+    }
+
+    auto runMatrix(AnswerKind kind)->void
+    {
+        for (auto fault = 0; fault < static_cast<int>(Fault::Count); ++fault) {
+            for (auto step = 0U; step < steps; ++step) {
+                if (!runScenario(kind, static_cast<Fault>(fault), step))
+                    break;
+            }
+        }
+    }
+};
+
+TEST(RequestMatrix, aRequestThatMustNotBeRepeated_everyFaultAtEveryStep_runsAtMostOnce)
+{
+    runMatrix(AnswerKind::Bytes);
+    CHECK(wholeFirst_ * 2 > runs_);
+}
+
+TEST(RequestMatrix, aStream_everyFaultAtEveryStep_isWholeOrAnError)
+{
+    runMatrix(AnswerKind::ChatStream);
+    CHECK(wholeFirst_ * 4 > runs_ * 3);
+}
+
+TEST(RequestMatrix, aWholeBody_everyFaultAtEveryStep_isWholeOrAnError)
+{
+    runMatrix(AnswerKind::ChatBody);
+    CHECK(wholeFirst_ * 4 > runs_ * 3);
+}
