--- a/packages/requests/BudgetGate.cpp
+++ b/packages/requests/BudgetGate.cpp
@@ -13,6 +13,8 @@
 constexpr auto maxAhead = 32.0;
 /// How long requests taken in advance are good for.
 constexpr auto aheadTtl = std::chrono::milliseconds(500);
+/// The owner is not asked again within this time, unless its bucket would be half full before.
+constexpr auto minRefusal = std::chrono::milliseconds(50);
 constexpr auto maxRefusal = std::chrono::milliseconds(200);
 /// How long the local share is used before the owner is asked again.
 constexpr auto localPeriod = std::chrono::seconds(1);
@@ -71,8 +73,7 @@
 auto BudgetGate::granted(const BudgetGrant &grant, MonotonicTime now) -> Admission
 {
     if (grant.granted_ == 0) {
-        const auto wait = Duration(std::chrono::milliseconds(grant.retryAfterMs_));
-        refusedUntil_ = now + std::min<Duration>(wait, maxRefusal);
+        refusedUntil_ = now + refusalTime(grant);
         return Admission::Refuse;
     }
     ahead_ += grant.granted_ - 1;
@@ -80,6 +81,16 @@
     return Admission::Admit;
 }
 
+auto BudgetGate::refusalTime(const BudgetGrant &grant) const -> Duration
+{
+    const auto halfBurst
+        = std::chrono::duration<double>(numbers_.burst_ / std::max(2 * numbers_.perSecond_, 1e-3));
+    const auto longest = std::chrono::duration<double>(minRefusal);
+    const auto pause = std::chrono::duration_cast<Duration>(std::min(halfBurst, longest));
+    const auto wait = std::max<Duration>(pause, std::chrono::milliseconds(grant.retryAfterMs_));
+    return std::min<Duration>(wait, maxRefusal);
+}
+
 auto BudgetGate::ownerUnreachable(MonotonicTime now) -> Admission
 {
     localUntil_ = now + localPeriod;
--- a/packages/requests/BudgetGate.h
+++ b/packages/requests/BudgetGate.h
@@ -44,6 +44,8 @@
 
 private:
     [[nodiscard]] auto share() const -> BudgetNumbers;
+    /// How long to refuse without asking, so that the owner's bucket has several requests again.
+    [[nodiscard]] auto refusalTime(const BudgetGrant &grant) const -> Duration;
     auto noteDemand(MonotonicTime now) -> void;
 
     WorkspaceName workspace_;
--- a/packages/requests/ChatRequest.cpp
+++ b/packages/requests/ChatRequest.cpp
@@ -47,7 +47,7 @@
     if (!request.body_.is_object())
         return badBody("/", "expected an object with model and messages");
     const auto model = request.body_.find("model");
-    if (model == request.body_.end() || !model->is_string() || model->empty())
+    if (model == request.body_.end() || !model->is_string() || *model == "")
         return badBody("/model", "expected the name of a model");
     request.model_ = model->get<std::string>();
     if (auto failure = checkMessages(request.body_))
--- /dev/null
+++ b/tests/requests/SuspicionTableTest.cpp
@@ -0,0 +1,184 @@
+#include "requests/SuspicionTable.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(SuspicionTable)
+{
+    MonotonicTime now_ = MonotonicTime(1h);
+    SuspicionTable table_;
+
+    auto crash(const char *target, std::vector<std::string> fingerprints)->std::vector<std::string>
+    {
+        now_ += 2s;
+        return table_.report({target, 1, std::move(fingerprints)}, now_);
+    }
+};
+
+TEST(SuspicionTable, twoCrashesWithOneRequestInCommon_report_namesIt)
+{
+    CHECK(crash("g1", {"poison", "a", "b"}).empty());
+    CHECK(table_.ruling("a") == SuspicionRuling::Suspect);
+    CHECK(crash("g2", {"c", "poison"}) == std::vector<std::string>{"poison"});
+    CHECK(table_.ruling("poison") == SuspicionRuling::Blocked);
+    for (const auto *innocent : {"a", "b", "c"})
+        CHECK(table_.ruling(innocent) == SuspicionRuling::Clear);
+}
+
+TEST(SuspicionTable, reportsOfManyEntriesOverOneCrash_report_countOnce)
+{
+    crash("g1", {"poison", "a"});
+    CHECK(crash("g1", {"poison", "a"}).empty());
+    CHECK(crash("g1", {"b"}).empty());
+    CHECK_EQUAL(3U, table_.suspects());
+    crash("g2", {"poison"});
+    CHECK(crash("g1", {"late"}).empty());
+    CHECK(crash("g3", {"poison", "beside"}).empty());
+    CHECK_EQUAL(0U, table_.suspects());
+}
+
+TEST(SuspicionTable, twoRequestsInBothCrashes_report_namesNone)
+{
+    crash("g1", {"a", "b"});
+    CHECK(crash("g2", {"a", "b"}).empty());
+    CHECK(crash("g3", {"a"}) == std::vector<std::string>{"a"});
+    CHECK(table_.ruling("b") == SuspicionRuling::Clear);
+}
+
+TEST(SuspicionTable, crashesOfAnOutage_report_suspectNobody)
+{
+    for (const auto *target : {"g1", "g2", "g3"})
+        table_.report({target, 1, {std::string("of ") + target}}, now_);
+    CHECK_EQUAL(0U, table_.suspects());
+}
+
+TEST(SuspicionTable, suspects_admit_oneAtATimeAtATarget)
+{
+    crash("g1", {"a", "b"});
+    CHECK(table_.admit("g2", "a"));
+    CHECK(!table_.admit("g2", "b"));
+    CHECK(table_.admit("g2", "clear"));
+    CHECK(table_.admit("g3", "b"));
+    table_.leave("g2", "a");
+    CHECK(table_.admit("g2", "b"));
+    table_.setBlocked({"a"}, now_);
+    CHECK(!table_.admit("g4", "a"));
+    CHECK(table_.ruling("b") == SuspicionRuling::Clear);
+}
+
+TEST(SuspicionTable, suspicions_servedOrOld_areForgotten)
+{
+    crash("g1", {"a", "b"});
+    table_.served("a");
+    CHECK_EQUAL(1U, table_.suspects());
+    table_.forget(now_ + 11min);
+    CHECK_EQUAL(0U, table_.suspects());
+}
+
+TEST_GROUP(PoisonRequest)
+{
+    static constexpr auto neighbours = 39;
+
+    struct Target
+    {
+        Epoch epoch_ = 1;
+        std::vector<std::string> running_;
+    };
+
+    MonotonicTime now_ = MonotonicTime(1h);
+    SuspicionTable table_;
+    std::map<std::string, Target> targets_;
+    std::vector<std::string> waiting_;
+    std::set<std::string> answered_;
+    int crashes_ = 0;
+
+    auto place()->void
+    {
+        auto names = std::vector<std::string>{};
+        for (const auto &[name, target] : targets_)
+            names.push_back(name);
+        auto later = std::vector<std::string>{};
+        for (const auto &fingerprint : waiting_) {
+            const auto ruling = table_.ruling(fingerprint);
+            if (ruling == SuspicionRuling::Blocked)
+                continue;
+            const auto target = suspectTarget(fingerprint, names);
+            if (table_.admit(target, fingerprint))
+                targets_[target].running_.push_back(fingerprint);
+            else
+                later.push_back(fingerprint);
+        }
+        waiting_ = later;
+    }
+
+    /// Targets with the poison crash; the others answer what they run.
+    auto runAll()->void
+    {
+        now_ += 2s;
+        for (auto &[name, target] : targets_) {
+            auto running = std::vector<std::string>{};
+            running.swap(target.running_);
+            const auto poisoned = std::find(running.begin(), running.end(), "poison");
+            for (const auto &fingerprint : running)
+                table_.leave(name, fingerprint);
+            if (poisoned == running.end()) {
+                for (const auto &fingerprint : running)
+                    table_.served(fingerprint);
+                answered_.insert(running.begin(), running.end());
+                continue;
+            }
+            ++crashes_;
+            table_.report({name, target.epoch_++, running}, now_);
+            waiting_.insert(waiting_.end(), running.begin(), running.end());
+        }
+    }
+
+    /// Forty requests at one target, the poison among them; its caller sends it again each round.
+    auto play(int targets, std::uint64_t seed)->void
+    {
+        auto random = std::mt19937_64(seed);
+        for (auto i = 0; i < targets; ++i)
+            targets_["g" + std::to_string(i)] = {};
+        auto &first = targets_["g" + std::to_string(random() % targets)].running_;
+        for (auto i = 0; i < neighbours; ++i)
+            first.push_back("neighbour-" + std::to_string(seed) + "-" + std::to_string(i));
+        first.emplace_back("poison");
+        for (auto round = 0; round < 2 * neighbours; ++round) {
+            runAll();
+            waiting_.emplace_back("poison");
+            waiting_.push_back("passer-by-" + std::to_string(round));
+            std::shuffle(waiting_.begin(), waiting_.end(), random);
+            place();
+        }
+        runAll();
+    }
+};
+
+TEST(PoisonRequest, amongFortyInFlight_retried_costsTwoCrashesAndNoNeighbour)
+{
+    for (const auto targets : {2, 5, 65}) {
+        for (auto seed = 0U; seed < 20; ++seed) {
+            table_ = SuspicionTable();
+            targets_.clear();
+            waiting_.clear();
+            answered_.clear();
+            crashes_ = 0;
+            play(targets, seed);
+            CHECK(crashes_ <= 2);
+            CHECK(table_.ruling("poison") == SuspicionRuling::Blocked);
+            const auto served
+                = std::count_if(answered_.begin(), answered_.end(),
+                                [](const auto &one) { return one.starts_with("neighbour"); });
+            CHECK_EQUAL(neighbours, served);
+        }
+    }
+}
