--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -9,6 +9,7 @@
 #include "control/ControlStatus.h"
 #include "leases/LeaseGrantor.h"
 #include "leases/StateLease.h"
+#include "log/LogRecord.h"
 #include "state/StateMachine.h"
 
 #include <map>
@@ -24,7 +25,6 @@
 class LogStorage;
 class Replica;
 struct LeaseGrant;
-struct LogRecord;
 struct Proposal;
 struct ProposalAnswer;
 struct Renewal;
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -16,7 +16,7 @@
 #include "serving/LoadReport.h"
 #include "serving/PermitBroker.h"
 #include "serving/PlannerService.h"
-#include "settings/LoadDaemonSettings.h"
+#include "settings/TextFile.h"
 #include "timeline/EventRecorder.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -75,7 +75,7 @@
             return exitUsage;
         }
         return run(arguments["settings"].as<std::string>());
-    } catch (const cxxopts::OptionException &error) {
+    } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "lycheereachd: " << error.what() << "; see lycheereachd --help\n";
         return exitUsage;
     }
--- a/packages/gateway/ActiveRequest.cpp
+++ b/packages/gateway/ActiveRequest.cpp
@@ -145,7 +145,8 @@
         return;
     }
     auto response = problemResponse(problem);
-    for (const auto &header : answerHeaders(problem.verdict_).all())
+    const auto headers = answerHeaders(problem.verdict_);
+    for (const auto &header : headers.all())
         response.headers_.add(header.name_, header.value_);
     reply_->send(std::move(response));
 }
--- a/packages/gateway/RequestService.cpp
+++ b/packages/gateway/RequestService.cpp
@@ -94,7 +94,7 @@
 {
     static constexpr auto hexadecimal = 16;
     auto digits = std::array<char, hexadecimal>{};
-    const auto *end = std::to_chars(digits.data(), digits.data() + digits.size(),
+    auto *const end = std::to_chars(digits.data(), digits.data() + digits.size(),
                                     context_.random_(), hexadecimal)
                           .ptr;
     const auto unique = std::string(digits.data(), end);
--- a/packages/gateway/SuspicionService.cpp
+++ b/packages/gateway/SuspicionService.cpp
@@ -34,7 +34,7 @@
         for (const auto &[fingerprint, since] : state.blocked_)
             blocked.insert(fingerprint);
         const auto lock = std::scoped_lock(mutex_);
-        table_.setBlocked(std::move(blocked));
+        table_.setBlocked(blocked, now_());
     });
 }
 
--- a/packages/serving/LeaseholderService.cpp
+++ b/packages/serving/LeaseholderService.cpp
@@ -202,12 +202,13 @@
 {
     if (note.outcome_ && !note.suspect_.empty())
         hooks_.suspectLeft_(note.group_, note.suspect_);
+    const auto now = hooks_.now_();
     const auto lock = std::scoped_lock(mutex_);
     if (note.outcome_)
         permits_.finished(note.group_, note.leaseNumber_, note.number_, *note.outcome_,
-                          std::chrono::milliseconds(note.latencyMs_));
+                          std::chrono::milliseconds(note.latencyMs_), now);
     else
-        permits_.started(note.group_, note.leaseNumber_, note.number_, hooks_.now_());
+        permits_.started(note.group_, note.leaseNumber_, note.number_, now);
 }
 
 auto LeaseholderService::holdsNothing() const -> bool
