--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -181,7 +181,7 @@
         return;
     }
     for (const auto &record : committed.records_) {
-        const auto isCommand = record.kind_ == RecordKind::Command;
+        const auto isCommand = record.kind_ == RecordKind::StateCommand;
         grant.records_.push_back(
             StateRecord{record.index_, isCommand ? record.payload_ : std::string()});
     }
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -92,7 +92,7 @@
 auto ControlService::applyRecord(const LogRecord &record) -> void
 {
     auto outcome = std::optional<CommandOutcome>{};
-    if (record.kind_ == RecordKind::Command)
+    if (record.kind_ == RecordKind::StateCommand)
         outcome = applyCommand(record.index_, record.payload_);
     machine_.advance(record.index_);
     failOvertaken(record.index_ - 1);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -9,7 +9,6 @@
 #include "control/ControlStatus.h"
 #include "leases/LeaseGrantor.h"
 #include "leases/StateLease.h"
-#include "log/LogRecord.h"
 #include "state/StateMachine.h"
 
 #include <map>
@@ -25,6 +24,7 @@
 class LogStorage;
 class Replica;
 struct LeaseGrant;
+struct LogRecord;
 struct Proposal;
 struct ProposalAnswer;
 struct Renewal;
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -279,7 +279,7 @@
                        "the disks of the replicated log are full; free space under the data "
                        "folders of the voters and try again"};
     }
-    return appendOwn(RecordKind::Command, std::move(payload));
+    return appendOwn(RecordKind::StateCommand, std::move(payload));
 }
 
 auto LogCore::checkVoterChange(const std::optional<EntryId> &add,
--- a/packages/log/LogRecord.h
+++ b/packages/log/LogRecord.h
@@ -27,7 +27,7 @@
 /// What the payload of a record is.
 enum class RecordKind : std::uint8_t {
     /// A command of the state machine.
-    Command = 1,
+    StateCommand = 1,
     /// Empty; a new leader starts its term with it.
     NoOp = 2,
     /// The VoterSet from this position on, as JSON.
@@ -39,7 +39,7 @@
 {
     static constexpr auto names()
     {
-        return std::array{std::pair{RecordKind::Command, "command"},
+        return std::array{std::pair{RecordKind::StateCommand, "command"},
                           std::pair{RecordKind::NoOp, "no-op"},
                           std::pair{RecordKind::Voters, "voters"}};
     }
@@ -50,7 +50,7 @@
 {
     LogIndex index_ = 0;
     Term term_ = 0;
-    RecordKind kind_ = RecordKind::Command;
+    RecordKind kind_ = RecordKind::StateCommand;
     /// UTF-8 text.
     std::string payload_;
 
--- a/tests/log/SimulatedCluster.cpp
+++ b/tests/log/SimulatedCluster.cpp
@@ -209,7 +209,7 @@
     const auto [found, inserted] = committed_.try_emplace(record.index_, record);
     if (!inserted && found->second != record)
         violate("two records at index " + std::to_string(record.index_));
-    if (record.kind_ == RecordKind::Command)
+    if (record.kind_ == RecordKind::StateCommand)
         target.commands_.push_back(record.payload_);
     const auto waiting = target.waiting_.find(record.index_);
     if (waiting == target.waiting_.end())
@@ -229,7 +229,7 @@
     target.applied_ = index;
     auto expected = std::vector<std::string>{};
     for (const auto &[at, record] : committed_) {
-        if (at <= index && record.kind_ == RecordKind::Command)
+        if (at <= index && record.kind_ == RecordKind::StateCommand)
             expected.push_back(record.payload_);
     }
     if (expected != target.commands_)
