--- a/packages/requests/FairQueue.cpp
+++ b/packages/requests/FairQueue.cpp
@@ -40,7 +40,7 @@
     auto shed = expire(now);
     auto &lane = laneOf(item);
     const auto rank = Rank{topPriority - std::min(item.priority_, topPriority), nextNumber_++};
-    const auto until = std::min(item.deadline_, now + timeout_);
+    const auto until = std::min(item.deadline_ - runTime_, now + timeout_);
     const auto ownAhead = std::distance(lane.waiting_.begin(), lane.waiting_.lower_bound(rank));
     const auto before = ahead(item.workspace_, lane.weight_, static_cast<std::size_t>(ownAhead));
     if (now + waitFor(before) >= until) {
@@ -176,6 +176,13 @@
         lastStart_.reset();
 }
 
+auto FairQueue::noteRunTime(Duration time) -> void
+{
+    constexpr auto shareOfOne = 10;
+    const auto known = runTime_ > Duration::zero();
+    runTime_ = known ? runTime_ + (time - runTime_) / shareOfOne : time;
+}
+
 auto FairQueue::waitFor(double requests) const -> Duration
 {
     const auto seconds = std::chrono::duration<double>(requests * secondsPerStart_);
--- a/packages/requests/FairQueue.h
+++ b/packages/requests/FairQueue.h
@@ -31,6 +31,9 @@
     auto expire(MonotonicTime now) -> std::vector<ShedItem>;
     /// Takes out a request whose caller is gone; false when it does not wait.
     auto remove(const RequestId &request) -> bool;
+    /// Tells how long a request ran from its start to its whole answer. A request that has less
+    /// time left than they take on average is not started.
+    auto noteRunTime(Duration time) -> void;
     /// Takes over the limits of a new policy.
     auto setLimits(std::uint32_t limit, Duration timeout) -> void;
 
@@ -79,6 +82,8 @@
     /// No waiting request expires before.
     MonotonicTime earliestExpiry_ = MonotonicTime::max();
     double virtualTime_ = 0;
+    /// Smoothed over noteRunTime().
+    Duration runTime_ = Duration::zero();
     /// Smoothed time between two starts while requests wait.
     double secondsPerStart_ = 0;
     std::optional<MonotonicTime> lastStart_;
--- a/tests/requests/FairQueueTest.cpp
+++ b/tests/requests/FairQueueTest.cpp
@@ -93,6 +93,16 @@
     CHECK(queue_.expectedWait(WorkspaceName("a"), 1) > 1500ms);
 }
 
+TEST(FairQueue, lessTimeThanARunTakes_pop_isNotStarted)
+{
+    queue_.noteRunTime(500ms);
+    CHECK_EQUAL(1U, queue_.push(item("a", 1, 5, 400ms), now_).size());
+    queue_.push(item("a", 1, 5, 2s), now_);
+    now_ += 1600ms;
+    STRCMP_EQUAL("", popped().c_str());
+    CHECK_EQUAL(1U, queue_.expire(now_).size());
+}
+
 TEST(FairQueue, expiredRequests_pop_areReturnedByExpireOnly)
 {
     queue_.push(item("a", 1, 5, 1s), now_);
