--- a/packages/requests/ChatRequest.cpp
+++ b/packages/requests/ChatRequest.cpp
@@ -47,9 +47,10 @@
     if (!request.body_.is_object())
         return badBody("/", "expected an object with model and messages");
     const auto model = request.body_.find("model");
-    if (model == request.body_.end() || !model->is_string() || *model == "")
+    if (model != request.body_.end() && model->is_string())
+        request.model_ = model->get<std::string>();
+    if (request.model_.empty())
         return badBody("/model", "expected the name of a model");
-    request.model_ = model->get<std::string>();
     if (auto failure = checkMessages(request.body_))
         return *failure;
     const auto stream = request.body_.find("stream");
