groups: Prove the invariants over faults in random order

Small fakes join the real planner, state machine, watches, permits and choosers by simulated messages that may be late, doubled or lost.

--- a/packages/groups/GroupWatch.cpp
+++ b/packages/groups/GroupWatch.cpp
@@ -84,13 +84,15 @@
     if (before != heard_.end() && !isNewer(announcement, before->second.announcement_))
         return AnnouncementEffect::Stale;
     const auto known = state.upstreams_.find(id);
-    if (known != state.upstreams_.end() && !isNewer(announcement, known->second.announced_))
+    if (known != state.upstreams_.end() && isNewer(known->second.announced_, announcement))
         return AnnouncementEffect::Stale;
     heard_[id] = Heard{announcement, now};
     noteMember(state, announcement);
     if (known == state.upstreams_.end())
         return AnnouncementEffect::Changed;
     const auto &upstream = known->second;
+    if (!isNewer(announcement, upstream.announced_))
+        return AnnouncementEffect::LoadOnly;
     const auto isNews = upstream.lost_ || upstream.watcher_ != self_
         || differsBeyondLoad(announcement, upstream.announced_);
     return isNews ? AnnouncementEffect::Changed : AnnouncementEffect::LoadOnly;
--- a/packages/routing/PermitTable.cpp
+++ b/packages/routing/PermitTable.cpp
@@ -13,6 +13,9 @@
 /// Times that a group may be slower than its peers before it gets less.
 constexpr auto toleratedSlowness = 2.0;
 
+/// How long the news that a request ended may take.
+constexpr auto unheardEndTimeout = std::chrono::seconds(5);
+
 constexpr auto notHeldRetryMs = 50U;
 constexpr auto notServingRetryMs = 500U;
 constexpr auto drainingRetryMs = 1000U;
@@ -244,11 +247,8 @@
 {
     if (now < held.settledAt_)
         return;
-    const auto lag = lagOf(held.policy_);
-    const auto running = std::count_if(held.uses_.begin(), held.uses_.end(), [&](const auto &item) {
-        return item.second.startedAt_ && now - *item.second.startedAt_ >= lag;
-    });
-    const auto known = static_cast<std::uint32_t>(running);
+    const auto known = startedBefore(held, now - lagOf(held.policy_));
+    dropEnded(held, known > active ? known - active : 0, now);
     const auto unknown = active > known ? active - known : 0;
     if (!held.isTakingOver_) {
         held.unaccounted_ = std::min(held.unaccounted_, unknown);
@@ -260,6 +260,36 @@
         held.ramp_.raiseTo(unknown);
 }
 
+auto PermitTable::startedBefore(const Held &held, MonotonicTime time) -> std::uint32_t
+{
+    const auto isOlder = [&](const auto &item) {
+        return item.second.startedAt_ && *item.second.startedAt_ <= time;
+    };
+    return static_cast<std::uint32_t>(std::count_if(held.uses_.begin(), held.uses_.end(), isOlder));
+}
+
+auto PermitTable::dropEnded(Held &held, std::uint32_t ended, MonotonicTime now) -> void
+{
+    if (ended == 0) {
+        held.unheardSince_.reset();
+        return;
+    }
+    if (!held.unheardSince_) {
+        held.unheardSince_ = now;
+        held.unheardEnds_ = ended;
+    }
+    held.unheardEnds_ = std::min(held.unheardEnds_, ended);
+    if (now - *held.unheardSince_ < unheardEndTimeout)
+        return;
+    held.unheardSince_.reset();
+    auto left = held.unheardEnds_;
+    std::erase_if(held.uses_, [&](const auto &item) {
+        const auto drops = left > 0 && item.second.startedAt_.has_value();
+        left -= drops ? 1 : 0;
+        return drops;
+    });
+}
+
 auto PermitTable::tick(MonotonicTime now) -> void
 {
     for (auto &[id, held] : held_) {
--- a/packages/routing/PermitTable.h
+++ b/packages/routing/PermitTable.h
@@ -23,7 +23,8 @@
 /// A group never has more permits in use than its limit. A permit counts from its grant until the
 /// taker says how it ended; one that was not started counts until its time to live and a delivery
 /// margin have passed. Permits of a lost entry, of an earlier leaseholder or with an unknown end
-/// are *unaccounted*: they count until a later report of the upstream shows that fewer run.
+/// are *unaccounted*: they count until a later report of the upstream shows that fewer run. So do
+/// those whose taker never says how they ended.
 /// Not thread-safe.
 class PermitTable
 {
@@ -97,6 +98,9 @@
         std::uint32_t unaccounted_ = 0;
         /// Reports before this time don't bring unaccounted_ down.
         MonotonicTime settledAt_;
+        /// Uses that ended by the reports though no taker said so: how many, and since when.
+        std::uint32_t unheardEnds_ = 0;
+        std::optional<MonotonicTime> unheardSince_;
         /// Whether the requests of the last leaseholder have not been counted yet.
         bool isTakingOver_ = false;
         LimitRamp ramp_;
@@ -118,6 +122,8 @@
     static auto carries(const Held &held) -> std::optional<std::uint32_t>;
     static auto restartRamp(Held &held) -> void;
     static auto addUnaccounted(Held &held, MonotonicTime now) -> void;
+    static auto startedBefore(const Held &held, MonotonicTime time) -> std::uint32_t;
+    static auto dropEnded(Held &held, std::uint32_t ended, MonotonicTime now) -> void;
     static auto settle(Held &held, std::uint32_t active, MonotonicTime now) -> void;
 
     EntryId self_;
--- /dev/null
+++ b/tests/groups/FakeFleet.cpp
@@ -0,0 +1,536 @@
+#include "groups/FakeFleet.h"
+
+#include "groups/LeaseholderChoice.h"
+
+#include <algorithm>
+
+namespace lycheereach {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto planEvery = milliseconds(200);
+constexpr auto tickEvery = milliseconds(100);
+constexpr auto leaseEvery = milliseconds(500);
+constexpr auto leaseTime = seconds(3);
+constexpr auto workEndsWithin = seconds(5);
+
+auto declarationOf(const FleetPlan &plan) -> Declaration
+{
+    auto declaration = Declaration{};
+    declaration.defaults_ = plan.policy_;
+    for (const auto &zone : plan.zones_)
+        declaration.zones_.emplace_back(zone);
+    declaration.pools_.push_back(
+        Pool{PoolName("llm"), "large", plan.instancesPerGroup_, plan.groupLimit_, {}});
+    return declaration;
+}
+
+auto instance(const FleetPlan &plan, std::size_t domain, std::size_t number) -> Announcement
+{
+    auto announcement = Announcement{};
+    announcement.upstream_
+        = UpstreamId("r" + std::to_string(number % 10) + std::to_string(number / 10));
+    announcement.incarnation_ = 1;
+    announcement.address_ = "10.0.0.1:" + std::to_string(9000 + number);
+    announcement.zone_ = ZoneName(plan.zones_[domain % plan.zones_.size()]);
+    announcement.fabricDomain_ = FabricDomain("d" + std::to_string(domain));
+    announcement.pool_ = PoolName("llm");
+    announcement.accelerators_ = 8;
+    announcement.checksFencing_ = number % 2 == 0;
+    return announcement;
+}
+
+} // namespace
+
+FakeFleet::Entry::Entry(EntryId id, const ZoneName &zone, const RandomSource &random)
+    : id_(id)
+    , watch_(id)
+    , permits_(id)
+    , chooser_(zone, random)
+{ }
+
+FakeFleet::FakeFleet(FleetPlan plan)
+    : plan_(std::move(plan))
+    , random_(plan_.seed_)
+    , machine_([](const Event &) {})
+    , planner_([](const Event &) {})
+{
+    entries_.reserve(plan_.entries_);
+    for (auto number = std::size_t{0}; number < plan_.entries_; ++number) {
+        const auto id = EntryId("e" + std::to_string(number));
+        const auto zone = ZoneName(plan_.zones_[number % plan_.zones_.size()]);
+        entries_.emplace_back(id, zone, [this] { return random_(); });
+        entries_.back().leaseUntil_ = now() + leaseTime;
+        apply(PutEntry{EntryRecord{id, 1, zone, "", "", EntryPhase::Live, false}});
+        queue_.after(delay(), [this, number] { entryTick(number); });
+        queue_.after(delay(), [this, number] { leaseTick(number); });
+    }
+    auto declare = ApplyDeclaration{};
+    declare.operation_ = operationId();
+    declare.declaration_ = declarationOf(plan_);
+    apply(declare);
+    for (auto domain = std::size_t{0}; domain < plan_.domains_.size(); ++domain) {
+        for (auto count = plan_.domains_[domain]; count > 0; --count) {
+            const auto number = engines_.size();
+            engines_.emplace_back(instance(plan_, domain, number), plan_.engine_);
+            engineOf_[engines_.back().announced().upstream_] = number;
+            pausedUntil_.push_back(now());
+            announceTo_.push_back(random(entries_.size()));
+            queue_.after(milliseconds(random(500)), [this, number] { announceTick(number); });
+        }
+    }
+    queue_.after(delay(), [this] { planTick(); });
+    if (plan_.requestRate_ > 0)
+        queue_.after(delay(), [this] { arrivalTick(); });
+}
+
+auto FakeFleet::run(Duration duration) -> void
+{
+    queue_.runUntil(now() + duration);
+}
+
+auto FakeFleet::kill(std::size_t engine) -> void
+{
+    engines_[engine].die(now());
+}
+
+auto FakeFleet::restart(std::size_t engine) -> void
+{
+    engines_[engine].restart(now());
+}
+
+auto FakeFleet::pause(std::size_t engine, Duration duration) -> void
+{
+    pausedUntil_[engine] = now() + duration;
+}
+
+auto FakeFleet::freezeEntry(std::size_t entry, Duration duration) -> void
+{
+    entries_[entry].frozenUntil_ = now() + duration;
+}
+
+auto FakeFleet::stopEntry(std::size_t entry) -> void
+{
+    entries_[entry].isStopped_ = true;
+}
+
+auto FakeFleet::setZone(const std::string &zone, bool out) -> void
+{
+    auto command = SetZone{};
+    command.operation_ = operationId();
+    command.zone_ = ZoneName(zone);
+    command.out_ = out;
+    apply(command);
+    zoneOutAt_.erase(zone);
+    if (out)
+        zoneOutAt_[zone] = now();
+}
+
+auto FakeFleet::drain(std::size_t engine, bool draining) -> void
+{
+    const auto &id = engines_[engine].announced().upstream_;
+    auto command = DrainUpstream{};
+    command.operation_ = operationId();
+    command.upstream_ = id;
+    command.draining_ = draining;
+    apply(command);
+    drainingSince_.erase(id);
+    if (draining && state().upstreams_.contains(id))
+        drainingSince_[id] = now();
+}
+
+auto FakeFleet::changeLeader() -> void
+{
+    planner_.reset();
+}
+
+auto FakeFleet::calm() -> void
+{
+    plan_.disorder_ = 0;
+}
+
+auto FakeFleet::operationId() -> OperationId
+{
+    return OperationId("o" + std::to_string(++operations_));
+}
+
+auto FakeFleet::isUp(const Entry &entry) const -> bool
+{
+    return !entry.isStopped_ && now() >= entry.frozenUntil_;
+}
+
+auto FakeFleet::holdsLease(const Entry &entry) const -> bool
+{
+    return isUp(entry) && entry.state_ != nullptr && now() < entry.leaseUntil_;
+}
+
+auto FakeFleet::entryOf(const EntryId &id) -> Entry &
+{
+    return *std::find_if(entries_.begin(), entries_.end(),
+                         [&](const Entry &entry) { return entry.id_ == id; });
+}
+
+auto FakeFleet::engineOf(const UpstreamId &id) -> std::size_t
+{
+    return engineOf_.at(id);
+}
+
+auto FakeFleet::delay() -> Duration
+{
+    return std::chrono::microseconds(500 + random(2500));
+}
+
+auto FakeFleet::isDisordered() -> bool
+{
+    return static_cast<double>(random(1'000'000)) < plan_.disorder_ * 1e6;
+}
+
+auto FakeFleet::apply(const Command &command) -> void
+{
+    machine_.apply(++index_, command);
+    checkState();
+}
+
+auto FakeFleet::publish() -> void
+{
+    if (published_ == index_)
+        return;
+    published_ = index_;
+    const auto snapshot = std::make_shared<const FleetState>(state());
+    for (auto &entry : entries_) {
+        queue_.after(delay(), [this, snapshot, &entry] {
+            if (!isUp(entry) || (entry.state_ && entry.state_->applied_ >= snapshot->applied_))
+                return;
+            entry.state_ = snapshot;
+            entry.watch_.update(*snapshot, now());
+            entry.permits_.update(*snapshot, now());
+            entry.chooser_.update(*snapshot);
+        });
+    }
+}
+
+auto FakeFleet::liveEntries() const -> std::set<EntryId>
+{
+    auto live = std::set<EntryId>{};
+    for (const auto &entry : entries_) {
+        if (now() < entry.leaseUntil_)
+            live.insert(entry.id_);
+    }
+    return live;
+}
+
+auto FakeFleet::isRevoked(const GroupId &group) const -> bool
+{
+    const auto since = state().groups_.at(group).leaseChangedAt_;
+    return std::all_of(entries_.begin(), entries_.end(), [&](const Entry &entry) {
+        return now() >= entry.leaseUntil_ || (entry.state_ && entry.state_->applied_ >= since);
+    });
+}
+
+auto FakeFleet::planTick() -> void
+{
+    auto inputs = PlannerInputs{now(), liveEntries(),
+                                [this](const GroupId &group) { return isRevoked(group); }};
+    for (const auto &action : planner_.plan(state(), inputs)) {
+        if (const auto *order = std::get_if<MemberOrder>(&action)) {
+            sendOrder(*order);
+            continue;
+        }
+        const auto &command = std::get<Command>(action);
+        const auto chosen = rewrite_ ? rewrite_(state(), command) : std::optional(command);
+        if (chosen)
+            apply(*chosen);
+    }
+    publish();
+    queue_.after(planEvery, [this] { planTick(); });
+}
+
+auto FakeFleet::sendOrder(const MemberOrder &order) -> void
+{
+    const auto engine = engineOf(order.upstream_);
+    const auto deliver = [this, order, engine] {
+        if (engines_[engine].isAlive() && now() >= pausedUntil_[engine])
+            return engines_[engine].order(order, now());
+        return false;
+    };
+    const auto isUnwanted = order.kind_ == OrderKind::Load && !preload_;
+    if (isDisordered())
+        queue_.after(milliseconds(random(8000)), [deliver] { deliver(); });
+    const auto isDropped = isUnwanted || isDisordered();
+    queue_.after(delay(), [this, deliver, order, isDropped] {
+        const auto isAccepted = !isDropped && deliver();
+        queue_.after(delay(), [this, order, isAccepted] {
+            planner_.orderEnded(order.upstream_, isAccepted, now());
+        });
+    });
+}
+
+auto FakeFleet::leaseTick(std::size_t number) -> void
+{
+    auto &entry = entries_[number];
+    queue_.after(leaseEvery, [this, number] { leaseTick(number); });
+    if (!isUp(entry))
+        return;
+    // An entry that was away takes over the present state with its new lease.
+    if (now() >= entry.leaseUntil_) {
+        entry.state_ = std::make_shared<const FleetState>(state());
+        entry.watch_.update(*entry.state_, now());
+        entry.permits_.update(*entry.state_, now());
+        entry.chooser_.update(*entry.state_);
+    }
+    entry.leaseUntil_ = now() + leaseTime;
+}
+
+auto FakeFleet::entryTick(std::size_t number) -> void
+{
+    auto &entry = entries_[number];
+    queue_.after(tickEvery, [this, number] { entryTick(number); });
+    if (!holdsLease(entry))
+        return;
+    entry.permits_.tick(now());
+    for (const auto &[id, group] : entry.state_->groups_)
+        entry.permits_.setServing(id, entry.watch_.mayServe(*entry.state_, id, now()));
+    const auto isIdle = [&](const GroupId &group) { return entry.permits_.isIdle(group); };
+    for (const auto &command : entry.watch_.tick(*entry.state_, now(), isIdle)) {
+        queue_.after(delay(), [this, command] {
+            apply(command);
+            publish();
+        });
+    }
+    const auto loads = entry.permits_.loads();
+    for (auto &other : entries_) {
+        queue_.after(delay(), [this, loads, &other] {
+            for (const auto &load : loads) {
+                if (isUp(other))
+                    other.chooser_.report(load);
+            }
+        });
+    }
+    pump(number);
+}
+
+auto FakeFleet::announceTick(std::size_t engine) -> void
+{
+    queue_.after(milliseconds(plan_.policy_.announceEveryMs_),
+                 [this, engine] { announceTick(engine); });
+    if (!engines_[engine].isAlive() || now() < pausedUntil_[engine])
+        return;
+    const auto announcement = engines_[engine].announce(now());
+    const auto target = announceTo_[engine];
+    if (!holdsLease(entries_[target]))
+        announceTo_[engine] = (target + 1) % entries_.size();
+    const auto wait = isDisordered() ? Duration(milliseconds(random(900))) : delay();
+    queue_.after(wait,
+                 [this, target, engine, announcement] { hear(target, engine, announcement); });
+    if (!isDisordered())
+        return;
+    const auto other = random(entries_.size());
+    queue_.after(milliseconds(random(900)),
+                 [this, other, engine, announcement] { hear(other, engine, announcement); });
+}
+
+auto FakeFleet::hear(std::size_t number, std::size_t engine, const Announcement &announcement)
+    -> void
+{
+    auto &entry = entries_[number];
+    if (!holdsLease(entry))
+        return;
+    const auto effect = entry.watch_.heard(*entry.state_, announcement, now());
+    const auto next
+        = announceTo(*entry.state_, liveEntries(), announcement.upstream_, announcement.zone_);
+    if (!next.empty())
+        announceTo_[engine] = static_cast<std::size_t>(&entryOf(next.front()) - entries_.data());
+    if (effect == AnnouncementEffect::Stale)
+        return;
+    entry.permits_.report(announcement, now());
+    if (effect == AnnouncementEffect::LoadOnly)
+        return;
+    queue_.after(delay(), [this, announcement, id = entry.id_] {
+        apply(PutUpstream{announcement, id});
+        publish();
+    });
+}
+
+auto FakeFleet::arrivalTick() -> void
+{
+    const auto number = random(entries_.size());
+    const auto gap = static_cast<double>(random(2000)) / 1000.0 / plan_.requestRate_;
+    queue_.after(std::chrono::microseconds(static_cast<std::int64_t>(gap * 1e6)),
+                 [this] { arrivalTick(); });
+    if (!isUp(entries_[number]))
+        return;
+    entries_[number].waiting_.push_back({RequestId("q" + std::to_string(++requests_)), now()});
+    pump(number);
+}
+
+auto FakeFleet::pump(std::size_t number) -> void
+{
+    auto &entry = entries_[number];
+    while (!entry.waiting_.empty()
+           && now() - entry.waiting_.front().arrivedAt_ > plan_.requestTimeout_) {
+        finished_.push_back({entry.waiting_.front().arrivedAt_, std::nullopt});
+        entry.waiting_.pop_front();
+    }
+    static const auto noPrefixes = PrefixIndex(1);
+    while (!entry.waiting_.empty() && holdsLease(entry)) {
+        const auto choice = entry.chooser_.choose({PoolName("llm"), {}, 5, {}}, noPrefixes);
+        if (!choice)
+            return;
+        entry.chooser_.taken(choice->group_);
+        const auto attempt = Attempt{number, entry.waiting_.front(), *choice, now()};
+        entry.waiting_.pop_front();
+        queue_.after(delay(), [this, attempt] { ask(attempt); });
+    }
+}
+
+auto FakeFleet::ask(const Attempt &attempt) -> void
+{
+    auto &holder = entryOf(attempt.choice_.leaseholder_);
+    const auto &taker = entries_[attempt.entry_];
+    if (!holdsLease(holder)) {
+        queue_.after(seconds(1), [this, attempt] { refused(attempt); });
+        return;
+    }
+    const auto answer
+        = holder.permits_.take(attempt.choice_.group_, taker.id_, attempt.request_.id_, now());
+    queue_.after(delay(), [this, attempt, answer] {
+        if (const auto *permit = std::get_if<Permit>(&answer))
+            granted(attempt, *permit);
+        else
+            refused(attempt);
+    });
+}
+
+auto FakeFleet::refused(const Attempt &attempt) -> void
+{
+    auto &entry = entries_[attempt.entry_];
+    entry.waiting_.push_front(attempt.request_);
+    queue_.after(milliseconds(50), [this, attempt] {
+        entries_[attempt.entry_].chooser_.ended(attempt.choice_.group_);
+        pump(attempt.entry_);
+    });
+}
+
+auto FakeFleet::granted(const Attempt &attempt, const Permit &permit) -> void
+{
+    auto &entry = entries_[attempt.entry_];
+    const auto *seen = holdsLease(entry) ? entry.state_.get() : nullptr;
+    const auto group = seen == nullptr ? std::map<GroupId, Group>::const_iterator{}
+                                       : seen->groups_.find(permit.group_);
+    const auto isValid = seen != nullptr && group != seen->groups_.end()
+        && group->second.leaseNumber_ == permit.leaseNumber_ && !group->second.leaseholder_.empty()
+        && group->second.epoch_ == permit.epoch_
+        && now() - attempt.askedAt_ < milliseconds(permit.ttlMs_);
+    if (!isValid) {
+        refused(attempt);
+        return;
+    }
+    const auto engine = engineOf(attempt.choice_.upstream_);
+    const auto isPaused = now() < pausedUntil_[engine];
+    if (isPaused || !engines_[engine].start(permit.group_, permit.epoch_, now())) {
+        ended(attempt, permit, PermitOutcome::NotStarted);
+        refused(attempt);
+        return;
+    }
+    checkStart(attempt, permit, engine);
+    const auto incarnation = engines_[engine].announced().incarnation_;
+    auto &holder = entryOf(attempt.choice_.leaseholder_);
+    queue_.after(delay(), [this, &holder, permit] {
+        if (isUp(holder))
+            holder.permits_.started(permit.group_, permit.leaseNumber_, permit.number_, now());
+    });
+    finished_.push_back({attempt.request_.arrivedAt_, now() - attempt.request_.arrivedAt_});
+    const auto service = plan_.serviceTime_ / 2
+        + milliseconds(random(static_cast<std::uint64_t>(
+            std::max<std::int64_t>(1, toMilliseconds(plan_.serviceTime_)))));
+    queue_.after(service, [this, attempt, permit, engine, incarnation] {
+        engines_[engine].finish(incarnation, true);
+        ended(attempt, permit, PermitOutcome::Completed);
+    });
+}
+
+auto FakeFleet::ended(const Attempt &attempt, const Permit &permit, PermitOutcome outcome) -> void
+{
+    auto &entry = entries_[attempt.entry_];
+    entry.chooser_.ended(permit.group_);
+    auto &holder = entryOf(attempt.choice_.leaseholder_);
+    queue_.after(delay() + milliseconds(3), [this, &holder, &entry, permit, outcome] {
+        if (isUp(holder) && isUp(entry))
+            holder.permits_.finished(permit.group_, permit.leaseNumber_, permit.number_, outcome,
+                                     plan_.serviceTime_, now());
+    });
+}
+
+auto FakeFleet::checkStart(const Attempt &attempt, const Permit &permit, std::size_t engine) -> void
+{
+    const auto &announced = engines_[engine].announced();
+    ++startedIn_[announced.zone_.text()];
+    if (announced.running_ > engines_[engine].capacity())
+        fail(announced.upstream_.text() + " runs " + std::to_string(announced.running_));
+    const auto out = zoneOutAt_.find(announced.zone_.text());
+    if (out != zoneOutAt_.end() && now() - out->second > workEndsWithin)
+        fail("work in zone " + announced.zone_.text());
+    const auto group = state().groups_.find(attempt.choice_.group_);
+    if (group == state().groups_.end() || group->second.epoch_ != permit.epoch_)
+        return;
+    // A member may have gone unnoticed for the silence timeout, and the permit lives on.
+    const auto unnoticed
+        = milliseconds(plan_.policy_.silenceTimeoutMs_ + plan_.policy_.permitTtlMs_ + 1000);
+    for (const auto &member : group->second.members_) {
+        const auto away = engines_[engineOf(member)].awaySince(permit.group_, permit.epoch_);
+        if (away && now() - *away > unnoticed)
+            fail(permit.group_.text() + " serves without " + member.text());
+        const auto drained = drainingSince_.find(member);
+        if (drained != drainingSince_.end() && now() - drained->second > workEndsWithin)
+            fail("work at the draining " + member.text());
+    }
+}
+
+auto FakeFleet::checkState() -> void
+{
+    auto members = std::size_t{0};
+    for (const auto &[id, group] : state().groups_) {
+        members += group.members_.size();
+        for (const auto &member : group.members_) {
+            const auto membership = state().groupOf_.find(member);
+            if (membership == state().groupOf_.end() || membership->second != id)
+                fail(member.text() + " is in two groups");
+        }
+    }
+    if (members != state().groupOf_.size())
+        fail("an instance is in a group that does not have it");
+}
+
+auto FakeFleet::fail(const std::string &what) -> void
+{
+    const auto at = std::to_string(toMilliseconds(now().time_since_epoch()));
+    violations_.push_back("seed " + std::to_string(plan_.seed_) + ", " + at + " ms: " + what);
+}
+
+auto FakeFleet::servingGroups() const -> std::size_t
+{
+    auto serving = std::size_t{0};
+    for (const auto &entry : entries_) {
+        if (!holdsLease(entry))
+            continue;
+        for (const auto &load : entry.permits_.loads())
+            serving += load.limit_ > 0 ? 1 : 0;
+    }
+    return serving;
+}
+
+auto FakeFleet::startedIn(const std::string &zone) const -> std::uint64_t
+{
+    const auto found = startedIn_.find(zone);
+    return found == startedIn_.end() ? 0 : found->second;
+}
+
+auto FakeFleet::isZoneOf(std::size_t engine, const std::string &zone) const -> bool
+{
+    return engines_[engine].announced().zone_.text() == zone;
+}
+
+} // namespace lycheereach
