--- a/packages/routing/PermitTable.cpp
+++ b/packages/routing/PermitTable.cpp
@@ -88,7 +88,9 @@
     auto &held = held_[group.id_];
     held.isTakingOver_ = group.leaseNumber_ > 1;
     held.policy_ = policyFor(state.declaration_, group.zone_, group.pool_, group.members_.front());
-    held.settledAt_ = now + ttlOf(held.policy_) + deliveryMargin + lagOf(held.policy_);
+    held.settledAt_ = now;
+    if (held.isTakingOver_)
+        held.settledAt_ += ttlOf(held.policy_) + deliveryMargin + lagOf(held.policy_);
 }
 
 auto PermitTable::refresh(const FleetState &state, Held &held, const Group &group,
--- /dev/null
+++ b/tests/routing/PermitTableTest.cpp
@@ -0,0 +1,275 @@
+#include "routing/PermitTable.h"
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(PermitTable)
+{
+    const EntryId self_{"e1"};
+    const EntryId other_{"e2"};
+    const GroupId group_{"g"};
+    FleetState state_;
+    PermitTable table_{EntryId("e1")};
+    MonotonicTime now_{seconds(1000)};
+    std::uint64_t requests_ = 0;
+
+    auto setup()->void override
+    {
+        for (const auto &id : {self_, other_})
+            state_.entries_[id]
+                = EntryRecord{id, 1, ZoneName("talca"), "", "", EntryPhase::Live, false};
+        addGroup(group_);
+        serve();
+    }
+
+    auto addGroup(const GroupId &id)->void
+    {
+        auto announced = Announcement{};
+        announced.upstream_ = UpstreamId("u-" + id.text());
+        announced.incarnation_ = 1;
+        announced.zone_ = ZoneName("talca");
+        state_.upstreams_[announced.upstream_] = Upstream{announced, self_, false, false};
+        auto group = Group{};
+        group.id_ = id;
+        group.pool_ = PoolName("llm");
+        group.zone_ = ZoneName("talca");
+        group.epoch_ = 1;
+        group.members_ = {announced.upstream_};
+        group.phase_ = GroupPhase::Serving;
+        group.leaseholder_ = self_;
+        group.leaseNumber_ = 1;
+        state_.groups_[id] = group;
+    }
+
+    auto serve()->void
+    {
+        table_.update(state_, now_);
+        for (const auto &[id, group] : state_.groups_)
+            table_.setServing(id, true);
+    }
+
+    auto upstream()->Upstream &
+    {
+        return state_.upstreams_.at(UpstreamId("u-g"));
+    }
+
+    auto report(const std::function<void(Announcement &)> &change)->void
+    {
+        change(upstream().announced_);
+        table_.report(upstream().announced_, now_);
+    }
+
+    auto take(const EntryId &entry)->std::variant<Permit, PermitRefusal>
+    {
+        return table_.take(group_, entry, RequestId(std::to_string(++requests_)), now_);
+    }
+
+    auto takeAll(const EntryId &entry)->std::vector<Permit>
+    {
+        auto permits = std::vector<Permit>{};
+        for (auto answer = take(entry); std::holds_alternative<Permit>(answer);
+             answer = take(entry))
+            permits.push_back(std::get<Permit>(answer));
+        return permits;
+    }
+
+    auto reason()->RefusalReason
+    {
+        const auto answer = take(other_);
+        CHECK(std::holds_alternative<PermitRefusal>(answer));
+        return std::get<PermitRefusal>(answer).reason_;
+    }
+
+    auto finish(const Permit &permit, PermitOutcome outcome = PermitOutcome::Completed,
+                Duration latency = milliseconds(100))
+        ->void
+    {
+        table_.finished(permit.group_, permit.leaseNumber_, permit.number_, outcome, latency, now_);
+    }
+
+    auto start(const Permit &permit)->bool
+    {
+        return table_.started(permit.group_, permit.leaseNumber_, permit.number_, now_);
+    }
+
+    auto completeMany(int count, Duration latency)->void
+    {
+        for (auto done = 0; done < count; ++done) {
+            const auto answer = take(other_);
+            finish(std::get<Permit>(answer), PermitOutcome::Completed, latency);
+        }
+    }
+};
+
+TEST(PermitTable, aColdUpstreamAtItsLimit_take_isRefused)
+{
+    UNSIGNED_LONGS_EQUAL(2, takeAll(other_).size());
+    CHECK(reason() == RefusalReason::Full);
+}
+
+TEST(PermitTable, anUpstreamThatSaysWhatItCarries_take_grantsThatMuch)
+{
+    report([](Announcement &announced) { announced.carries_ = 5; });
+    table_ = PermitTable(self_);
+    serve();
+    UNSIGNED_LONGS_EQUAL(5, takeAll(other_).size());
+}
+
+TEST(PermitTable, completedWork_take_rampsFromColdToWarm)
+{
+    report([](Announcement &announced) { announced.cold_ = false; });
+    UNSIGNED_LONGS_EQUAL(2, table_.loads().front().limit_);
+    completeMany(4, milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(4, table_.loads().front().limit_);
+    completeMany(60, milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(16, takeAll(other_).size());
+}
+
+TEST(PermitTable, aNewIncarnationOrColdFlag_report_goesBackToTheColdLimitAndRecalls)
+{
+    for (const auto restarts : {true, false}) {
+        report([](Announcement &announced) { announced.cold_ = false; });
+        completeMany(60, milliseconds(100));
+        const auto permits = takeAll(other_);
+        start(permits.front());
+        report([&](Announcement &announced) {
+            announced.cold_ = true;
+            announced.incarnation_ += restarts ? 1 : 0;
+        });
+        UNSIGNED_LONGS_EQUAL(2, table_.loads().front().limit_);
+        UNSIGNED_LONGS_EQUAL(permits.size() - 1, table_.recalled().size());
+        CHECK(reason() == RefusalReason::Full);
+        for (const auto &permit : permits)
+            finish(permit, PermitOutcome::NotStarted);
+    }
+}
+
+TEST(PermitTable, answersSuddenlySlow_finished_goesBackToTheColdLimit)
+{
+    report([](Announcement &announced) { announced.cold_ = false; });
+    completeMany(100, milliseconds(100));
+    completeMany(1, seconds(9));
+    UNSIGNED_LONGS_EQUAL(16, table_.loads().front().limit_);
+    completeMany(6, seconds(1));
+    CHECK(table_.loads().front().limit_ <= 4);
+}
+
+TEST(PermitTable, aStragglerAmongPeers_take_getsLess)
+{
+    addGroup(GroupId("h"));
+    serve();
+    report([](Announcement &announced) { announced.cold_ = false; });
+    completeMany(60, milliseconds(400));
+    UNSIGNED_LONGS_EQUAL(16, table_.loads().front().limit_);
+    const auto peer = std::get<Permit>(table_.take(GroupId("h"), other_, RequestId("p"), now_));
+    finish(peer, PermitOutcome::Completed, milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(4, table_.loads().front().limit_);
+}
+
+TEST(PermitTable, aPermitNotStarted_tick_isVoidAfterItsTimeToLive)
+{
+    const auto permits = takeAll(other_);
+    now_ += milliseconds(permits.front().ttlMs_);
+    table_.tick(now_);
+    CHECK(reason() == RefusalReason::Full);
+    now_ += milliseconds(300);
+    table_.tick(now_);
+    UNSIGNED_LONGS_EQUAL(2, takeAll(other_).size());
+}
+
+TEST(PermitTable, aVoidPermitThatWasStarted_started_countsUntilTheUpstreamReportsOtherwise)
+{
+    const auto permits = takeAll(other_);
+    now_ += seconds(2);
+    table_.tick(now_);
+    CHECK_FALSE(start(permits.front()));
+    UNSIGNED_LONGS_EQUAL(1, takeAll(other_).size());
+    report([](Announcement &announced) { announced.running_ = 0; });
+    CHECK(reason() == RefusalReason::Full);
+    now_ += seconds(3);
+    table_.tick(now_);
+    UNSIGNED_LONGS_EQUAL(1, takeAll(other_).size());
+    report([](Announcement &announced) { announced.running_ = 0; });
+    UNSIGNED_LONGS_EQUAL(1, takeAll(other_).size());
+}
+
+TEST(PermitTable, theSameRequestAsksAgain_take_getsTheSamePermit)
+{
+    const auto first = std::get<Permit>(table_.take(group_, other_, RequestId("r"), now_));
+    const auto second = std::get<Permit>(table_.take(group_, other_, RequestId("r"), now_));
+    CHECK(first == second);
+    UNSIGNED_LONGS_EQUAL(1, table_.loads().front().inUse_);
+}
+
+TEST(PermitTable, aLostEntry_update_keepsItsRequestsInUseUntilTheUpstreamReportsOtherwise)
+{
+    for (const auto &permit : takeAll(other_))
+        start(permit);
+    state_.entries_.at(other_).phase_ = EntryPhase::Lost;
+    table_.update(state_, now_);
+    CHECK(std::holds_alternative<PermitRefusal>(take(self_)));
+    now_ += seconds(3);
+    report([](Announcement &announced) { announced.running_ = 1; });
+    UNSIGNED_LONGS_EQUAL(1, takeAll(self_).size());
+}
+
+TEST(PermitTable, aNewLeaseholder_take_grantsWhatTheUpstreamReportsFree)
+{
+    state_.groups_.at(group_).leaseNumber_ = 2;
+    table_ = PermitTable(self_);
+    serve();
+    CHECK(reason() == RefusalReason::TakingOver);
+    report([](Announcement &announced) { announced.running_ = 0; });
+    CHECK(reason() == RefusalReason::TakingOver);
+    now_ += seconds(3);
+    report([](Announcement &announced) { announced.running_ = 1; });
+    UNSIGNED_LONGS_EQUAL(1, takeAll(other_).size());
+}
+
+TEST(PermitTable, anEndThatIsNeverTold_report_freesItsPlace)
+{
+    for (const auto &permit : takeAll(other_))
+        start(permit);
+    now_ += seconds(2);
+    report([](Announcement &announced) { announced.running_ = 1; });
+    UNSIGNED_LONGS_EQUAL(0, takeAll(other_).size());
+    now_ += seconds(6);
+    report([](Announcement &announced) { announced.running_ = 1; });
+    UNSIGNED_LONGS_EQUAL(1, takeAll(other_).size());
+}
+
+TEST(PermitTable, aTargetThatLeaves_take_isRefused)
+{
+    const auto changes = std::vector<std::function<void()>>{
+        [&] { state_.zonesOut_.insert(ZoneName("talca")); }, [&] { upstream().draining_ = true; },
+        [&] { upstream().announced_.leaving_ = true; },
+        [&] { state_.groups_.at(group_).phase_ = GroupPhase::Draining; }};
+    const auto before = state_;
+    for (const auto &change : changes) {
+        state_ = before;
+        change();
+        table_.update(state_, now_);
+        CHECK(reason() == RefusalReason::Draining);
+    }
+    state_ = before;
+    table_.update(state_, now_);
+    table_.setServing(group_, false);
+    CHECK(reason() == RefusalReason::NotServing);
+    state_.groups_.at(group_).leaseholder_ = other_;
+    table_.update(state_, now_);
+    CHECK(reason() == RefusalReason::NotHeld);
+}
+
+TEST(PermitTable, anUpstreamThatRefuses_finished_getsHalf)
+{
+    report([](Announcement &announced) { announced.cold_ = false; });
+    completeMany(60, milliseconds(100));
+    auto permits = takeAll(other_);
+    finish(permits.front(), PermitOutcome::Overloaded);
+    UNSIGNED_LONGS_EQUAL(8, table_.loads().front().limit_);
+}
