--- a/packages/log/ReplicaSettings.h
+++ b/packages/log/ReplicaSettings.h
@@ -21,7 +21,7 @@
     /// A snapshot is taken after this many applied records.
     std::size_t snapshotAfterRecords_ = 2000;
     /// The most payload bytes of a message with several records.
-    std::size_t appendLimitBytes_ = 256 * 1024;
+    std::size_t appendLimitBytes_ = 256 * std::size_t(1024);
 };
 
 } // namespace lycheereach
--- /dev/null
+++ b/tests/log/FileLogStorageTest.cpp
@@ -0,0 +1,275 @@
+#include "log/FileLogStorage.h"
+#include "log/Replica.h"
+
+#include <cerrno>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+namespace fs = std::filesystem;
+
+TEST_GROUP(FileLogStorage)
+{
+    fs::path folder_;
+    FileLogStorageHooks hooks_;
+
+    auto setup()->void override
+    {
+        auto pattern = (fs::temp_directory_path() / "lycheereach-log-XXXXXX").string();
+        folder_ = ::mkdtemp(pattern.data());
+    }
+    auto teardown()->void override
+    {
+        fs::remove_all(folder_);
+    }
+
+    static auto record(LogIndex index, Term term)->LogRecord
+    {
+        return {index, term, RecordKind::Command, "payload " + std::to_string(index)};
+    }
+    static auto state(Term term, LogIndex commit)->LogState
+    {
+        return {term, EntryId("a"), "cluster", commit};
+    }
+    static auto append(FileLogStorage & storage, LogIndex index)->Result<Nothing>
+    {
+        storage.stageState(state(2, index));
+        storage.stageRecords({record(index, 2)});
+        return storage.sync();
+    }
+    auto write(LogIndex records)->void
+    {
+        auto storage = FileLogStorage(folder_);
+        CHECK(storage.load().ok());
+        CHECK(storage.writeIdentity({EntryId("a"), 7}).ok());
+        for (LogIndex index = 1; index <= records; ++index)
+            CHECK(append(storage, index).ok());
+    }
+    auto load()->Result<StoredLog>
+    {
+        return FileLogStorage(folder_, hooks_).load();
+    }
+    auto bytes(const std::string &name)->std::string
+    {
+        auto stream = std::ifstream(folder_ / name, std::ios::binary);
+        return {std::istreambuf_iterator<char>(stream), {}};
+    }
+    auto overwrite(const std::string &name, const std::string &content)->void
+    {
+        std::ofstream(folder_ / name, std::ios::binary | std::ios::trunc) << content;
+    }
+    auto checkRefused(const std::string &part)->void
+    {
+        const auto result = load();
+        CHECK(!result.ok());
+        CHECK(result.failure().code_ == Error::CorruptLog);
+        STRCMP_CONTAINS(part.c_str(), result.failure().message_.c_str());
+    }
+};
+
+TEST(FileLogStorage, aSyncedLog_loadedAgain_isTheSame)
+{
+    write(3);
+    const auto stored = load();
+    CHECK(stored->identity_ == (VoterIdentity{EntryId("a"), 7}));
+    CHECK(stored->state_ == state(2, 3));
+    CHECK(stored->records_ == (std::vector{record(1, 2), record(2, 2), record(3, 2)}));
+}
+
+TEST(FileLogStorage, aTailTornAtAnyByte_loaded_keepsTheRecordsBeforeAndGoesOn)
+{
+    write(2);
+    const auto before = bytes("log").size();
+    {
+        auto storage = FileLogStorage(folder_);
+        CHECK(storage.load().ok());
+        CHECK(append(storage, 3).ok());
+    }
+    const auto whole = bytes("log");
+    for (auto length = before; length < whole.size(); ++length) {
+        overwrite("log", whole.substr(0, length));
+        {
+            auto storage = FileLogStorage(folder_);
+            CHECK_EQUAL(2U, storage.load()->records_.size());
+            CHECK(append(storage, 3).ok());
+        }
+        CHECK_EQUAL(3U, load()->records_.size());
+    }
+}
+
+TEST(FileLogStorage, anyByteFlippedBeforeTheLastRecord_loaded_isRefusedWithFileAndOffset)
+{
+    write(2);
+    const auto end = bytes("log").size();
+    {
+        auto storage = FileLogStorage(folder_);
+        CHECK(storage.load().ok());
+        CHECK(append(storage, 3).ok());
+    }
+    const auto whole = bytes("log");
+    for (std::size_t at = 0; at < end; ++at) {
+        auto damaged = whole;
+        damaged[at] = static_cast<char>(damaged[at] ^ 0x10);
+        overwrite("log", damaged);
+        checkRefused(at < end / 2 ? "log, offset 0: " : "log, offset ");
+        CHECK(bytes("log") == damaged);
+    }
+}
+
+TEST(FileLogStorage, filesThatDoNotFitTogether_loaded_areRefused)
+{
+    write(2);
+    {
+        auto storage = FileLogStorage(folder_);
+        CHECK(storage.load().ok());
+        CHECK(storage.writeSnapshot({{2, 2}, {}, "state"}, state(2, 2), {record(3, 2)}).ok());
+    }
+    const auto identity = bytes("identity");
+    const auto snapshot = bytes("snapshot");
+    const auto log = bytes("log");
+    struct Row
+    {
+        const char *file_;
+        std::string content_;
+    };
+    for (const auto &row : {Row{"identity", "{}"}, Row{"snapshot", snapshot.substr(0, 40)},
+                            Row{"snapshot", snapshot + "x"}}) {
+        const auto whole = bytes(row.file_);
+        overwrite(row.file_, row.content_);
+        checkRefused(row.file_);
+        overwrite(row.file_, whole);
+    }
+    for (const auto *file : {"identity", "snapshot", "log"}) {
+        fs::rename(folder_ / file, folder_ / "away");
+        checkRefused(file);
+        fs::rename(folder_ / "away", folder_ / file);
+    }
+    CHECK(load().ok());
+}
+
+TEST(FileLogStorage, aCrashBetweenSnapshotAndLog_loaded_isFinished)
+{
+    write(4);
+    const auto oldLog = bytes("log");
+    struct Row
+    {
+        LogSnapshot snapshot_;
+        std::size_t following_;
+        Term term_;
+    };
+    for (const auto &row : {Row{{{2, 2}, {}, "own"}, 2, 2}, Row{{{3, 5}, {}, "other"}, 0, 5},
+                            Row{{{9, 2}, {}, "ahead"}, 0, 2}}) {
+        fs::remove(folder_ / "snapshot");
+        overwrite("log", oldLog);
+        {
+            auto storage = FileLogStorage(folder_);
+            CHECK(storage.load().ok());
+            CHECK(storage.writeSnapshot(row.snapshot_, state(2, 2), {}).ok());
+        }
+        overwrite("log", oldLog);
+        for (auto again = 0; again < 2; ++again) {
+            const auto stored = load();
+            CHECK(stored->snapshot_ == row.snapshot_);
+            CHECK_EQUAL(row.following_, stored->records_.size());
+            CHECK_EQUAL(row.term_, stored->state_.term_);
+        }
+    }
+}
+
+TEST(FileLogStorage, aFailedSync_syncedAgain_staysFailed)
+{
+    write(1);
+    auto fails = true;
+    hooks_.sync_ = [&](int) {
+        errno = EIO;
+        return fails ? -1 : 0;
+    };
+    auto storage = FileLogStorage(folder_, hooks_);
+    CHECK(storage.load().ok());
+    CHECK(append(storage, 2).failure().code_ == Error::DiskFailed);
+    fails = false;
+    CHECK(append(storage, 2).failure().code_ == Error::DiskFailed);
+    CHECK(!storage.writeSnapshot({}, {}, {}).ok());
+}
+
+TEST(FileLogStorage, aDiskThatFillsUpWithinARecord_roomIsMade_writesWhatWasStaged)
+{
+    write(1);
+    auto room = std::size_t(30);
+    hooks_.write_ = [&](int file, const char *from, std::size_t count) -> ssize_t {
+        const auto fits = std::min(count, room);
+        room -= fits;
+        errno = ENOSPC;
+        return fits == 0 ? -1 : ::write(file, from, fits);
+    };
+    {
+        auto storage = FileLogStorage(folder_, hooks_);
+        CHECK(storage.load().ok());
+        const auto before = bytes("log");
+        CHECK(append(storage, 2).failure().code_ == Error::DiskFull);
+        CHECK(bytes("log") == before);
+        room = 10'000;
+        storage.stageTruncation(1);
+        storage.stageRecords({record(2, 3)});
+        CHECK(storage.sync().ok());
+    }
+    CHECK(load()->records_ == (std::vector{record(1, 2), record(2, 3)}));
+}
+
+TEST(FileLogStorage, aFolderInUse_loadedByAnother_isRefused)
+{
+    auto first = FileLogStorage(folder_);
+    CHECK(first.load().ok());
+    CHECK(load().failure().code_ == Error::Conflict);
+}
+
+TEST(FileLogStorage, aReplicaWith600Changes_restarted_hasThemAll)
+{
+    auto applied = std::vector<std::string>{};
+    auto hooks = ReplicaHooks{};
+    hooks.apply_ = [&](const LogRecord &record) {
+        if (record.kind_ == RecordKind::Command)
+            applied.push_back(record.payload_);
+    };
+    hooks.takeSnapshot_ = [&] { return Json(applied).dump(); };
+    hooks.restore_ = [&](LogIndex, const std::string &text) {
+        applied = Json::parse(text).get<std::vector<std::string>>();
+    };
+    hooks.random_ = [] { return 5; };
+    auto settings = ReplicaSettings{};
+    settings.self_ = EntryId("a");
+    settings.initialVoters_ = {settings.self_};
+    settings.snapshotAfterRecords_ = 256;
+    auto now = MonotonicTime(std::chrono::hours(1));
+    const auto openAndLead = [&] {
+        auto replica
+            = std::make_unique<Replica>(settings, std::make_unique<FileLogStorage>(folder_), hooks);
+        CHECK(replica->open(now).ok());
+        for (auto tick = 0; tick < 100 && !replica->holdsLeaderLease(now); ++tick)
+            replica->tick(now += std::chrono::milliseconds(20));
+        CHECK(replica->holdsLeaderLease(now));
+        return replica;
+    };
+    {
+        auto replica = openAndLead();
+        for (auto change = 0; change < 600; ++change) {
+            CHECK(replica->propose("change " + std::to_string(change), now).ok());
+            replica->flush(now);
+        }
+    }
+    CHECK_EQUAL(600U, applied.size());
+    const auto expected = std::exchange(applied, {});
+    const auto start = std::chrono::steady_clock::now();
+    openAndLead();
+    const auto took = std::chrono::steady_clock::now() - start;
+    std::cout << "restart after 600 changes: "
+              << std::chrono::duration_cast<std::chrono::microseconds>(took).count() << " us\n";
+    CHECK(applied == expected);
+}
--- /dev/null
+++ b/tests/log/ReplicaTest.cpp
@@ -0,0 +1,271 @@
+#include "log/SimulatedCluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Replica)
+{
+    std::unique_ptr<SimulatedCluster> cluster_;
+
+    auto teardown()->void override
+    {
+        if (cluster_)
+            STRCMP_EQUAL("", cluster_->violations().c_str());
+        cluster_.reset();
+    }
+
+    /// A cluster with its leader.
+    auto startCluster(std::size_t nodes, std::size_t voters, std::uint64_t seed = 1)->std::size_t
+    {
+        cluster_ = std::make_unique<SimulatedCluster>(seed, nodes, voters);
+        for (std::size_t i = 0; i < nodes; ++i)
+            cluster_->start(i);
+        const auto leader = cluster_->runUntilLeader();
+        CHECK(leader.has_value());
+        return *leader;
+    }
+    auto commit(std::size_t leader, std::size_t commands)->void
+    {
+        const auto before = cluster_->acknowledged();
+        for (std::size_t i = 0; i < commands; ++i)
+            CHECK(cluster_->propose(leader).ok());
+        cluster_->run(200ms);
+        CHECK_EQUAL(before + commands, cluster_->acknowledged());
+    }
+    auto name(std::size_t node)->EntryId
+    {
+        return cluster_->node(node).name_;
+    }
+};
+
+TEST(Replica, theLeaderKilledAtEachStepOfACommit_restarted_losesNothingAcknowledged)
+{
+    auto completed = false;
+    for (auto steps = 0; !completed; ++steps) {
+        const auto leader = startCluster(3, 3, static_cast<std::uint64_t>(steps % 5 + 1));
+        commit(leader, 9);
+        cluster_->node(leader).crashIn_ = steps;
+        cluster_->propose(leader);
+        cluster_->run(60ms);
+        completed = cluster_->node(leader).replica_ != nullptr && cluster_->acknowledged() == 10;
+        cluster_->crash(leader);
+        cluster_->run(1s);
+        cluster_->heal();
+        STRCMP_EQUAL("", cluster_->violations().c_str());
+        CHECK(steps < 100);
+    }
+}
+
+TEST(Replica, aFollowerKilledAtEachStepOfACommit_restarted_losesNothingAcknowledged)
+{
+    for (auto steps = 0; steps < 12; ++steps) {
+        const auto leader = startCluster(3, 3);
+        const auto follower = (leader + 1) % 3;
+        commit(leader, 9);
+        cluster_->node(follower).crashIn_ = steps;
+        cluster_->propose(leader);
+        cluster_->run(60ms);
+        cluster_->crash(leader);
+        cluster_->heal();
+        STRCMP_EQUAL("", cluster_->violations().c_str());
+    }
+}
+
+TEST(Replica, aVoterThatLostItsDisk_standsAndVotes_isNotCounted)
+{
+    const auto leader = startCluster(3, 3);
+    const auto lost = (leader + 1) % 3;
+    commit(leader, 3);
+    cluster_->loseDisk(lost);
+    cluster_->crash(leader);
+    cluster_->crash((leader + 2) % 3);
+    cluster_->start(lost);
+    cluster_->run(3s);
+    CHECK(cluster_->replica(lost).role() == ReplicaRole::Learner);
+    cluster_->start((leader + 2) % 3);
+    CHECK(!cluster_->runUntilLeader().has_value());
+    cluster_->start(leader);
+    CHECK(cluster_->runUntilLeader().has_value());
+}
+
+TEST(Replica, aVoterThatLostItsDisk_removedAndAdded_votesAgain)
+{
+    const auto leader = startCluster(3, 3);
+    const auto lost = (leader + 1) % 3;
+    commit(leader, 30);
+    cluster_->loseDisk(lost);
+    cluster_->start(lost);
+    cluster_->run(1s);
+    CHECK(cluster_->replica(lost).commitIndex() > 30);
+    CHECK(cluster_->changeVoters(leader, name(lost), std::nullopt).failure().code_
+          == Error::Conflict);
+    CHECK(cluster_->changeVoters(leader, name(lost), name(lost)).failure().code_
+          == Error::InvalidArgument);
+    CHECK(cluster_->changeVoters(leader, std::nullopt, name(lost)).ok());
+    CHECK(cluster_->changeVoters(leader, name(lost), std::nullopt).failure().code_
+          == Error::Conflict);
+    cluster_->run(200ms);
+    CHECK(cluster_->changeVoters(leader, name(lost), std::nullopt).ok());
+    cluster_->run(200ms);
+    cluster_->crash(leader);
+    CHECK(cluster_->runUntilLeader().has_value());
+}
+
+TEST(Replica, twoOfThreeDisksLost_started_foundNoSecondCluster)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 2);
+    for (const auto lost : {(leader + 1) % 3, (leader + 2) % 3}) {
+        cluster_->loseDisk(lost);
+        cluster_->start(lost);
+    }
+    cluster_->run(5s);
+    CHECK(!cluster_->leaseHolder().has_value());
+}
+
+TEST(Replica, aNodeCutOffOverManyChanges_backAgain_disturbsNobodyAndCatchesUp)
+{
+    const auto leader = startCluster(3, 3);
+    const auto away = (leader + 1) % 3;
+    cluster_->cut(away);
+    for (auto round = 0; round < 10; ++round)
+        commit(leader, 20);
+    cluster_->run(20s);
+    const auto term = cluster_->replica(leader).term();
+    cluster_->mend();
+    cluster_->run(2s);
+    CHECK_EQUAL(term, cluster_->replica(leader).term());
+    CHECK(cluster_->checkAgreement());
+    CHECK(cluster_->events_.contains(EventNumber::SnapshotInstalled));
+}
+
+TEST(Replica, aLeaderCutOffWithProposals_backAgain_seesThemReplaced)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    cluster_->cut(leader);
+    const auto lost = cluster_->propose(leader);
+    cluster_->run(2s);
+    CHECK(cluster_->replica(leader).role() != ReplicaRole::Leader);
+    CHECK(cluster_->propose(leader).failure().code_ == Error::NotLeader);
+    const auto next = cluster_->runUntilLeader();
+    commit(*next, 2);
+    cluster_->heal();
+    const auto records = cluster_->replica(leader).recordsFrom(lost->index_, 1);
+    CHECK(records.needsSnapshot_ || records.records_[0].position() != *lost);
+    CHECK_EQUAL(5U, cluster_->acknowledged());
+}
+
+TEST(Replica, aLeaderFrozenAcrossAnElection_thawed_holdsNoLeaseAndStepsDown)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    cluster_->node(leader).frozen_ = true;
+    cluster_->run(180ms);
+    CHECK(!cluster_->replica(leader).holdsLeaderLease(cluster_->now(leader)));
+    cluster_->run(2s);
+    const auto next = cluster_->leaseHolder();
+    CHECK(next.has_value() && *next != leader);
+    commit(*next, 3);
+    cluster_->node(leader).frozen_ = false;
+    cluster_->propose(leader);
+    cluster_->run(1s);
+    CHECK(cluster_->replica(leader).role() == ReplicaRole::Follower);
+    CHECK_EQUAL(6U, cluster_->acknowledged());
+}
+
+TEST(Replica, aFailedSync_onTheLeader_ledOnByAnother)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    cluster_->node(leader).disk_->failsSync_ = true;
+    cluster_->propose(leader);
+    cluster_->run(50ms);
+    cluster_->node(leader).disk_->failsSync_ = false;
+    CHECK(cluster_->replica(leader).diskFailed());
+    CHECK(cluster_->propose(leader).failure().code_ == Error::DiskFailed);
+    CHECK(cluster_->events_.contains(EventNumber::DiskFailed));
+    const auto next = cluster_->runUntilLeader();
+    CHECK(next.has_value() && *next != leader);
+    cluster_->crash((leader + 1) % 3);
+    cluster_->run(3s);
+    CHECK(!cluster_->leaseHolder().has_value());
+}
+
+TEST(Replica, fullDisks_propose_refusedWhileTheLeaseGoesOn)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster_->node(i).disk_->full_ = true;
+    CHECK(cluster_->propose(leader).failure().code_ == Error::DiskFull);
+    cluster_->run(5s);
+    CHECK(cluster_->leaseHolder() == leader);
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster_->node(i).disk_->full_ = false;
+    commit(leader, 3);
+}
+
+TEST(Replica, fullDisksOfTheFollowers_propose_isRefusedOnceTheyAreKnown)
+{
+    const auto leader = startCluster(3, 3);
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster_->node(i).disk_->full_ = i != leader;
+    CHECK(cluster_->propose(leader).ok());
+    cluster_->run(100ms);
+    CHECK(cluster_->propose(leader).failure().code_ == Error::DiskFull);
+    CHECK(cluster_->leaseHolder() == leader);
+    cluster_->heal();
+    cluster_->run(500ms);
+    CHECK_EQUAL(1U, cluster_->acknowledged());
+}
+
+TEST(Replica, proposalsBetweenTwoFlushes_flushed_shareOneSync)
+{
+    const auto leader = startCluster(1, 1);
+    cluster_->run(100ms);
+    const auto before = cluster_->node(leader).disk_->syncs_;
+    auto &replica = cluster_->replica(leader);
+    for (auto i = 0; i < 5; ++i)
+        CHECK(replica.propose("{}", cluster_->now(leader)).ok());
+    replica.flush(cluster_->now(leader));
+    CHECK_EQUAL(before + 1, cluster_->node(leader).disk_->syncs_);
+    CHECK_EQUAL(replica.lastIndex(), replica.commitIndex());
+}
+
+TEST(Replica, aLearner_added_getsRecordsAndDoesNotVote)
+{
+    const auto leader = startCluster(4, 3);
+    commit(leader, 30);
+    CHECK(cluster_->replica(3).role() == ReplicaRole::Learner);
+    CHECK(cluster_->checkAgreement());
+    const auto &snapshot = cluster_->replica(3).latestSnapshot();
+    CHECK(snapshot.position_.index_ > 0);
+    CHECK(cluster_->replica(3).recordsFrom(1, 1).needsSnapshot_);
+    CHECK_EQUAL(1U, cluster_->replica(3).recordsFrom(snapshot.position_.index_, 1).records_.size());
+    cluster_->crash((leader + 1) % 3);
+    cluster_->crash((leader + 2) % 3);
+    cluster_->run(3s);
+    CHECK(!cluster_->leaseHolder().has_value());
+}
+
+TEST(Replica, aLeaderRemovedFromTheVoters_committed_stepsDown)
+{
+    const auto leader = startCluster(3, 3);
+    CHECK(cluster_->changeVoters(leader, std::nullopt, name(leader)).ok());
+    cluster_->run(1s);
+    CHECK(cluster_->replica(leader).role() == ReplicaRole::Learner);
+    CHECK(cluster_->leaseHolder().has_value());
+}
+
+TEST(Replica, aFolderOfAnotherReplica_opened_isRefused)
+{
+    startCluster(1, 1);
+    cluster_->node(0).disk_->durable_.identity_->name_ = EntryId("other");
+    auto settings = ReplicaSettings{};
+    settings.self_ = name(0);
+    auto replica = Replica(settings, std::make_unique<MemoryStorage>(cluster_->node(0).disk_), {});
+    CHECK(replica.open(cluster_->now(0)).failure().code_ == Error::InvalidArgument);
+}
