--- a/tests/log/FileLogStorageTest.cpp
+++ b/tests/log/FileLogStorageTest.cpp
@@ -32,7 +32,7 @@
 
     static auto record(LogIndex index, Term term)->LogRecord
     {
-        return {index, term, RecordKind::Command, "payload " + std::to_string(index)};
+        return {index, term, RecordKind::StateCommand, "payload " + std::to_string(index)};
     }
     static auto state(Term term, LogIndex commit)->LogState
     {
@@ -235,7 +235,7 @@
     auto applied = std::vector<std::string>{};
     auto hooks = ReplicaHooks{};
     hooks.apply_ = [&](const LogRecord &record) {
-        if (record.kind_ == RecordKind::Command)
+        if (record.kind_ == RecordKind::StateCommand)
             applied.push_back(record.payload_);
     };
     hooks.takeSnapshot_ = [&] { return Json(applied).dump(); };
