--- a/cmake/LycheereachCompiler.cmake
+++ b/cmake/LycheereachCompiler.cmake
@@ -4,7 +4,9 @@
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
-  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+  # Paths below the root count as relative, so that several work trees share the cache.
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_COMMAND} -E env CCACHE_BASEDIR=${CMAKE_SOURCE_DIR}
+    CCACHE_NOHASHDIR=1 ${CCACHE_PROGRAM})
 endif()
 
 add_library(lycheereach_compiler INTERFACE)
