log: Test votes and commits of the core one event at a time

Without these tests three broken mechanisms went unseen: votes beside a live leader, commits of an older term by counting, and a vote that is not synced.

--- /dev/null
+++ b/tests/log/LogCoreTest.cpp
@@ -0,0 +1,106 @@
+#include "log/LogCore.h"
+
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(LogCore)
+{
+    MonotonicTime now_ = MonotonicTime(100s);
+    std::unique_ptr<LogCore> core_;
+
+    auto teardown()->void override
+    {
+        core_.reset();
+    }
+
+    /// Voter `a` of five in term 3, whose last record is of term 2.
+    auto open()->void
+    {
+        auto voters = VoterSet{};
+        for (const auto *name : {"a", "b", "c", "d", "e"})
+            voters = voters.with({EntryId(name), 1});
+        auto stored = StoredLog{};
+        stored.identity_ = VoterIdentity{EntryId("a"), 1};
+        stored.state_ = {3, EntryId(), "cluster", 1};
+        stored.records_
+            = {{1, 1, RecordKind::Voters, toPayload(voters)}, {2, 2, RecordKind::Command, "old"}};
+        auto settings = ReplicaSettings{};
+        settings.self_ = EntryId("a");
+        core_ = std::make_unique<LogCore>(
+            settings, stored, [] { return 0; }, now_);
+        now_ += 2 * settings.electionTimeout_;
+        perform();
+    }
+    auto receive(const char *from, Term term, LogMessageBody body)->void
+    {
+        core_->receive(EntryId(from), {"cluster", 1, term, std::move(body)}, now_);
+    }
+    auto perform()->void
+    {
+        for (auto actions = core_->takeActions(); !actions.empty();
+             actions = core_->takeActions()) {
+            for (const auto &action : actions) {
+                if (const auto *sync = std::get_if<SyncWrites>(&action))
+                    core_->synced(sync->lastIndex_);
+            }
+        }
+    }
+    auto lead()->void
+    {
+        core_->tick(now_);
+        perform();
+        for (const auto preVote : {true, false}) {
+            for (const auto *voter : {"b", "c"})
+                receive(voter, 4, VoteReply{preVote, true});
+            perform();
+        }
+        CHECK(core_->role() == ReplicaRole::Leader);
+    }
+};
+
+TEST(LogCore, recordsOfAnOlderTermOnAMajority_counted_areNotCommitted)
+{
+    open();
+    lead();
+    for (const auto *voter : {"b", "c"})
+        receive(voter, 4, AppendReply{true, 0, 2, 0, false});
+    CHECK_EQUAL(1U, core_->state().commitIndex_);
+    for (const auto *voter : {"b", "c"})
+        receive(voter, 4, AppendReply{true, 2, 3, 0, false});
+    CHECK_EQUAL(3U, core_->state().commitIndex_);
+}
+
+TEST(LogCore, aVoteInTheTermItIsIn_granted_isSyncedBeforeTheReply)
+{
+    open();
+    receive("b", 3, VoteRequest{false, {2, 2}});
+    const auto actions = core_->takeActions();
+    CHECK_EQUAL(3U, actions.size());
+    CHECK(std::get<StageWrites>(actions[0]).state_.votedFor_ == EntryId("b"));
+    CHECK(std::holds_alternative<SyncWrites>(actions[1]));
+    CHECK(std::holds_alternative<SendMessage>(actions[2]));
+}
+
+TEST(LogCore, aVoteRequestSoonAfterAHeartbeat_received_isLeftUnanswered)
+{
+    open();
+    receive("b", 3, AppendRequest{{2, 2}, 1, 0, {}});
+    perform();
+    for (const auto preVote : {true, false}) {
+        receive("c", 9, VoteRequest{preVote, {9, 8}});
+        CHECK(core_->takeActions().empty());
+    }
+    CHECK_EQUAL(3U, core_->state().term_);
+}
+
+TEST(LogCore, aVoteRequestSoonAfterARestart_received_isLeftUnanswered)
+{
+    open();
+    now_ = MonotonicTime(100s) + ReplicaSettings{}.electionTimeout_ / 2;
+    receive("c", 9, VoteRequest{false, {9, 8}});
+    CHECK(core_->takeActions().empty());
+}
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -79,9 +79,11 @@
     const auto lost = (leader + 1) % 3;
     commit(leader, 3);
     cluster_->loseDisk(lost);
+    cluster_->start(lost);
+    cluster_->run(1s);
+    CHECK(cluster_->checkAgreement());
     cluster_->crash(leader);
     cluster_->crash((leader + 2) % 3);
-    cluster_->start(lost);
     cluster_->run(3s);
     CHECK(cluster_->replica(lost).role() == ReplicaRole::Learner);
     cluster_->start((leader + 2) % 3);
