--- /dev/null
+++ b/packages/client/DeclarationFile.h
@@ -0,0 +1,15 @@
+/// \file
+/// \brief Reading a declaration from a file.
+#pragma once
+
+#include "base/Result.h"
+#include "state/Declaration.h"
+
+#include <string>
+
+namespace lycheereach {
+
+/// Reads and checks the file at \a path; the failure lists all faults with their lines.
+auto loadDeclaration(const std::string &path) -> Result<Declaration>;
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/client/OperatorCommands.h
@@ -0,0 +1,20 @@
+/// \file
+/// \brief The commands that change the fleet.
+#pragma once
+
+#include "client/ExitCode.h"
+
+namespace lycheereach {
+
+struct Session;
+
+/// `apply FILE`
+auto runApply(Session &session) -> ExitCode;
+/// `zone out|in NAME`
+auto runZone(Session &session) -> ExitCode;
+/// `upstream drain|undrain ID`
+auto runUpstream(Session &session) -> ExitCode;
+/// `voter add|remove ID`
+auto runVoter(Session &session) -> ExitCode;
+
+} // namespace lycheereach
