--- a/packages/client/RequestSender.cpp
+++ b/packages/client/RequestSender.cpp
@@ -3,8 +3,9 @@
 #include "client/Problem.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
-#include <set>
+
 #include <utility>
 
 namespace lycheereach {
@@ -74,11 +75,11 @@
 /// Whether another attempt may bring another answer and does no harm.
 auto mayTryAgain(const HttpResponse &response, const OutgoingRequest &outgoing) -> bool
 {
-    static const auto passing = std::set<int>{429, 502, 503, 504};
+    constexpr auto passing = std::to_array<std::uint16_t>({429, 502, 503, 504});
     constexpr auto conflict = 409;
     if (response.status_ == conflict)
         return retryAfter(response).has_value();
-    if (!passing.contains(response.status_))
+    if (std::find(passing.begin(), passing.end(), response.status_) == passing.end())
         return false;
     return outgoing.repeatable_ || problemVerdict(response) == Verdict::NotRun;
 }
