--- a/packages/client/EntryCaller.cpp
+++ b/packages/client/EntryCaller.cpp
@@ -54,8 +54,7 @@
         if (response && isFinal(*response))
             return response;
         problems += problems.empty() ? "" : "; ";
-        problems += entry + ": ";
-        problems += response ? problemText(*response) : response.failure().message_;
+        problems += response ? entry + ": " + problemText(*response) : response.failure().message_;
     }
     return Failure{Error::ConnectionFailed, "no entry answered: " + problems};
 }
@@ -77,7 +76,7 @@
             const auto verdict = response ? problemVerdict(*response) : response.failure().verdict_;
             failure.verdict_ = combine(failure.verdict_, verdict);
             failure.message_
-                = entry + ": " + (response ? problemText(*response) : response.failure().message_);
+                = response ? entry + ": " + problemText(*response) : response.failure().message_;
         }
         if (hooks_.clock_() + backoff >= deadline)
             return failure;
--- a/packages/client/TimelineCommand.cpp
+++ b/packages/client/TimelineCommand.cpp
@@ -64,7 +64,7 @@
     if (!response)
         return response.failure();
     if (response->status_ != okStatus)
-        return Failure{Error::UpstreamRefused, problemText(*response)};
+        return Failure{Error::UpstreamRefused, address + ": " + problemText(*response)};
     const auto answer = decodeText<EventsAnswer>(response->body_, "answer");
     if (!answer)
         return answer.failure();
@@ -82,7 +82,7 @@
         if (events)
             processes.push_back(*events);
         else
-            session.console_.note("without " + address + ": " + events.failure().message_);
+            session.console_.note("left out: " + events.failure().message_);
     }
     for (const auto &event : mergeTimelines(processes)) {
         session.console_.text(renderEvent(event));
