--- a/tests/groups/FakeFleet.cpp
+++ b/tests/groups/FakeFleet.cpp
@@ -517,11 +517,23 @@
         if (!holdsLease(entry))
             continue;
         for (const auto &load : entry.permits_.loads())
-            serving += load.limit_ > 0 ? 1 : 0;
+            serving += load.limit_ > 0 && isWhole(load.group_) ? 1 : 0;
     }
     return serving;
 }
 
+auto FakeFleet::isWhole(const GroupId &id) const -> bool
+{
+    const auto group = state().groups_.find(id);
+    if (group == state().groups_.end())
+        return false;
+    const auto &members = group->second.members_;
+    return std::none_of(members.begin(), members.end(), [&](const UpstreamId &member) {
+        const auto &engine = engines_[engineOf_.at(member)];
+        return engine.awaySince(id, group->second.epoch_).has_value();
+    });
+}
+
 auto FakeFleet::startedIn(const std::string &zone) const -> std::uint64_t
 {
     const auto found = startedIn_.find(zone);
--- a/tests/groups/FakeFleet.h
+++ b/tests/groups/FakeFleet.h
@@ -74,7 +74,7 @@
     auto random(std::uint64_t bound) -> std::uint64_t { return random_() % bound; }
     auto violations() const -> const std::vector<std::string> & { return violations_; }
     auto finished() const -> const std::vector<FinishedRequest> & { return finished_; }
-    /// Groups whose leaseholder lets requests start now.
+    /// Groups whose leaseholder lets requests start now and whose members are all ready.
     auto servingGroups() const -> std::size_t;
     auto startedIn(const std::string &zone) const -> std::uint64_t;
     auto isZoneOf(std::size_t engine, const std::string &zone) const -> bool;
@@ -115,6 +115,7 @@
         MonotonicTime askedAt_;
     };
 
+    auto isWhole(const GroupId &id) const -> bool;
     auto isUp(const Entry &entry) const -> bool;
     auto holdsLease(const Entry &entry) const -> bool;
     auto entryOf(const EntryId &id) -> Entry &;
--- /dev/null
+++ b/tests/groups/GroupWatchTest.cpp
@@ -0,0 +1,194 @@
+#include "groups/GroupWatch.h"
+#include "groups/GroupPlanner.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(GroupWatch)
+{
+    FleetState state_;
+    EntryId self_{"e1"};
+    GroupId group_{"g"};
+    GroupWatch watch_{EntryId("e1")};
+    MonotonicTime now_{seconds(100)};
+    Sequence sequence_ = 1;
+
+    auto setup()->void override
+    {
+        for (const auto *name : {"e1", "e2"}) {
+            const auto id = EntryId(name);
+            state_.entries_[id]
+                = EntryRecord{id, 1, ZoneName("talca"), "", "", EntryPhase::Live, false};
+        }
+        for (auto rank = std::uint32_t{0}; rank < 2; ++rank) {
+            const auto announced = member(rank);
+            state_.upstreams_[announced.upstream_] = Upstream{announced, self_, false, false};
+            state_.groupOf_[announced.upstream_] = group_;
+        }
+        state_.declaration_.pools_ = {Pool{PoolName("llm"), "large", 2, 0, {}}};
+        state_.groups_[group_] = Group{.id_ = group_,
+                                       .pool_ = PoolName("llm"),
+                                       .zone_ = ZoneName("talca"),
+                                       .epoch_ = 2,
+                                       .fencing_ = 7,
+                                       .members_ = {UpstreamId("u0"), UpstreamId("u1")},
+                                       .phase_ = GroupPhase::Serving,
+                                       .leaseholder_ = self_,
+                                       .leaseNumber_ = 1};
+        watch_.update(state_, now_);
+    }
+
+    auto member(std::uint32_t rank) const->Announcement
+    {
+        auto announced = Announcement{};
+        announced.upstream_ = UpstreamId("u" + std::to_string(rank));
+        announced.incarnation_ = 1;
+        announced.sequence_ = 1;
+        announced.pool_ = PoolName("llm");
+        announced.zone_ = ZoneName("talca");
+        announced.loaded_ = {"large"};
+        announced.group_ = group_;
+        announced.epoch_ = 2;
+        announced.rank_ = rank;
+        announced.phase_ = MemberPhase::Ready;
+        return announced;
+    }
+
+    auto hear(Announcement announced)->AnnouncementEffect
+    {
+        announced.sequence_ = ++sequence_;
+        return watch_.heard(state_, announced, now_);
+    }
+
+    auto hearBoth()->void
+    {
+        hear(member(0));
+        hear(member(1));
+    }
+
+    auto mayServe() const->bool
+    {
+        return watch_.mayServe(state_, group_, now_);
+    }
+
+    auto tick() const->std::vector<Command>
+    {
+        return watch_.tick(state_, now_, [](const GroupId &) { return true; });
+    }
+};
+
+TEST(GroupWatch, everyMemberAgrees_mayServe_isTrueOnceAllWereHeardHere)
+{
+    CHECK_FALSE(mayServe());
+    hear(member(0));
+    CHECK_FALSE(mayServe());
+    hear(member(1));
+    CHECK(mayServe());
+    CHECK(tick().empty());
+}
+
+TEST(GroupWatch, aMemberThatDisagrees_mayServe_isFalse)
+{
+    const auto changes = std::vector<std::function<void(Announcement &)>>{
+        [](Announcement &announced) { announced.group_ = GroupId("h"); },
+        [](Announcement &announced) { announced.epoch_ = 1; },
+        [](Announcement &announced) { announced.rank_ = 0; },
+        [](Announcement &announced) { announced.phase_ = MemberPhase::Loading; },
+        [](Announcement &announced) { announced.incarnation_ = 2; }};
+    for (const auto &change : changes) {
+        watch_ = GroupWatch(self_);
+        watch_.update(state_, now_);
+        hearBoth();
+        auto announced = member(1);
+        change(announced);
+        CHECK(hear(announced) == AnnouncementEffect::Changed);
+        CHECK_FALSE(mayServe());
+    }
+}
+
+TEST(GroupWatch, crossedOrDoubledAnnouncements_heard_changeNothing)
+{
+    hearBoth();
+    auto late = member(1);
+    late.sequence_ = 1;
+    late.group_ = GroupId("h");
+    CHECK(watch_.heard(state_, late, now_) == AnnouncementEffect::Stale);
+    auto doubled = *watch_.last(UpstreamId("u1"));
+    now_ += seconds(1);
+    CHECK(watch_.heard(state_, doubled, now_) == AnnouncementEffect::Stale);
+    CHECK(mayServe());
+    auto restarted = member(1);
+    restarted.incarnation_ = 3;
+    hear(restarted);
+    auto former = member(1);
+    former.incarnation_ = 2;
+    former.sequence_ = 1000;
+    CHECK(watch_.heard(state_, former, now_) == AnnouncementEffect::Stale);
+}
+
+TEST(GroupWatch, loadAlone_heard_isNotForControl)
+{
+    auto announced = member(0);
+    announced.running_ = 9;
+    announced.carries_ = 3;
+    CHECK(hear(announced) == AnnouncementEffect::LoadOnly);
+    announced.cold_ = !announced.cold_;
+    CHECK(hear(announced) == AnnouncementEffect::Changed);
+}
+
+TEST(GroupWatch, aSilentMember_tick_isLostAndTheGroupStops)
+{
+    hearBoth();
+    now_ += milliseconds(1500);
+    hear(member(0));
+    now_ += milliseconds(600);
+    CHECK_FALSE(mayServe());
+    auto commands = tick();
+    std::erase_if(commands, [](const Command &command) {
+        return !std::holds_alternative<LoseUpstream>(command);
+    });
+    UNSIGNED_LONGS_EQUAL(1, commands.size());
+    CHECK((std::get<LoseUpstream>(commands[0]) == LoseUpstream{UpstreamId("u1"), 1, self_}));
+}
+
+TEST(GroupWatch, aMemberThatRejoinsInTheSameEpoch_tick_asksForANewEpoch)
+{
+    hearBoth();
+    auto away = member(1);
+    away.group_ = GroupId{};
+    hear(away);
+    hear(member(1));
+    CHECK_FALSE(mayServe());
+    const auto commands = tick();
+    UNSIGNED_LONGS_EQUAL(1, commands.size());
+    UNSIGNED_LONGS_EQUAL(2, std::get<FormGroup>(commands[0]).previousEpoch_);
+}
+
+TEST(GroupWatch, aRevokedLeaseNotYetInForce_plan_grantsNothing)
+{
+    auto planner = GroupPlanner([](const Event &) {});
+    auto inForce = false;
+    const auto inputs
+        = PlannerInputs{now_, {EntryId("e2")}, [&](const GroupId &) { return inForce; }};
+    const auto grants = [&] {
+        auto granted = std::vector<SetLeaseholder>{};
+        for (const auto &action : planner.plan(state_, inputs)) {
+            const auto *command = std::get_if<Command>(&action);
+            const auto *grant = command == nullptr ? nullptr : std::get_if<SetLeaseholder>(command);
+            if (grant != nullptr)
+                granted.push_back(*grant);
+        }
+        return granted;
+    };
+    CHECK((grants() == std::vector{SetLeaseholder{group_, 1, EntryId{}}}));
+    state_.groups_.at(group_).leaseholder_ = EntryId{};
+    CHECK(grants().empty());
+    inForce = true;
+    CHECK((grants() == std::vector{SetLeaseholder{group_, 1, EntryId("e2")}}));
+}
--- a/tests/groups/OrderPlannerTest.cpp
+++ b/tests/groups/OrderPlannerTest.cpp
@@ -13,7 +13,7 @@
     FleetState state_;
     OrderPlanner planner_;
     MonotonicTime now_{seconds(100)};
-    const UpstreamId member_{"u"};
+    UpstreamId member_{"u"};
 
     auto setup()->void override
     {
--- a/tests/routing/GroupChooserTest.cpp
+++ b/tests/routing/GroupChooserTest.cpp
@@ -11,7 +11,7 @@
     FleetState state_;
     GroupChooser chooser_{ZoneName("talca"), [] { return std::uint64_t{0}; }};
     PrefixIndex index_{1000};
-    const PoolName pool_{"llm"};
+    PoolName pool_{"llm"};
 
     auto setup()->void override
     {
@@ -157,9 +157,9 @@
 TEST_GROUP(PrefixIndex)
 {
     PrefixIndex index_{16};
-    const GroupId a_{"a"};
-    const GroupId b_{"b"};
-    const PrefixChain chain_ = {1, 2, 3};
+    GroupId a_{"a"};
+    GroupId b_{"b"};
+    PrefixChain chain_ = {1, 2, 3};
 };
 
 TEST(PrefixIndex, promptsWithTheSameStart_prefixChain_shareTheirFirstBlocks)
--- a/tests/routing/PermitTableTest.cpp
+++ b/tests/routing/PermitTableTest.cpp
@@ -10,9 +10,9 @@
 
 TEST_GROUP(PermitTable)
 {
-    const EntryId self_{"e1"};
-    const EntryId other_{"e2"};
-    const GroupId group_{"g"};
+    EntryId self_{"e1"};
+    EntryId other_{"e2"};
+    GroupId group_{"g"};
     FleetState state_;
     PermitTable table_{EntryId("e1")};
     MonotonicTime now_{seconds(1000)};
