routing: Let the first member say whether a group is cold

Only the first member runs requests, so the others never became warm by their own account and held every larger group at the cold limit (about 2 of 16).

--- a/packages/routing/PermitTable.cpp
+++ b/packages/routing/PermitTable.cpp
@@ -385,8 +385,8 @@
 
 auto PermitTable::isCold(const Held &held) -> bool
 {
-    return std::any_of(held.members_.begin(), held.members_.end(),
-                       [](const auto &item) { return item.second.cold_; });
+    const auto first = held.members_.find(held.group_.members_.front());
+    return first == held.members_.end() || first->second.cold_;
 }
 
 auto PermitTable::carries(const Held &held) -> std::optional<std::uint32_t>
--- a/packages/routing/PermitTable.h
+++ b/packages/routing/PermitTable.h
@@ -25,6 +25,8 @@
 /// margin have passed. Permits of a lost entry, of an earlier leaseholder or with an unknown end
 /// are *unaccounted*: they count until a later report of the upstream shows that fewer run. So do
 /// those whose taker never says how they ended.
+/// The first member says whether the group is cold, since it alone runs requests; any member that
+/// restarts or turns cold makes the limit start again.
 /// Not thread-safe.
 class PermitTable
 {
--- a/tests/routing/PermitTableTest.cpp
+++ b/tests/routing/PermitTableTest.cpp
@@ -130,6 +130,19 @@
     UNSIGNED_LONGS_EQUAL(16, takeAll(other_).size());
 }
 
+TEST(PermitTable, aFirstMemberThatIsWarm_take_isNotHeldBackByTheOthers)
+{
+    auto second = upstream();
+    second.announced_.upstream_ = UpstreamId("second");
+    state_.upstreams_[UpstreamId("second")] = second;
+    state_.groups_.at(group_).members_.emplace_back("second");
+    table_ = PermitTable(self_);
+    serve();
+    report([](Announcement &announced) { announced.cold_ = false; });
+    completeMany(60, milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(16, table_.loads().front().limit_);
+}
+
 TEST(PermitTable, aNewIncarnationOrColdFlag_report_goesBackToTheColdLimitAndRecalls)
 {
     for (const auto restarts : {true, false}) {
