--- a/tests/routing/PermitTableTest.cpp
+++ b/tests/routing/PermitTableTest.cpp
@@ -10,9 +10,9 @@
 
 TEST_GROUP(PermitTable)
 {
-    const EntryId self_{"e1"};
-    const EntryId other_{"e2"};
-    const GroupId group_{"g"};
+    EntryId self_{"e1"};
+    EntryId other_{"e2"};
+    GroupId group_{"g"};
     FleetState state_;
     PermitTable table_{EntryId("e1")};
     MonotonicTime now_{seconds(1000)};
@@ -66,7 +66,7 @@
 
     auto take(const EntryId &entry)->std::variant<Permit, PermitRefusal>
     {
-        return table_.take(group_, entry, RequestId(std::to_string(++requests_)), now_);
+        return table_.take(group_, entry, AttemptId(std::to_string(++requests_)), now_);
     }
 
     auto takeAll(const EntryId &entry)->std::vector<Permit>
@@ -130,6 +130,19 @@
     UNSIGNED_LONGS_EQUAL(16, takeAll(other_).size());
 }
 
+TEST(PermitTable, aFirstMemberThatIsWarm_take_isNotHeldBackByTheOthers)
+{
+    auto second = upstream();
+    second.announced_.upstream_ = UpstreamId("second");
+    state_.upstreams_[UpstreamId("second")] = second;
+    state_.groups_.at(group_).members_.emplace_back("second");
+    table_ = PermitTable(self_);
+    serve();
+    report([](Announcement &announced) { announced.cold_ = false; });
+    completeMany(60, milliseconds(100));
+    UNSIGNED_LONGS_EQUAL(16, table_.loads().front().limit_);
+}
+
 TEST(PermitTable, aNewIncarnationOrColdFlag_report_goesBackToTheColdLimitAndRecalls)
 {
     for (const auto restarts : {true, false}) {
@@ -166,7 +179,7 @@
     report([](Announcement &announced) { announced.cold_ = false; });
     completeMany(60, milliseconds(400));
     UNSIGNED_LONGS_EQUAL(16, table_.loads().front().limit_);
-    const auto peer = std::get<Permit>(table_.take(GroupId("h"), other_, RequestId("p"), now_));
+    const auto peer = std::get<Permit>(table_.take(GroupId("h"), other_, AttemptId("p"), now_));
     finish(peer, PermitOutcome::Completed, milliseconds(100));
     UNSIGNED_LONGS_EQUAL(4, table_.loads().front().limit_);
 }
@@ -198,10 +211,10 @@
     UNSIGNED_LONGS_EQUAL(1, takeAll(other_).size());
 }
 
-TEST(PermitTable, theSameRequestAsksAgain_take_getsTheSamePermit)
+TEST(PermitTable, theSameAttemptAsksAgain_take_getsTheSamePermit)
 {
-    const auto first = std::get<Permit>(table_.take(group_, other_, RequestId("r"), now_));
-    const auto second = std::get<Permit>(table_.take(group_, other_, RequestId("r"), now_));
+    const auto first = std::get<Permit>(table_.take(group_, other_, AttemptId("r"), now_));
+    const auto second = std::get<Permit>(table_.take(group_, other_, AttemptId("r"), now_));
     CHECK(first == second);
     UNSIGNED_LONGS_EQUAL(1, table_.loads().front().inUse_);
 }
