client, timeline: Follow a request by the id that its caller gave

Cause: two sends under one X-Request-Id would have been one request to the claims, so the entry makes GIVEN.UNIQUE of it; the client refused the longer id as another request's answer, and the demonstration's pipe stayed open in the processes of the fleet.

--- a/packages/client/RequestSender.cpp
+++ b/packages/client/RequestSender.cpp
@@ -122,7 +122,7 @@
     if (!response)
         return response;
     const auto answered = response->headers_.value("X-Request-Id", outgoing.requestId_);
-    if (answered == outgoing.requestId_)
+    if (answered == outgoing.requestId_ || answered.starts_with(outgoing.requestId_ + "."))
         return response;
     return Failure{Error::WrongAnswer, address + ": the answer is for request " + answered,
                    Verdict::MayHaveRun};
--- a/packages/serving/LeaseholderService.cpp
+++ b/packages/serving/LeaseholderService.cpp
@@ -187,7 +187,7 @@
     }
     {
         const auto lock = std::scoped_lock(mutex_);
-        const auto result = permits_.take(request.group_, entry, request.request_, now);
+        const auto result = permits_.take(request.group_, entry, request.attempt_, now);
         if (const auto *permit = std::get_if<Permit>(&result))
             answer.permit_ = *permit;
         else
--- a/packages/serving/PermitBrokerTakes.cpp
+++ b/packages/serving/PermitBrokerTakes.cpp
@@ -33,8 +33,9 @@
     const auto number = ++lastTake_;
     takes_[number] = Take{request, *choice, hooks_.now_()};
     chooser_.taken(choice->group_);
+    const auto attempt = AttemptId(request.text() + "/" + std::to_string(number));
     const auto message
-        = PermitTake{number, choice->group_, request, found->second.request_.suspect_};
+        = PermitTake{number, choice->group_, attempt, found->second.request_.suspect_};
     const auto holder = choice->leaseholder_;
     work.emplace_back([this, message, holder] {
         if (holder == self_)
--- a/packages/serving/PermitTake.h
+++ b/packages/serving/PermitTake.h
@@ -14,7 +14,8 @@
 {
     std::uint64_t number_ = 0;
     GroupId group_;
-    RequestId request_;
+    /// A new one for each ask; only a message sent again repeats it.
+    AttemptId attempt_;
     /// Of a suspect; empty for other requests.
     std::string suspect_;
 
@@ -23,7 +24,7 @@
     {
         return std::tuple{field("number", &PermitTake::number_),
                           field("group", &PermitTake::group_),
-                          field("request", &PermitTake::request_),
+                          field("attempt", &PermitTake::attempt_),
                           optionalField("suspect", &PermitTake::suspect_)};
     }
 };
--- a/tests/log/LogCoreTest.cpp
+++ b/tests/log/LogCoreTest.cpp
@@ -26,8 +26,8 @@
         auto stored = StoredLog{};
         stored.identity_ = VoterIdentity{EntryId("a"), 1};
         stored.state_ = {3, EntryId(), "cluster", 1};
-        stored.records_
-            = {{1, 1, RecordKind::Voters, toPayload(voters)}, {2, 2, RecordKind::StateCommand, "old"}};
+        stored.records_ = {{1, 1, RecordKind::Voters, toPayload(voters)},
+                           {2, 2, RecordKind::StateCommand, "old"}};
         auto settings = ReplicaSettings{};
         settings.self_ = EntryId("a");
         core_ = std::make_unique<LogCore>(
