--- a/tests/client/RunClientTest.cpp
+++ b/tests/client/RunClientTest.cpp
@@ -33,7 +33,7 @@
         return hooks;
     }
 
-    auto run(std::vector<std::string> arguments)->ExitCode
+    auto runWith(std::vector<std::string> arguments)->ExitCode
     {
         arguments.insert(arguments.end(), {"--entries", "127.0.0.1:1,127.0.0.1:2"});
         return runClient(arguments, hooks(), out_, err_);
@@ -73,7 +73,7 @@
 TEST(RunClient, aLostAnswer_isAskedForAgainUnderTheSameOperation)
 {
     answers_ = {lost(), accepted()};
-    CHECK(run({"zone", "out", "a"}) == ExitCode::Ok);
+    CHECK(runWith({"zone", "out", "a"}) == ExitCode::Ok);
     LONGS_EQUAL(2, calls_.size());
     STRCMP_EQUAL(calls_[0].request_.body_.c_str(), calls_[1].request_.body_.c_str());
     CHECK(calls_[0].address_ != calls_[1].address_);
@@ -83,7 +83,7 @@
 {
     for (auto i = 0; i < 100; ++i)
         answers_.emplace_back(lost());
-    CHECK(run({"zone", "out", "a"}) == ExitCode::Unreachable);
+    CHECK(runWith({"zone", "out", "a"}) == ExitCode::Unreachable);
     STRCMP_CONTAINS("may have run", err_.str().c_str());
 }
 
@@ -92,7 +92,7 @@
     answers_ = {answer(409,
                        R"({"operation":"o","status":"conflict","what":"apply","version":5,)"
                        R"("differences":["/defaults/coldLimit: 2 -> 4"]})")};
-    CHECK(run({"zone", "out", "a"}) == ExitCode::Conflict);
+    CHECK(runWith({"zone", "out", "a"}) == ExitCode::Conflict);
     STRCMP_CONTAINS("present version is 5", out_.str().c_str());
     STRCMP_CONTAINS("/defaults/coldLimit: 2 -> 4", out_.str().c_str());
 }
@@ -102,14 +102,14 @@
     answers_ = {accepted()};
     for (auto i = 0; i < 1000; ++i)
         answers_.emplace_back(answer(200, R"({"inForce":false,"waitingFor":["e3"]})"));
-    CHECK(run({"zone", "out", "a", "--wait"}) == ExitCode::NotInForce);
+    CHECK(runWith({"zone", "out", "a", "--wait"}) == ExitCode::NotInForce);
     STRCMP_CONTAINS("e3", err_.str().c_str());
 }
 
 TEST(RunClient, aLostServiceAnswer_isSentAgainUnderTheSameKey)
 {
     answers_ = {entryList(), lost(), entryList(), answer(200, "booked")};
-    CHECK(run({"send", "service", "rounds", "POST", "/book"}) == ExitCode::Ok);
+    CHECK(runWith({"send", "service", "rounds", "POST", "/book"}) == ExitCode::Ok);
     const auto keyOf = [&](std::size_t call) {
         return calls_.at(call).request_.headers_.value("Idempotency-Key");
     };
@@ -122,7 +122,7 @@
     auto wrong = answer(200, "other");
     wrong.headers_.add("X-Request-Id", "r-other");
     answers_ = {entryList(), wrong};
-    CHECK(run({"send", "service", "rounds", "GET", "/x", "--deadline-ms", "60"})
+    CHECK(runWith({"send", "service", "rounds", "GET", "/x", "--deadline-ms", "60"})
           == ExitCode::Unreachable);
     CHECK(out_.str().empty());
 }
