--- a/packages/routing/PermitTable.h
+++ b/packages/routing/PermitTable.h
@@ -23,7 +23,10 @@
 /// A group never has more permits in use than its limit. A permit counts from its grant until the
 /// taker says how it ended; one that was not started counts until its time to live and a delivery
 /// margin have passed. Permits of a lost entry, of an earlier leaseholder or with an unknown end
-/// are *unaccounted*: they count until a later report of the upstream shows that fewer run.
+/// are *unaccounted*: they count until a later report of the upstream shows that fewer run. So do
+/// those whose taker never says how they ended.
+/// The first member says whether the group is cold, since it alone runs requests; any member that
+/// restarts or turns cold makes the limit start again.
 /// Not thread-safe.
 class PermitTable
 {
@@ -37,9 +40,10 @@
     /// Whether all members of \a group agree and live; GroupWatch::mayServe() says so.
     auto setServing(const GroupId &group, bool serving) -> void;
 
-    /// Asks for the right of \a entry to start \a request at \a group. Asked again for a permit
-    /// that was not started, it gives the same one with its time to live anew.
-    auto take(const GroupId &group, const EntryId &entry, const RequestId &request,
+    /// Asks for the right of \a entry to make \a attempt at \a group. A repeated message gets the
+    /// same permit with its time to live anew; a taker that asks anew, also for the same request,
+    /// uses another attempt, or the end of the first one would free the permit of the second.
+    auto take(const GroupId &group, const EntryId &entry, const AttemptId &attempt,
               MonotonicTime now) -> std::variant<Permit, PermitRefusal>;
 
     /// The taker has begun to send; false when the permit is void. A taker that hears false need
@@ -72,7 +76,7 @@
         EntryId entry_;
         /// Of the entry.
         Incarnation incarnation_ = 0;
-        RequestId request_;
+        AttemptId attempt_;
         Epoch epoch_ = 0;
         MonotonicTime grantedAt_;
         std::optional<MonotonicTime> startedAt_;
@@ -97,6 +101,9 @@
         std::uint32_t unaccounted_ = 0;
         /// Reports before this time don't bring unaccounted_ down.
         MonotonicTime settledAt_;
+        /// Uses that ended by the reports though no taker said so: how many, and since when.
+        std::uint32_t unheardEnds_ = 0;
+        std::optional<MonotonicTime> unheardSince_;
         /// Whether the requests of the last leaseholder have not been counted yet.
         bool isTakingOver_ = false;
         LimitRamp ramp_;
@@ -118,6 +125,8 @@
     static auto carries(const Held &held) -> std::optional<std::uint32_t>;
     static auto restartRamp(Held &held) -> void;
     static auto addUnaccounted(Held &held, MonotonicTime now) -> void;
+    static auto startedBefore(const Held &held, MonotonicTime time) -> std::uint32_t;
+    static auto dropEnded(Held &held, std::uint32_t ended, MonotonicTime now) -> void;
     static auto settle(Held &held, std::uint32_t active, MonotonicTime now) -> void;
 
     EntryId self_;
