control: Leave answers to an earlier run aside

Cause: renewals and proposals were numbered from 1 in every run, so a late answer to an earlier run of an entry was taken for one to the present run: a proposal got the outcome of another, and a lease began at a renewal that nobody had granted. Ruled out: the incarnation in each message, which two messages and every answer would carry. Change: the numbers begin at a random place in each run. Before: Proposal.anAnswerToAnEarlierRun_isNotTaken fails. After: passes.

--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -15,7 +15,14 @@
     return ReplicaSettings{.self_ = settings.self_.id_,
                            .initialVoters_ = settings.voters_,
                            .heartbeatInterval_ = settings.logHeartbeat_,
-                           .electionTimeout_ = settings.logElection_};
+                           .electionTimeout_ = settings.logElection_,
+                           .snapshotAfterRecords_ = settings.snapshotAfterRecords_};
+}
+
+/// A number far from those of other runs that leaves room for many more.
+auto firstNumber(const RandomSource &random) -> std::uint64_t
+{
+    return random() >> 1U;
 }
 
 auto roleName(ReplicaRole role) -> std::string
@@ -42,6 +49,8 @@
     , hooks_(std::move(hooks))
     , mutex_(LockRank::Control)
     , machine_([this](const Event &event) { emitWhenLeader(event); })
+    , lastNumber_(firstNumber(hooks_.random_))
+    , lease_(firstNumber(hooks_.random_))
     , relayed_(settings_.stateLease_)
     , granted_(settings_.stateLease_)
 {
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -156,7 +156,8 @@
 
     std::map<LogIndex, Waiting> waiting_;
     std::map<std::uint64_t, Remote> remote_;
-    std::uint64_t lastNumber_ = 0;
+    /// Of proposals; begins elsewhere in each run, so that no answer to an earlier run fits.
+    std::uint64_t lastNumber_;
     bool flushScheduled_ = false;
     bool changeNoted_ = false;
 
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -5,6 +5,7 @@
 #include "base/Time.h"
 #include "state/EntryRecord.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace lycheereach {
@@ -20,6 +21,8 @@
     Duration renewEvery_ = std::chrono::milliseconds(500);
     Duration logHeartbeat_ = std::chrono::milliseconds(100);
     Duration logElection_ = std::chrono::milliseconds(600);
+    /// The log takes a snapshot after this many applied records.
+    std::size_t snapshotAfterRecords_ = 2000;
     /// A proposal without an outcome is given up after this time.
     Duration proposalTimeout_ = std::chrono::seconds(6);
     /// A proposal without an answer is sent again after this time.
--- a/packages/leases/StateLease.cpp
+++ b/packages/leases/StateLease.cpp
@@ -12,6 +12,10 @@
 
 } // namespace
 
+StateLease::StateLease(RenewalNumber lastNumber)
+    : lastNumber_(lastNumber)
+{ }
+
 auto StateLease::renewalSent(MonotonicTime now) -> RenewalNumber
 {
     if (sent_.size() >= renewalsUnderWay)
--- a/packages/leases/StateLease.h
+++ b/packages/leases/StateLease.h
@@ -19,6 +19,10 @@
 class StateLease
 {
 public:
+    /// \a lastNumber differs between runs of a process, so that an answer to an earlier run is
+    /// not taken for one to this run.
+    explicit StateLease(RenewalNumber lastNumber = 0);
+
     /// A renewal goes out now.
     auto renewalSent(MonotonicTime now) -> RenewalNumber;
     /// The answer to a renewal: a lease of \a duration from its sending, for a holder that has
