control: Answer proposals whose place an own later record took

Cause: a leader that was deposed and elected again appended at an index that still had the waiting proposal of its earlier term, and overwrote it: the caller was never answered. Ruled out: the time limit of proposals, which looks only at those that are still listed. Change: the overtaken proposal is proposed again under what is left of its time.

--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -47,6 +47,7 @@
         answer(std::move(done), position.failure());
         return true;
     }
+    overtake(position->index_);
     waiting_[position->index_] = Waiting{position->term_, command, std::move(done), giveUpAt};
     scheduleFlush();
     return true;
@@ -117,6 +118,15 @@
     }
 }
 
+auto ControlService::overtake(LogIndex index) -> void
+{
+    const auto found = waiting_.find(index);
+    if (found == waiting_.end())
+        return;
+    proposeLater(std::move(found->second));
+    waiting_.erase(found);
+}
+
 auto ControlService::failOvertaken(LogIndex upTo) -> void
 {
     while (!waiting_.empty() && waiting_.begin()->first <= upTo) {
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -125,6 +125,8 @@
     auto onProposal(const EntryId &from, const Proposal &proposal) -> void;
     auto onProposalAnswer(const ProposalAnswer &answer) -> void;
     auto answer(ProposalCallback done, Result<CommandOutcome> result) -> void;
+    /// Another record has the place of the one at \a index, which an earlier term appended.
+    auto overtake(LogIndex index) -> void;
     /// Proposals at or below \a upTo that were not seen applied: another record has their place.
     auto failOvertaken(LogIndex upTo) -> void;
 
