control: Count the unknown leases of a relay's earlier run

Cause: a relay that started again took over the leases of the entries in its state at the moment of its first lease. With a lost or older log that state lacks entries to which the earlier run had granted leases, so an operation counted as in force while such an entry still took work without it. Ruled out: waiting for the log as it was at the start, which tells nothing after a lost disk. Change: a relay confirms nothing until a whole lease after its start.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -68,7 +68,7 @@
     const auto number = lease_.renewalSent(now);
     lease_.granted(number, settings_.stateLease_, machine_.state().requiredIndex_);
     leader_ = settings_.self_.id_;
-    beginRelaying(now);
+    relaying_ = replica_ != nullptr;
 }
 
 auto ControlService::grantorToAsk() -> std::optional<EntryId>
@@ -201,7 +201,7 @@
     answeredAt_ = now;
     lease_.granted(grant.number_, std::chrono::milliseconds(grant.durationMs_),
                    grant.requiredIndex_);
-    beginRelaying(now);
+    relaying_ = replica_ != nullptr;
     noteLeaseChange(now);
 }
 
@@ -218,20 +218,6 @@
     }
 }
 
-auto ControlService::beginRelaying(MonotonicTime now) -> void
-{
-    if (relaying_ || replica_ == nullptr)
-        return;
-    // An earlier run of this process may have granted leases that it no longer knows of.
-    auto holders = std::vector<EntryId>{};
-    for (const auto &[id, entry] : machine_.state().entries_) {
-        if (!entry.control_)
-            holders.push_back(id);
-    }
-    relayed_.takeOver(holders, now);
-    relaying_ = true;
-}
-
 auto ControlService::noteLeadership(MonotonicTime now) -> void
 {
     const auto leads = isLeaderNow(now);
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -79,6 +79,8 @@
     const auto lock = std::scoped_lock(mutex_);
     if (replica_ == nullptr)
         return Nothing{};
+    // An earlier run may have granted leases to entries that the log no longer tells of.
+    relayed_.takeOverUnknown(hooks_.now_());
     return replica_->open(hooks_.now_());
 }
 
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -142,7 +142,6 @@
     auto addRecords(LeaseGrant &grant, LogIndex applied) const -> void;
     auto onGrant(const EntryId &from, const LeaseGrant &grant) -> void;
     auto takeRecords(const LeaseGrant &grant) -> void;
-    auto beginRelaying(MonotonicTime now) -> void;
     auto noteLeadership(MonotonicTime now) -> void;
     auto updateInForce(MonotonicTime now) -> void;
     auto loseSilentEntries(MonotonicTime now) -> void;
--- a/packages/leases/LeaseGrantor.cpp
+++ b/packages/leases/LeaseGrantor.cpp
@@ -26,6 +26,11 @@
         held_[holder] = Held{now + withMargin(leaseDuration_), 0};
 }
 
+auto LeaseGrantor::takeOverUnknown(MonotonicTime now) -> void
+{
+    unknownUntil_ = now + withMargin(leaseDuration_);
+}
+
 auto LeaseGrantor::grant(const EntryId &holder, LogIndex applied, Duration limit, MonotonicTime now)
     -> Duration
 {
@@ -43,6 +48,8 @@
 
 auto LeaseGrantor::confirmedIndex(LogIndex own, MonotonicTime now) const -> LogIndex
 {
+    if (unknownUntil_ && now < *unknownUntil_)
+        return 0;
     auto confirmed = own;
     for (const auto &[holder, held] : held_) {
         if (held.end_ > now)
--- a/packages/leases/LeaseGrantor.h
+++ b/packages/leases/LeaseGrantor.h
@@ -6,6 +6,7 @@
 #include "base/Time.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lycheereach {
@@ -21,6 +22,9 @@
     /// Takes over from a grantor whose leases are unknown: each holder may have one until a whole
     /// lease from now, under a state of any age.
     auto takeOver(const std::vector<EntryId> &holders, MonotonicTime now) -> void;
+    /// Takes over from a grantor whose holders are unknown too: nothing is confirmed until a whole
+    /// lease from now.
+    auto takeOverUnknown(MonotonicTime now) -> void;
     /// Grants a lease to a holder that has applied \a applied, no longer than \a limit; returns
     /// how long it lasts from the sending of the renewal.
     auto grant(const EntryId &holder, LogIndex applied, Duration limit, MonotonicTime now)
@@ -28,7 +32,8 @@
     /// The holder has given up its lease.
     auto release(const EntryId &holder) -> void;
 
-    /// The index that every holder with a lease has applied; \a own when there is none.
+    /// The index that every holder with a lease has applied; \a own when there is none, and 0
+    /// while there may be unknown holders.
     [[nodiscard]] auto confirmedIndex(LogIndex own, MonotonicTime now) const -> LogIndex;
     /// Holders with a lease that have not applied \a index.
     [[nodiscard]] auto waitingFor(LogIndex index, MonotonicTime now) const -> std::vector<EntryId>;
@@ -44,6 +49,8 @@
 
     Duration leaseDuration_;
     std::map<EntryId, Held> held_;
+    /// Until then there may be leases of holders that are not in held_.
+    std::optional<MonotonicTime> unknownUntil_;
 };
 
 } // namespace lycheereach
--- a/tests/leases/LeaseGrantorTest.cpp
+++ b/tests/leases/LeaseGrantorTest.cpp
@@ -45,6 +45,14 @@
     CHECK(grantor_.waitingFor(1, start_ + 4s).empty());
 }
 
+TEST(LeaseGrantor, unknownHolders_confirmNothing_untilAWholeLeaseIsOver)
+{
+    grantor_.takeOverUnknown(start_);
+    grantor_.grant(one_, 9, 1h, start_ + 1s);
+    CHECK(grantor_.confirmedIndex(9, start_ + 3s) == 0);
+    CHECK(grantor_.confirmedIndex(9, start_ + 4s) == 9);
+}
+
 /// Random renewals over two levels with lost and late answers and frozen holders: whenever the
 /// leader counts an index as confirmed, no entry may work under an older one.
 TEST(LeaseGrantor, randomDelaysOverTwoLevels_neverLetAnEntryWorkUnderAnOlderState)
