control: Register a lost entry under a new incarnation

Cause: an entry that came back from a freeze registered under the incarnation whose claims had been abandoned when it was lost, so claims of before the loss that were still on their way were accepted. Ruled out: abandoning again at the registration, which spares the claims of the same incarnation. Change: the incarnation of a lost entry is never used again. Before: Membership.aFrozenEntry_isLost_andComesBackUnderANewIncarnation fails. After: passes.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -22,6 +22,15 @@
 /// The lease of the leader's own grants is not limited by another lease.
 constexpr auto noLimit = std::chrono::hours(1);
 
+/// Whether \a known bars the incarnation of \a self: it is newer, or that one was lost and its
+/// claims are abandoned.
+auto barsIncarnation(const EntryRecord &known, const EntryRecord &self) -> bool
+{
+    const auto isLost = known.phase_ == EntryPhase::Lost;
+    return known.incarnation_ > self.incarnation_
+        || (isLost && known.incarnation_ == self.incarnation_);
+}
+
 } // namespace
 
 auto ControlService::receive(const EntryId &from, const std::string &method, const Json &params)
@@ -279,7 +288,7 @@
     const auto found = entries.find(settings_.self_.id_);
     if (found != entries.end() && found->second == settings_.self_)
         return;
-    if (found != entries.end() && found->second.incarnation_ > settings_.self_.incarnation_)
+    if (found != entries.end() && barsIncarnation(found->second, settings_.self_))
         settings_.self_.incarnation_ = found->second.incarnation_ + 1;
     const auto command = Command(PutEntry{settings_.self_});
     const auto giveUpAt = now + settings_.renewEvery_;
