tests: Drive whole control services over a simulated network

Three voters and two plain entries on one clock, with messages dropped, late, doubled and cut, processes frozen and started again, and lost disks. Invariants are checked after every step.

--- /dev/null
+++ b/tests/control/ControlFleet.cpp
@@ -0,0 +1,320 @@
+#include "control/ControlFleet.h"
+
+#include <algorithm>
+
+namespace lycheereach {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto stepLength = Duration(20ms);
+constexpr auto percent = 100U;
+constexpr auto bootIncarnation = 1000U;
+
+} // namespace
+
+ControlFleet::ControlFleet(std::uint64_t seed, std::size_t voters, std::size_t plainEntries)
+    : random_(seed)
+    , seed_(seed)
+    , nodes_(voters + plainEntries)
+{
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        auto &node = nodes_[index];
+        node.self_.id_ = EntryId("e" + std::to_string(index));
+        node.self_.incarnation_ = bootIncarnation;
+        node.self_.zone_ = ZoneName("z" + std::to_string(index % 3));
+        node.self_.control_ = index < voters;
+        if (!node.self_.control_)
+            continue;
+        node.disk_ = std::make_shared<MemoryDisk>();
+        voters_.push_back(node.self_.id_);
+    }
+}
+
+ControlFleet::~ControlFleet() = default;
+
+auto ControlFleet::violate(const std::string &text) -> void
+{
+    if (violations_.size() < 2000)
+        violations_ += "seed " + std::to_string(seed_) + " at "
+            + std::to_string(toMilliseconds(elapsed_)) + " ms: " + text + "\n";
+}
+
+auto ControlFleet::start(std::size_t node) -> void
+{
+    auto &target = nodes_[node];
+    ++target.self_.incarnation_;
+    target.seenVersion_ = 0;
+    const auto settings = ControlSettings{
+        .self_ = target.self_, .voters_ = voters_, .snapshotAfterRecords_ = snapshotAfterRecords_};
+    auto storage = std::unique_ptr<LogStorage>();
+    if (target.disk_)
+        storage = std::make_unique<MemoryStorage>(target.disk_);
+    target.service_ = std::make_unique<ControlService>(settings, std::move(storage), hooks(node));
+    if (!target.service_->open())
+        violate(target.self_.id_.text() + " did not open");
+}
+
+auto ControlFleet::stop(std::size_t node) -> void
+{
+    nodes_[node].service_.reset();
+    nodes_[node].posted_.clear();
+}
+
+auto ControlFleet::loseDisk(std::size_t node) -> void
+{
+    nodes_[node].disk_ = std::make_shared<MemoryDisk>();
+}
+
+auto ControlFleet::hooks(std::size_t node) -> ControlHooks
+{
+    auto result = ControlHooks{};
+    result.send_ = [this, node](const EntryId &to, const std::string &method, const Json &params) {
+        take(node, to, method, params);
+    };
+    result.setPeer_ = [](const EntryId &, const std::string &) {};
+    result.post_ = [this, node](std::function<void()> call) {
+        nodes_[node].posted_.push_back(std::move(call));
+    };
+    result.stateChanged_ = [] {};
+    result.event_ = [this](const Event &event) {
+        if (event_)
+            event_(event);
+    };
+    result.now_ = [this] { return now(); };
+    result.wallNow_ = [] { return WallTime(); };
+    result.random_ = [this] { return random_(); };
+    return result;
+}
+
+auto ControlFleet::take(std::size_t from, const EntryId &to, const std::string &method,
+                        const Json &params) -> void
+{
+    const auto target = std::stoul(to.text().substr(1));
+    if (cut_.contains(from) || cut_.contains(target) || random_() % percent < dropped_)
+        return;
+    if (filter_ && filter_(from, target, method))
+        return;
+    const auto copies = random_() % percent < duplicated_ ? 2 : 1;
+    for (auto copy = 0; copy < copies; ++copy) {
+        const auto range = static_cast<std::uint64_t>(maximumDelay_.count()) + 1;
+        const auto delay = Duration(static_cast<std::int64_t>(random_() % range));
+        packets_.push_back({from, target, method, params, elapsed_ + delay});
+    }
+}
+
+auto ControlFleet::deliver() -> void
+{
+    auto due = std::vector<Packet>();
+    auto later = std::vector<Packet>();
+    for (auto &packet : packets_) {
+        const auto isDue = packet.due_ <= elapsed_ && !nodes_[packet.to_].frozen_;
+        (isDue ? due : later).push_back(std::move(packet));
+    }
+    packets_ = std::move(later);
+    for (const auto &packet : due) {
+        const auto &target = nodes_[packet.to_];
+        if (target.service_ != nullptr)
+            target.service_->receive(nodes_[packet.from_].self_.id_, packet.method_,
+                                     packet.params_);
+    }
+}
+
+auto ControlFleet::step() -> void
+{
+    elapsed_ += stepLength;
+    deliver();
+    for (auto &node : nodes_) {
+        if (node.service_ == nullptr || node.frozen_)
+            continue;
+        node.service_->tick();
+        const auto calls = std::exchange(node.posted_, {});
+        for (const auto &call : calls)
+            call();
+    }
+    check();
+}
+
+auto ControlFleet::run(Duration duration) -> void
+{
+    const auto end = elapsed_ + duration;
+    while (elapsed_ < end)
+        step();
+}
+
+auto ControlFleet::runUntil(const std::function<bool()> &condition, Duration limit) -> bool
+{
+    const auto end = elapsed_ + limit;
+    while (!condition() && elapsed_ < end)
+        step();
+    return condition();
+}
+
+auto ControlFleet::runUntilReady() -> bool
+{
+    return runUntil([this] {
+        const auto works = [](const ControlNode &node) {
+            return node.service_ != nullptr && node.service_->mayTakeWork();
+        };
+        return leader() && std::all_of(nodes_.begin(), nodes_.end(), works);
+    });
+}
+
+auto ControlFleet::randomFault() -> void
+{
+    const auto index = random(nodes_.size());
+    auto &target = nodes_[index];
+    switch (random(6)) {
+    case 0:
+        target.frozen_ = !target.frozen_;
+        break;
+    case 1:
+        stop(index);
+        target.frozen_ = false;
+        start(index);
+        break;
+    case 2:
+        if (target.service_ != nullptr)
+            stop(index);
+        else
+            start(index);
+        break;
+    case 3:
+        cut_.insert(index);
+        break;
+    default:
+        cut_.clear();
+        for (auto &node : nodes_)
+            node.frozen_ = node.frozen_ && random(2) == 0;
+        break;
+    }
+}
+
+auto ControlFleet::heal() -> void
+{
+    cut_.clear();
+    dropped_ = 0;
+    duplicated_ = 0;
+    filter_ = nullptr;
+    maximumDelay_ = 5ms;
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        nodes_[index].frozen_ = false;
+        if (nodes_[index].service_ == nullptr)
+            start(index);
+    }
+}
+
+auto ControlFleet::propose(std::size_t node, const Command &command) -> void
+{
+    auto &target = nodes_[node];
+    if (target.service_ == nullptr || target.frozen_)
+        return;
+    ++asked_;
+    target.service_->propose(command,
+                             [this](const Result<CommandOutcome> &result) { noteOutcome(result); });
+}
+
+auto ControlFleet::proposeFresh(std::size_t node) -> OperationId
+{
+    const auto operation = OperationId("op-" + std::to_string(nextOperation_++));
+    propose(node,
+            ApplyDeclaration{.operation_ = operation,
+                             .fromVersion_
+                             = service(node).read([](const auto &state) { return state.version_; }),
+                             .declaration_ = {.zones_ = {ZoneName(operation.text())}}});
+    return operation;
+}
+
+auto ControlFleet::noteOutcome(const Result<CommandOutcome> &result) -> void
+{
+    ++answered_;
+    if (!result) {
+        ++unknown_;
+        return;
+    }
+    if (!result->operation_)
+        return;
+    const auto &outcome = *result->operation_;
+    const auto [found, isNew] = outcomes_.try_emplace(outcome.operation_, outcome);
+    if (!isNew && found->second != outcome)
+        violate("two outcomes of " + outcome.operation_.text());
+}
+
+auto ControlFleet::noteOperations(const FleetState &state) -> void
+{
+    for (auto item = state.operations_.rbegin(); item != state.operations_.rend(); ++item) {
+        if (item->status_ != OperationStatus::Accepted)
+            continue;
+        if (!operations_.insert(item->index_).second)
+            break;
+    }
+}
+
+auto ControlFleet::check() -> void
+{
+    auto inForce = LogIndex(0);
+    for (const auto &node : nodes_) {
+        if (node.service_ == nullptr)
+            continue;
+        node.service_->read([this](const FleetState &state) { noteOperations(state); });
+        inForce = std::max(inForce, node.service_->inForceIndex());
+    }
+    const auto above = operations_.upper_bound(inForce);
+    const auto required = above == operations_.begin() ? LogIndex(0) : *std::prev(above);
+    for (auto &node : nodes_) {
+        if (node.service_ != nullptr)
+            checkNode(node, required);
+    }
+}
+
+auto ControlFleet::checkNode(ControlNode &node, LogIndex required) -> void
+{
+    const auto &service = *node.service_;
+    const auto [applied, version] = service.read(
+        [](const FleetState &state) { return std::pair(state.applied_, state.version_); });
+    const auto name = node.self_.id_.text();
+    if (version < node.seenVersion_)
+        violate(name + " reverted to version " + std::to_string(version));
+    node.seenVersion_ = version;
+    if (!service.mayTakeWork())
+        return;
+    if (applied < required)
+        violate(name + " works at " + std::to_string(applied) + " while " + std::to_string(required)
+                + " is in force");
+    if (version < node.workedVersion_)
+        violate(name + " works under the old version " + std::to_string(version));
+    node.workedVersion_ = version;
+}
+
+auto ControlFleet::leader() const -> std::optional<std::size_t>
+{
+    for (std::size_t index = 0; index < nodes_.size(); ++index) {
+        if (nodes_[index].service_ != nullptr && nodes_[index].service_->leads())
+            return index;
+    }
+    return std::nullopt;
+}
+
+auto ControlFleet::allInForce() const -> bool
+{
+    const auto leading = leader();
+    if (!leading)
+        return false;
+    const auto &service = *nodes_[*leading].service_;
+    return service.inForceIndex()
+        >= service.read([](const FleetState &state) { return state.requiredIndex_; });
+}
+
+auto ControlFleet::phaseOf(std::size_t node) const -> std::optional<EntryPhase>
+{
+    const auto leading = leader();
+    if (!leading)
+        return std::nullopt;
+    return nodes_[*leading].service_->read([&](const FleetState &state) {
+        const auto found = state.entries_.find(nodes_[node].self_.id_);
+        return found == state.entries_.end() ? std::nullopt : std::optional(found->second.phase_);
+    });
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/tests/control/InForceTest.cpp
@@ -0,0 +1,165 @@
+#include "control/ControlFleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto startAll(ControlFleet &fleet) -> void
+{
+    for (std::size_t index = 0; index < fleet.size(); ++index)
+        fleet.start(index);
+    CHECK(fleet.runUntilReady());
+}
+
+auto checkHealed(ControlFleet &fleet) -> void
+{
+    fleet.heal();
+    CHECK(fleet.runUntilReady());
+    CHECK(fleet.runUntil([&] { return fleet.allInForce(); }, 10s));
+    STRCMP_EQUAL("", fleet.violations().c_str());
+}
+
+auto runSchedule(std::uint64_t seed) -> void
+{
+    constexpr auto events = 150;
+    auto fleet = ControlFleet(seed, 3, 2);
+    startAll(fleet);
+    fleet.dropped_ = static_cast<unsigned>(seed % 3) * 5;
+    fleet.duplicated_ = static_cast<unsigned>(seed % 2) * 10;
+    fleet.maximumDelay_ = seed % 4 == 0 ? 1500ms : 30ms;
+    for (auto event = 0; event < events; ++event) {
+        const auto node = fleet.random(fleet.size());
+        if (fleet.node(node).service_ != nullptr)
+            fleet.proposeFresh(node);
+        if (fleet.random(4) == 0)
+            fleet.randomFault();
+        fleet.run(std::chrono::milliseconds(20 * (1 + fleet.random(30))));
+    }
+    checkHealed(fleet);
+}
+
+} // namespace
+
+TEST_GROUP(InForce){};
+
+TEST(InForce, anEntryBehindAnOperationInForce_takesNoWork_overRandomSchedules)
+{
+    constexpr auto schedules = std::uint64_t{60};
+    for (auto seed = std::uint64_t{1}; seed <= schedules; ++seed)
+        runSchedule(seed);
+}
+
+TEST(InForce, anOperation_isInForceWithinTwoSeconds_whenAllAreThere)
+{
+    auto fleet = ControlFleet(1, 3, 2);
+    startAll(fleet);
+    fleet.run(10s);
+    fleet.proposeFresh(4);
+    CHECK(fleet.runUntil([&] { return fleet.outcomes_.size() == 1; }, 1s));
+    CHECK(fleet.runUntil([&] { return fleet.allInForce(); }, 2s));
+    STRCMP_EQUAL("", fleet.violations().c_str());
+}
+
+TEST(InForce, aFrozenEntry_keepsAnOperationFromBeingInForce_untilItsLeaseHasRunOut)
+{
+    auto fleet = ControlFleet(2, 3, 2);
+    startAll(fleet);
+    fleet.run(10s);
+    fleet.node(4).frozen_ = true;
+    fleet.proposeFresh(*fleet.leader());
+    fleet.run(1s);
+    CHECK(!fleet.allInForce());
+    CHECK(fleet.runUntil([&] { return fleet.allInForce(); }, 4s));
+    fleet.node(4).frozen_ = false;
+    checkHealed(fleet);
+}
+
+TEST(InForce, aNewLeader_countsTheLeasesOfTheOldOne)
+{
+    auto fleet = ControlFleet(3, 3, 2);
+    startAll(fleet);
+    fleet.run(10s);
+    const auto old = *fleet.leader();
+    fleet.cut_.insert(old);
+    CHECK(fleet.runUntil([&] { return fleet.leader() && fleet.leader() != old; }));
+    fleet.proposeFresh(*fleet.leader());
+    CHECK(fleet.runUntil([&] { return fleet.allInForce(); }, 6s));
+    checkHealed(fleet);
+}
+
+TEST(InForce, aRelayThatLostItsLog_countsTheLeasesThatItGrantedBefore)
+{
+    for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
+        auto fleet = ControlFleet(seed, 3, 2);
+        startAll(fleet);
+        fleet.run(10s);
+        const auto relay = (*fleet.leader() + 1) % 3;
+        fleet.stop(relay);
+        fleet.loseDisk(relay);
+        fleet.start(relay);
+        const auto logFrom = fleet.now() + 1s;
+        fleet.filter_ = [&fleet, relay, logFrom](std::size_t from, std::size_t to,
+                                                 const std::string &method) {
+            const auto isEarlyLog = method == "control.log" && fleet.now() < logFrom;
+            return (to == relay && isEarlyLog) || (from >= 3 && method == "control.renew");
+        };
+        fleet.proposeFresh(*fleet.leader());
+        fleet.run(4s);
+        checkHealed(fleet);
+    }
+}
+
+TEST(InForce, aGrantToAnEarlierRun_givesNoLease)
+{
+    constexpr auto rounds = 20;
+    auto fleet = ControlFleet(5, 3, 2);
+    startAll(fleet);
+    fleet.run(5s);
+    fleet.maximumDelay_ = 1500ms;
+    for (auto round = 0; round < rounds; ++round) {
+        fleet.filter_ = nullptr;
+        fleet.stop(4);
+        fleet.start(4);
+        fleet.run(1s);
+        fleet.stop(4);
+        fleet.start(4);
+        fleet.filter_ = [](std::size_t from, std::size_t, const std::string &method) {
+            return from == 4 && method == "control.renew";
+        };
+        CHECK(!fleet.runUntil([&] { return fleet.service(4).mayTakeWork(); }, 2500ms));
+    }
+}
+
+TEST(InForce, versions_neverRevert_over500ChangesWithRestartsAndSnapshots)
+{
+    constexpr auto changes = 500;
+    auto fleet = ControlFleet(11, 3, 2);
+    fleet.snapshotAfterRecords_ = 40;
+    auto installed = 0;
+    fleet.event_ = [&](const Event &event) {
+        installed += event.number_ == EventNumber::SnapshotInstalled ? 1 : 0;
+    };
+    startAll(fleet);
+    for (auto change = 0; change < changes; ++change) {
+        if (change > changes / 2)
+            fleet.cut_.insert(2);
+        const auto leader = fleet.leader();
+        if (leader)
+            fleet.proposeFresh(*leader);
+        if (fleet.random(25) == 0)
+            fleet.randomFault();
+        if (fleet.random(100) == 0)
+            fleet.heal();
+        fleet.run(std::chrono::milliseconds(20 * (1 + fleet.random(10))));
+    }
+    checkHealed(fleet);
+    CHECK(installed > 0);
+    fleet.stop(4);
+    fleet.run(1s);
+    fleet.start(4);
+    checkHealed(fleet);
+    CHECK(fleet.service(4).read([](const auto &state) { return state.version_; }) > 50);
+}
--- /dev/null
+++ b/tests/control/MembershipTest.cpp
@@ -0,0 +1,82 @@
+#include "control/ControlFleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Membership)
+{
+    auto startAll()->void
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index)
+            fleet_.start(index);
+        CHECK(fleet_.runUntilReady());
+        fleet_.run(10s);
+    }
+
+    auto incarnationOf(std::size_t node)->Incarnation
+    {
+        const auto id = fleet_.node(node).self_.id_;
+        return fleet_.service(*fleet_.leader()).read([&](const FleetState &state) {
+            return state.entries_.at(id).incarnation_;
+        });
+    }
+
+    ControlFleet fleet_ = ControlFleet(1, 3, 2);
+};
+
+TEST(Membership, aRunningFleet_losesNobody)
+{
+    startAll();
+    fleet_.run(30s);
+    for (std::size_t index = 0; index < fleet_.size(); ++index)
+        CHECK(fleet_.phaseOf(index) == EntryPhase::Live);
+}
+
+TEST(Membership, aStoppedEntry_isLost_andComesBackUnderANewIncarnation)
+{
+    startAll();
+    const auto before = incarnationOf(4);
+    fleet_.stop(4);
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(4) == EntryPhase::Lost; }, 15s));
+    fleet_.start(4);
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(4) == EntryPhase::Live; }, 5s));
+    CHECK(incarnationOf(4) > before);
+}
+
+TEST(Membership, aFrozenEntry_isLost_andComesBackUnderANewIncarnation)
+{
+    startAll();
+    const auto before = incarnationOf(4);
+    fleet_.node(4).frozen_ = true;
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(4) == EntryPhase::Lost; }, 15s));
+    fleet_.node(4).frozen_ = false;
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(4) == EntryPhase::Live; }, 5s));
+    CHECK(incarnationOf(4) > before);
+    CHECK(fleet_.service(4).incarnation() == incarnationOf(4));
+    STRCMP_EQUAL("", fleet_.violations().c_str());
+}
+
+TEST(Membership, aStoppedRelay_isLost_andItsEntriesGoOn)
+{
+    startAll();
+    const auto relay = (*fleet_.leader() + 1) % 3;
+    fleet_.stop(relay);
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(relay) == EntryPhase::Lost; }, 15s));
+    fleet_.run(5s);
+    for (std::size_t index = 3; index < fleet_.size(); ++index)
+        CHECK(fleet_.phaseOf(index) == EntryPhase::Live);
+    CHECK(fleet_.service(4).mayTakeWork());
+    fleet_.start(relay);
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(relay) == EntryPhase::Live; }, 5s));
+}
+
+TEST(Membership, aLeavingEntry_leaves)
+{
+    startAll();
+    fleet_.service(4).leave();
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(4) == EntryPhase::Leaving; }, 2s));
+    fleet_.run(10s);
+    CHECK(fleet_.phaseOf(4) == EntryPhase::Leaving);
+}
--- /dev/null
+++ b/tests/control/ProposalTest.cpp
@@ -0,0 +1,171 @@
+#include "control/ControlFleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Proposal){
+    auto startAll(ControlFleet & fleet)
+        ->void{for (std::size_t index = 0; index < fleet.size(); ++index) fleet.start(index);
+CHECK(fleet.runUntilReady());
+}
+
+/// Every outcome told is the one that the state of each entry keeps.
+auto checkOutcomes(ControlFleet &fleet) -> void
+{
+    CHECK(fleet.runUntil([&] { return fleet.allInForce(); }));
+    fleet.run(2s);
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        const auto kept
+            = fleet.service(index).read([](const auto &state) { return state.operations_; });
+        auto found = std::size_t{0};
+        for (const auto &outcome : kept) {
+            const auto told = fleet.outcomes_.find(outcome.operation_);
+            if (told == fleet.outcomes_.end())
+                continue;
+            ++found;
+            CHECK(told->second == outcome);
+        }
+        CHECK_EQUAL(fleet.outcomes_.size(), found);
+    }
+    STRCMP_EQUAL("", fleet.violations().c_str());
+}
+}
+;
+
+TEST(Proposal, aForwardedOne_hasTheOutcomeAsApplied)
+{
+    auto fleet = ControlFleet(1, 3, 2);
+    startAll(fleet);
+    const auto operation = fleet.proposeFresh(4);
+    CHECK(fleet.runUntil([&] { return fleet.outcomes_.contains(operation); }, 1s));
+    CHECK(fleet.outcomes_[operation].status_ == OperationStatus::Accepted);
+    checkOutcomes(fleet);
+}
+
+TEST(Proposal, aLostAnswer_theFirstOutcomeComesWhenSentAgain)
+{
+    auto fleet = ControlFleet(2, 3, 2);
+    startAll(fleet);
+    fleet.filter_ = [](std::size_t, std::size_t, const std::string &method) {
+        return method == "control.proposed";
+    };
+    const auto operation = fleet.proposeFresh(4);
+    fleet.run(2s);
+    CHECK(!fleet.outcomes_.contains(operation));
+    fleet.filter_ = nullptr;
+    CHECK(fleet.runUntil([&] { return fleet.outcomes_.contains(operation); }, 2s));
+    CHECK(fleet.outcomes_[operation].status_ == OperationStatus::Accepted);
+    checkOutcomes(fleet);
+}
+
+TEST(Proposal, aLeaderChange_theOutcomeStillComes)
+{
+    auto fleet = ControlFleet(3, 3, 2);
+    startAll(fleet);
+    const auto old = *fleet.leader();
+    const auto operation = fleet.proposeFresh(4);
+    fleet.cut_.insert(old);
+    CHECK(fleet.runUntil([&] { return fleet.outcomes_.contains(operation); }, 6s));
+    fleet.heal();
+    checkOutcomes(fleet);
+}
+
+TEST(Proposal, equalVersions_oneIsAcceptedAndTheOthersConflict)
+{
+    auto fleet = ControlFleet(4, 3, 2);
+    startAll(fleet);
+    for (std::size_t index = 0; index < fleet.size(); ++index)
+        fleet.proposeFresh(index);
+    CHECK(fleet.runUntil([&] { return fleet.outcomes_.size() == fleet.size(); }, 3s));
+    auto accepted = 0;
+    for (const auto &[operation, outcome] : fleet.outcomes_)
+        accepted += outcome.status_ == OperationStatus::Accepted ? 1 : 0;
+    CHECK_EQUAL(1, accepted);
+    checkOutcomes(fleet);
+}
+
+TEST(Proposal, noLeader_isGivenUpAsMayHaveRunOrNotRun)
+{
+    auto fleet = ControlFleet(5, 3, 2);
+    startAll(fleet);
+    fleet.stop(0);
+    fleet.stop(1);
+    fleet.stop(2);
+    auto verdict = std::optional<Verdict>();
+    fleet.service(4).propose(SetZone{.operation_ = OperationId("op")}, [&](const auto &result) {
+        verdict = result ? Verdict::Ran : result.failure().verdict_;
+    });
+    fleet.run(5900ms);
+    CHECK(!verdict);
+    fleet.run(300ms);
+    CHECK(verdict == Verdict::MayHaveRun);
+}
+
+TEST(Proposal, everyOne_isAnsweredOnceAndAsApplied_overLeaderChanges)
+{
+    constexpr auto schedules = std::uint64_t{40};
+    constexpr auto rounds = 30;
+    for (auto seed = std::uint64_t{1}; seed <= schedules; ++seed) {
+        auto fleet = ControlFleet(seed, 3, 2);
+        startAll(fleet);
+        for (auto round = 0; round < rounds; ++round) {
+            const auto leader = fleet.leader();
+            if (leader && fleet.random(2) == 0)
+                fleet.cut_ = {*leader};
+            for (std::size_t index = 0; index < fleet.size(); ++index)
+                fleet.proposeFresh(index);
+            fleet.run(std::chrono::milliseconds(20 * (1 + fleet.random(120))));
+            fleet.cut_.clear();
+            fleet.run(std::chrono::milliseconds(20 * fleet.random(60)));
+        }
+        fleet.heal();
+        fleet.run(13s);
+        CHECK_EQUAL(fleet.asked_, fleet.answered_);
+        checkOutcomes(fleet);
+    }
+}
+
+TEST(Proposal, aLeaderThatLeadsAgain_answersWhatItAppendedBefore)
+{
+    constexpr auto schedules = std::uint64_t{30};
+    for (auto seed = std::uint64_t{1}; seed <= schedules; ++seed) {
+        auto fleet = ControlFleet(seed, 3, 2);
+        startAll(fleet);
+        const auto first = *fleet.leader();
+        fleet.cut_ = {first};
+        for (auto count = 0; count < 5; ++count)
+            fleet.proposeFresh(first);
+        CHECK(fleet.runUntil([&] { return fleet.leader() && fleet.leader() != first; }));
+        const auto second = *fleet.leader();
+        fleet.cut_.clear();
+        fleet.run(300ms);
+        fleet.cut_ = {second};
+        CHECK(fleet.runUntil([&] { return fleet.leader() && fleet.leader() != second; }));
+        fleet.heal();
+        fleet.run(13s);
+        CHECK_EQUAL(fleet.asked_, fleet.answered_);
+        checkOutcomes(fleet);
+    }
+}
+
+TEST(Proposal, anAnswerToAnEarlierRun_isNotTaken)
+{
+    constexpr auto rounds = 100;
+    auto fleet = ControlFleet(6, 3, 2);
+    startAll(fleet);
+    fleet.maximumDelay_ = 700ms;
+    for (auto round = 0; round < rounds; ++round) {
+        fleet.stop(4);
+        fleet.start(4);
+        const auto operation = OperationId("zone-" + std::to_string(round));
+        fleet.run(2s);
+        fleet.service(4).propose(SetZone{.operation_ = operation},
+                                 [operation](const Result<CommandOutcome> &result) {
+                                     CHECK(!result || result->operation_);
+                                     CHECK(!result || result->operation_->operation_ == operation);
+                                 });
+        fleet.run(std::chrono::milliseconds(20 * fleet.random(70)));
+    }
+}
