log: Let a voter with a restored older folder catch up

Cause: the leader took each refusal at or below what a voter had acknowledged for a late one, so a voter that had got an older copy of its folder back was sent nothing until the leader changed. Ruled out: a new generation for the folder, which a copy can't tell from the original. Change: a refusal of a request sent after the last accepted one starts that voter over. Before: Replica.anOldCopyOfADisk_restored_catchesUp and faults.control.restored-folder fail. After: both pass.

--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -70,6 +70,8 @@
         std::uint64_t generation_ = 0;
         /// When the last request that it answered was sent.
         std::optional<MonotonicTime> contact_;
+        /// When the last request that it accepted was sent.
+        MonotonicTime acceptedAt_;
         MonotonicTime heartbeatDue_;
         MonotonicTime installDue_;
         bool full_ = false;
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -115,8 +115,13 @@
         peer.next_ = body.full_ ? peer.match_ + 1 : std::max(peer.next_, peer.match_ + 1);
         advanceCommit();
         peer.probing_ = false;
-    } else if (body.previous_ > peer.match_
-               && (!peer.probing_ || body.previous_ + 1 == peer.next_)) {
+        peer.acceptedAt_ = std::max(peer.acceptedAt_, sentAt);
+        return;
+    }
+    // It refuses what it had acknowledged: an older data folder was restored.
+    if (body.previous_ <= peer.match_ && sentAt > peer.acceptedAt_)
+        peer.match_ = 0;
+    if (body.previous_ > peer.match_ && (!peer.probing_ || body.previous_ + 1 == peer.next_)) {
         peer.next_ = std::max(std::min(body.match_, body.previous_ - 1), peer.match_) + 1;
         peer.probing_ = true;
         peer.probeSent_ = false;
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -143,6 +143,22 @@
     CHECK(cluster_->events_.contains(EventNumber::SnapshotInstalled));
 }
 
+TEST(Replica, anOldCopyOfADisk_restored_catchesUp)
+{
+    const auto leader = startCluster(3, 3);
+    const auto restored = (leader + 1) % 3;
+    commit(leader, 3);
+    const auto copy = cluster_->node(restored).disk_->durable_;
+    for (auto round = 0; round < 5; ++round)
+        commit(leader, 20);
+    cluster_->crash(restored);
+    cluster_->node(restored).disk_->durable_ = copy;
+    cluster_->start(restored);
+    cluster_->run(2s);
+    CHECK(cluster_->leaseHolder() == leader);
+    CHECK(cluster_->checkAgreement());
+}
+
 TEST(Replica, aLeaderCutOffWithProposals_backAgain_seesThemReplaced)
 {
     const auto leader = startCluster(3, 3);
