--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -22,6 +22,15 @@
 /// The lease of the leader's own grants is not limited by another lease.
 constexpr auto noLimit = std::chrono::hours(1);
 
+/// Whether \a known bars the incarnation of \a self: it is newer, or that one was lost and its
+/// claims are abandoned.
+auto barsIncarnation(const EntryRecord &known, const EntryRecord &self) -> bool
+{
+    const auto isLost = known.phase_ == EntryPhase::Lost;
+    return known.incarnation_ > self.incarnation_
+        || (isLost && known.incarnation_ == self.incarnation_);
+}
+
 } // namespace
 
 auto ControlService::receive(const EntryId &from, const std::string &method, const Json &params)
@@ -68,7 +77,7 @@
     const auto number = lease_.renewalSent(now);
     lease_.granted(number, settings_.stateLease_, machine_.state().requiredIndex_);
     leader_ = settings_.self_.id_;
-    beginRelaying(now);
+    relaying_ = replica_ != nullptr;
 }
 
 auto ControlService::grantorToAsk() -> std::optional<EntryId>
@@ -201,7 +210,7 @@
     answeredAt_ = now;
     lease_.granted(grant.number_, std::chrono::milliseconds(grant.durationMs_),
                    grant.requiredIndex_);
-    beginRelaying(now);
+    relaying_ = replica_ != nullptr;
     noteLeaseChange(now);
 }
 
@@ -218,20 +227,6 @@
     }
 }
 
-auto ControlService::beginRelaying(MonotonicTime now) -> void
-{
-    if (relaying_ || replica_ == nullptr)
-        return;
-    // An earlier run of this process may have granted leases that it no longer knows of.
-    auto holders = std::vector<EntryId>{};
-    for (const auto &[id, entry] : machine_.state().entries_) {
-        if (!entry.control_)
-            holders.push_back(id);
-    }
-    relayed_.takeOver(holders, now);
-    relaying_ = true;
-}
-
 auto ControlService::noteLeadership(MonotonicTime now) -> void
 {
     const auto leads = isLeaderNow(now);
@@ -293,7 +288,7 @@
     const auto found = entries.find(settings_.self_.id_);
     if (found != entries.end() && found->second == settings_.self_)
         return;
-    if (found != entries.end() && found->second.incarnation_ > settings_.self_.incarnation_)
+    if (found != entries.end() && barsIncarnation(found->second, settings_.self_))
         settings_.self_.incarnation_ = found->second.incarnation_ + 1;
     const auto command = Command(PutEntry{settings_.self_});
     const auto giveUpAt = now + settings_.renewEvery_;
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -125,6 +125,8 @@
     auto onProposal(const EntryId &from, const Proposal &proposal) -> void;
     auto onProposalAnswer(const ProposalAnswer &answer) -> void;
     auto answer(ProposalCallback done, Result<CommandOutcome> result) -> void;
+    /// Another record has the place of the one at \a index, which an earlier term appended.
+    auto overtake(LogIndex index) -> void;
     /// Proposals at or below \a upTo that were not seen applied: another record has their place.
     auto failOvertaken(LogIndex upTo) -> void;
 
@@ -140,7 +142,6 @@
     auto addRecords(LeaseGrant &grant, LogIndex applied) const -> void;
     auto onGrant(const EntryId &from, const LeaseGrant &grant) -> void;
     auto takeRecords(const LeaseGrant &grant) -> void;
-    auto beginRelaying(MonotonicTime now) -> void;
     auto noteLeadership(MonotonicTime now) -> void;
     auto updateInForce(MonotonicTime now) -> void;
     auto loseSilentEntries(MonotonicTime now) -> void;
@@ -156,7 +157,8 @@
 
     std::map<LogIndex, Waiting> waiting_;
     std::map<std::uint64_t, Remote> remote_;
-    std::uint64_t lastNumber_ = 0;
+    /// Of proposals; begins elsewhere in each run, so that no answer to an earlier run fits.
+    std::uint64_t lastNumber_;
     bool flushScheduled_ = false;
     bool changeNoted_ = false;
 
