tests: Let the stand-in engine load weights ahead of a group

Cause: the planner orders spares to load ({"order":"load","model"}); the stand-in answered 400, since it asked for a group and an epoch, so spares never got weights in a fleet of processes.

--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -149,8 +149,14 @@
         return;
     }
     fencingSeen_ = std::max(fencingSeen_, fencing);
+    if (order->order_ == "load" && !load(order->model_)) {
+        reply->send(jsonAnswer(409, {{"accepted", false}, {"seen", fencingSeen_}}));
+        return;
+    }
     if (order->order_ == "join")
         join(*order);
+    else if (order->order_ == "load")
+        announcer_->announce();
     else if (order->group_ == joined_.group_ && order->epoch_ >= joined_.epoch_)
         leave();
     reply->send(jsonAnswer(200, {{"accepted", true}}));
@@ -165,7 +171,17 @@
     if (loaded_ == order.model_)
         phase_ = MemberPhase::Ready;
     else
-        beginLoading();
+        beginLoading(order.model_);
+}
+
+/// Loads weights outside of a group; a member or an engine that loads already refuses.
+auto StandinEngine::load(const std::string &model) -> bool
+{
+    if (!joined_.group_.empty() || phase_ != MemberPhase::Idle)
+        return false;
+    if (loaded_ != model)
+        beginLoading(model);
+    return true;
 }
 
 auto StandinEngine::leave() -> void
@@ -177,19 +193,19 @@
 }
 
 /// The more load at once than the weight store serves, the longer each takes.
-auto StandinEngine::beginLoading() -> void
+auto StandinEngine::beginLoading(const std::string &model) -> void
 {
     phase_ = MemberPhase::Loading;
     ++fabric_.loading_;
     const auto share = std::max(1U, fabric_.loading_ / std::max(1U, fabric_.weightStoreLoads_));
     const auto duration = std::chrono::milliseconds(settings_.loadMs_ * share);
-    loadTimer_ = fabric_.workers_.after(duration, [this, number = ++loadNumber_] {
+    loadTimer_ = fabric_.workers_.after(duration, [this, model, number = ++loadNumber_] {
         const auto lock = std::scoped_lock(fabric_.mutex_);
         --fabric_.loading_;
         if (number != loadNumber_ || phase_ != MemberPhase::Loading)
             return;
-        loaded_ = joined_.model_;
-        phase_ = MemberPhase::Ready;
+        loaded_ = model;
+        phase_ = joined_.group_.empty() ? MemberPhase::Idle : MemberPhase::Ready;
         announcer_->announce();
     });
 }
--- a/tests/standins/StandinEngine.h
+++ b/tests/standins/StandinEngine.h
@@ -131,8 +131,8 @@
         static constexpr auto fields()
         {
             return std::tuple{field("order", &Order::order_),
-                              field("group", &Order::group_),
-                              field("epoch", &Order::epoch_),
+                              optionalField("group", &Order::group_),
+                              optionalField("epoch", &Order::epoch_),
                               optionalField("rank", &Order::rank_),
                               optionalField("members", &Order::members_),
                               optionalField("model", &Order::model_)};
@@ -159,7 +159,8 @@
     auto handleCancel(const HttpRequest &request, const Reply &reply) -> void;
     auto join(const Order &order) -> void;
     auto leave() -> void;
-    auto beginLoading() -> void;
+    auto load(const std::string &model) -> bool;
+    auto beginLoading(const std::string &model) -> void;
     auto startRun(const HttpRequest &request, const Json &body, const Reply &reply) -> void;
     auto armRun(const std::string &attempt) -> void;
     auto step(const std::string &attempt) -> void;
