serving: Start a request only while its permit is in force

Cause: the gateway checked the time to live and the state lease alone, so that a permit of an earlier epoch or lease, and one called back, was still used; `permit.recall` was dropped; the leaseholder heard of the start after the first byte could have left; the group's address came from the epoch of the choice though the permit could be of another one. Ruled out: a check beside the note, since a recall between the two would free a permit in use. Change: PermitBroker::start() checks and marks under one lock, right before the call is made, also for resumed attempts; a recalled permit that has not started is answered with not-started.

--- a/packages/gateway/ActiveRequest.h
+++ b/packages/gateway/ActiveRequest.h
@@ -60,6 +60,8 @@
     auto perform(const request_action::SendError &action) -> void;
     auto perform(const request_action::NoteWrongAnswer &action) -> void;
 
+    /// Whether an attempt may still be sent; the leaseholder is told that it was.
+    auto mayStart(const AttemptId &attempt) -> bool;
     [[nodiscard]] auto callFor(const request_action::StartAttempt &action) const -> HttpCall;
     [[nodiscard]] auto hooksFor(const AttemptId &attempt) -> HttpCallHooks;
     [[nodiscard]] auto answerHeaders(Verdict verdict) const -> HttpHeaders;
--- a/packages/gateway/ActiveRequestActions.cpp
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -160,8 +160,7 @@
     emit(EventNumber::AttemptStarted,
          {{"attempt", action.attempt_.text()}, {"group", action.target_.name_}});
     target_ = action.target_.name_;
-    if (!machine_.mayDispatch(action.attempt_, context_.now_())
-        || !context_.control_.mayTakeWork()) {
+    if (!mayStart(action.attempt_)) {
         post(request_event::AttemptEnded{.attempt_ = action.attempt_,
                                          .error_ = Error::LeaseExpired,
                                          .verdict_ = Verdict::NotRun,
@@ -172,8 +171,13 @@
     firstByteNs_ = 0;
     context_.metrics_.attemptStarted();
     call_ = context_.client_.start(callFor(action), hooksFor(action.attempt_));
-    if (permit_)
-        context_.broker_.started(*permit_);
+}
+
+auto ActiveRequest::mayStart(const AttemptId &attempt) -> bool
+{
+    if (!machine_.mayDispatch(attempt, context_.now_()) || !context_.control_.mayTakeWork())
+        return false;
+    return permit_ && context_.broker_.start(*permit_);
 }
 
 auto ActiveRequest::attemptEnded(const AttemptId &attempt, const HttpOutcome &outcome) -> void
--- a/packages/routing/Permit.h
+++ b/packages/routing/Permit.h
@@ -9,6 +9,8 @@
 
 namespace lycheereach {
 
+struct FleetState;
+
 /// The right to start one request at a group. The taker starts within ttlMs_ of asking for it, and
 /// only while its own state still shows this epoch and lease number; otherwise the permit is void.
 struct Permit
@@ -28,4 +30,7 @@
     }
 };
 
+/// Whether \a state still shows the epoch and the lease of \a permit, and that someone holds it.
+auto isInForce(const FleetState &state, const Permit &permit) -> bool;
+
 } // namespace lycheereach
--- a/packages/serving/PermitBroker.h
+++ b/packages/serving/PermitBroker.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace lycheereach {
@@ -42,8 +43,10 @@
     auto request(PermitRequest request, PermitCallback done) -> void;
     /// A request no longer wants its permit; its callback hears Error::Cancelled.
     auto cancel(const RequestId &request) -> void;
-    /// The request of a permit was sent.
-    auto started(const BrokeredPermit &permit) -> void;
+    /// Asks to send the request of a permit, right before its first byte, also when an attempt is
+    /// resumed; the leaseholder hears of it. False when the permit was recalled, or the state no
+    /// longer shows its epoch and lease: nothing may be sent then.
+    auto start(const BrokeredPermit &permit) -> bool;
     /// The request of a permit has ended.
     auto ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency) -> void;
     /// Takes a message of a peer; true when it was one for this broker.
@@ -70,6 +73,16 @@
         /// Taken out of the queue but without a group; they go first.
         std::deque<RequestId> stalled_;
     };
+    /// Group, lease number and number of a permit.
+    using PermitKey = std::tuple<GroupId, std::uint64_t, std::uint64_t>;
+    /// A permit that was granted and has not ended.
+    struct Granted
+    {
+        Choice choice_;
+        std::string suspect_;
+        bool isStarted_ = false;
+        bool isRecalled_ = false;
+    };
     /// Something to do after the lock is released.
     using Work = std::vector<std::function<void()>>;
 
@@ -81,6 +94,8 @@
     auto startTake(const RequestId &request, Work &work) -> bool;
     [[nodiscard]] auto choose(const PermitRequest &request) const -> std::optional<Choice>;
     auto onAnswer(const PermitAnswer &answer) -> void;
+    auto onRecall(const Permit &permit) -> void;
+    static auto keyOf(const Permit &permit) -> PermitKey;
     auto grant(const Take &take, const Permit &permit, Work &work) -> void;
     auto putBack(const Take &take, Work &work) -> void;
     auto giveUpTakes(MonotonicTime now, Work &work) -> void;
@@ -98,6 +113,7 @@
     std::map<PoolName, PoolQueue> pools_;
     std::map<RequestId, Pending> pending_;
     std::map<std::uint64_t, Take> takes_;
+    std::map<PermitKey, Granted> granted_;
     std::uint64_t lastTake_ = 0;
 };
 
--- a/packages/serving/PermitBrokerTakes.cpp
+++ b/packages/serving/PermitBrokerTakes.cpp
@@ -59,9 +59,35 @@
             report(*message);
         return true;
     }
-    // A recalled permit that has not started runs out by itself.
+    if (method == "permit.recall") {
+        if (const auto permit = decode<Permit>(params))
+            onRecall(*permit);
+        return true;
+    }
     static_cast<void>(from);
-    return method == "permit.recall";
+    return false;
+}
+
+auto PermitBroker::onRecall(const Permit &permit) -> void
+{
+    auto work = Work{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto found = granted_.find(keyOf(permit));
+        if (found == granted_.end() || found->second.isStarted_ || found->second.isRecalled_)
+            return;
+        auto &granted = found->second;
+        granted.isRecalled_ = true;
+        auto note = noteFor(BrokeredPermit{permit, granted.choice_, {}, granted.suspect_});
+        note.outcome_ = PermitOutcome::NotStarted;
+        sendNote(granted.choice_, std::move(note), work);
+    }
+    run(work);
+}
+
+auto PermitBroker::keyOf(const Permit &permit) -> PermitKey
+{
+    return {permit.group_, permit.leaseNumber_, permit.number_};
 }
 
 auto PermitBroker::report(const LoadReport &report) -> void
@@ -107,6 +133,7 @@
     }
     auto &pending = found->second;
     brokered.suspect_ = pending.request_.suspect_;
+    granted_[keyOf(permit)] = Granted{take.choice_, brokered.suspect_};
     prefixes_.routed(pending.request_.choice_.prefix_, take.choice_.group_);
     work.emplace_back([done = std::move(pending.done_), brokered] { done(brokered); });
     pending_.erase(found);
@@ -150,14 +177,22 @@
     }
 }
 
-auto PermitBroker::started(const BrokeredPermit &permit) -> void
+auto PermitBroker::start(const BrokeredPermit &permit) -> bool
 {
     auto work = Work{};
-    {
+    const auto isVoid = control_.read([&](const FleetState &state) {
         const auto lock = std::scoped_lock(mutex_);
+        const auto found = granted_.find(keyOf(permit.permit_));
+        // The address is that of the epoch in which the group was chosen.
+        if (found == granted_.end() || found->second.isRecalled_
+            || permit.choice_.epoch_ != permit.permit_.epoch_ || !isInForce(state, permit.permit_))
+            return true;
+        found->second.isStarted_ = true;
         sendNote(permit.choice_, noteFor(permit), work);
-    }
+        return false;
+    });
     run(work);
+    return !isVoid;
 }
 
 auto PermitBroker::ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency)
@@ -167,6 +202,9 @@
     {
         const auto lock = std::scoped_lock(mutex_);
         chooser_.ended(permit.choice_.group_);
+        const auto granted = granted_.extract(keyOf(permit.permit_));
+        if (granted && granted.mapped().isRecalled_)
+            outcome = PermitOutcome::NotStarted;
         auto note = noteFor(permit);
         note.outcome_ = outcome;
         note.latencyMs_ = toMilliseconds(latency);
--- /dev/null
+++ b/tests/routing/PermitTest.cpp
@@ -0,0 +1,53 @@
+#include "routing/Permit.h"
+
+#include "state/FleetState.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+TEST_GROUP(Permit)
+{
+    FleetState state_;
+    Permit permit_{.group_ = GroupId("g"), .epoch_ = 2, .leaseNumber_ = 3, .number_ = 1};
+
+    auto setup()->void override
+    {
+        state_.groups_[GroupId("g")] = Group{
+            .id_ = GroupId("g"), .epoch_ = 2, .leaseholder_ = EntryId("e"), .leaseNumber_ = 3};
+    }
+
+    auto group()->Group &
+    {
+        return state_.groups_.at(GroupId("g"));
+    }
+};
+
+TEST(Permit, theSameEpochAndLease_isInForce_isTrue)
+{
+    CHECK_TRUE(isInForce(state_, permit_));
+}
+
+TEST(Permit, aNewEpoch_isInForce_isFalse)
+{
+    group().epoch_ = 3;
+    CHECK_FALSE(isInForce(state_, permit_));
+}
+
+TEST(Permit, aNewLease_isInForce_isFalse)
+{
+    group().leaseNumber_ = 4;
+    CHECK_FALSE(isInForce(state_, permit_));
+}
+
+TEST(Permit, aRevokedLease_isInForce_isFalse)
+{
+    group().leaseholder_ = EntryId{};
+    CHECK_FALSE(isInForce(state_, permit_));
+}
+
+TEST(Permit, aGroupThatIsGone_isInForce_isFalse)
+{
+    state_.groups_.clear();
+    CHECK_FALSE(isInForce(state_, permit_));
+}
