serving: Take in waiting messages before a tick after a freeze

Cause: a process that had stood still ran its ticks beside the delivery of the messages that had waited, so that permits whose start was in such a message were given up and upstreams whose announcements waited were called lost.

--- a/packages/serving/LeaseholderService.cpp
+++ b/packages/serving/LeaseholderService.cpp
@@ -60,10 +60,12 @@
     control_.read([&](const FleetState &state) {
         const auto lock = std::scoped_lock(mutex_);
         updateServing(state, mayWork, now);
+        recalls = permits_.recalled();
+        if (!freezes_.tick(now))
+            return;
         permits_.tick(now);
         const auto isIdle = [this](const GroupId &group) { return permits_.isIdle(group); };
         commands = watch_.tick(state, now, isIdle);
-        recalls = permits_.recalled();
     });
     for (const auto &command : commands)
         proposeOnce(command);
--- a/packages/serving/LeaseholderService.h
+++ b/packages/serving/LeaseholderService.h
@@ -5,6 +5,7 @@
 #include "base/RankedMutex.h"
 #include "groups/GroupWatch.h"
 #include "routing/PermitTable.h"
+#include "serving/FreezeWatch.h"
 #include "serving/LeaseholderHooks.h"
 #include "serving/PermitAnswer.h"
 #include "serving/PermitNote.h"
@@ -46,7 +47,8 @@
 
     /// Takes in the replicated state.
     auto stateChanged() -> void;
-    /// Looks for silent upstreams, group phases to propose and permits that have run out.
+    /// Looks for silent upstreams, group phases to propose and permits that have run out; after a
+    /// freeze of the process only once the messages that waited were delivered.
     auto tick() -> void;
     /// Takes an announcement.
     auto announce(const Announcement &announcement) -> AnnouncementAnswer;
@@ -70,6 +72,7 @@
     ControlService &control_;
     LeaseholderHooks hooks_;
     mutable RankedMutex mutex_;
+    FreezeWatch freezes_;
     GroupWatch watch_;
     PermitTable permits_;
     std::set<GroupId> held_;
