serving: Forget what the planner has under way with each new term

Cause: the planner was reset when the leadership flag differed between two ticks, so that a leadership lost and won again between them kept orders in flight and a count of commands; answers of the earlier term were taken for those of the new one. Change: PlannerService goes by the term; answers to commands and orders of an earlier term no longer count.

--- a/packages/serving/PlannerService.cpp
+++ b/packages/serving/PlannerService.cpp
@@ -16,19 +16,27 @@
 
 auto PlannerService::tick() -> void
 {
-    const auto actions = plan();
+    const auto term = control_.status().term_;
+    const auto actions = plan(term);
     for (const auto &action : actions)
-        std::visit([this](const auto &body) { perform(body); }, action);
+        std::visit([&](const auto &body) { perform(term, body); }, action);
 }
 
-auto PlannerService::plan() -> std::vector<PlannerAction>
+/// What is under way from an earlier term no longer counts; its answers are ignored.
+auto PlannerService::beginTerm(Term term) -> void
+{
+    if (term == term_)
+        return;
+    term_ = term;
+    commandsUnderWay_ = 0;
+    planner_.reset();
+}
+
+auto PlannerService::plan(Term term) -> std::vector<PlannerAction>
 {
     const auto lock = std::scoped_lock(mutex_);
-    const auto leads = control_.leads();
-    if (leads != leading_)
-        planner_.reset();
-    leading_ = leads;
-    if (!leads || commandsUnderWay_ > 0)
+    beginTerm(term);
+    if (!control_.leads() || commandsUnderWay_ > 0)
         return {};
     const auto inForce = control_.inForceIndex();
     auto inputs = PlannerInputs{.now_ = hooks_.now_(), .liveEntries_ = control_.liveEntries()};
@@ -43,43 +51,45 @@
     return actions;
 }
 
-auto PlannerService::perform(const Command &command) -> void
+auto PlannerService::perform(Term term, const Command &command) -> void
 {
-    const auto done = [self = weak_from_this()](const Result<CommandOutcome> &) {
+    const auto done = [self = weak_from_this(), term](const Result<CommandOutcome> &) {
         if (const auto service = self.lock())
-            service->commandEnded();
+            service->commandEnded(term);
     };
     control_.propose(command, done);
 }
 
-auto PlannerService::perform(const MemberOrder &order) -> void
+auto PlannerService::perform(Term term, const MemberOrder &order) -> void
 {
     hooks_.event_(Event{EventNumber::OrderSent,
                         {{"upstream", order.upstream_.text()},
                          {"group", order.group_.text()},
                          {"epoch", std::to_string(order.epoch_)},
                          {"fencing", std::to_string(order.fencing_)}}});
-    const auto ended = [self = weak_from_this(), order](bool accepted) {
+    const auto ended = [self = weak_from_this(), term, order](bool accepted) {
         if (const auto service = self.lock())
-            service->orderEnded(order, accepted);
+            service->orderEnded(term, order, accepted);
     };
     hooks_.sendOrder_(order, ended);
 }
 
-auto PlannerService::commandEnded() -> void
+auto PlannerService::commandEnded(Term term) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    --commandsUnderWay_;
+    if (term == term_)
+        --commandsUnderWay_;
 }
 
-auto PlannerService::orderEnded(const MemberOrder &order, bool accepted) -> void
+auto PlannerService::orderEnded(Term term, const MemberOrder &order, bool accepted) -> void
 {
     if (!accepted)
         hooks_.event_(
             Event{EventNumber::OrderRefused,
                   {{"upstream", order.upstream_.text()}, {"group", order.group_.text()}}});
     const auto lock = std::scoped_lock(mutex_);
-    planner_.orderEnded(order.upstream_, accepted, hooks_.now_());
+    if (term == term_)
+        planner_.orderEnded(order.upstream_, accepted, hooks_.now_());
 }
 
 } // namespace lycheereach
--- a/packages/serving/PlannerService.h
+++ b/packages/serving/PlannerService.h
@@ -23,18 +23,20 @@
     auto tick() -> void;
 
 private:
-    auto plan() -> std::vector<PlannerAction>;
-    auto perform(const Command &command) -> void;
-    auto perform(const MemberOrder &order) -> void;
-    auto commandEnded() -> void;
-    auto orderEnded(const MemberOrder &order, bool accepted) -> void;
+    auto plan(Term term) -> std::vector<PlannerAction>;
+    auto perform(Term term, const Command &command) -> void;
+    auto perform(Term term, const MemberOrder &order) -> void;
+    auto beginTerm(Term term) -> void;
+    auto commandEnded(Term term) -> void;
+    auto orderEnded(Term term, const MemberOrder &order, bool accepted) -> void;
 
     ControlService &control_;
     PlannerServiceHooks hooks_;
     RankedMutex mutex_;
     GroupPlanner planner_;
     std::size_t commandsUnderWay_ = 0;
-    bool leading_ = false;
+    /// The term that the last plan was made in.
+    Term term_ = 0;
 };
 
 } // namespace lycheereach
