--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -246,7 +246,8 @@
 auto StandinEngine::startRun(const HttpRequest &request, const Json &body, const Reply &reply)
     -> void
 {
-    if (const auto earlier = request.headers_.value("X-Resume-Attempt"); !earlier.empty())
+    const auto earlier = request.headers_.value("X-Resume-Attempt");
+    if (!earlier.empty())
         endRun(earlier, false);
     const auto attempt = request.headers_.value("X-Attempt-Id");
     auto run = Run{};
@@ -254,8 +255,11 @@
     run.echo_ = echoed(request);
     run.hash_ = promptHash(promptOf(body));
     run.stream_ = body.value("stream", false);
-    run.token_ = std::max(tokensSaid(body), numberOf(request, "X-Resume-Offset"));
-    run.last_ = tokensSaid(body) + body.value("max_tokens", defaultTokens);
+    run.start_ = RunStart{tokensSaid(body), body.value("max_tokens", defaultTokens)};
+    if (const auto known = starts_.find(earlier); known != starts_.end())
+        run.start_ = known->second;
+    starts_[attempt] = run.start_;
+    run.token_ = numberOf(request, "X-Resume-Offset");
     if (run.stream_) {
         auto head = HttpResponse{200, run.echo_, ""};
         head.headers_.add("Content-Type", "text/event-stream");
@@ -287,7 +291,7 @@
         armRun(attempt);
         return;
     }
-    if (found->second.token_ >= found->second.last_) {
+    if (found->second.token_ >= found->second.start_.tokens_) {
         finishRun(attempt);
         return;
     }
@@ -298,7 +302,8 @@
 auto StandinEngine::sendToken(const std::string &attempt, Run &run) -> void
 {
     ++run.token_;
-    const auto text = "token " + std::to_string(run.token_) + " of " + run.hash_ + "; ";
+    const auto number = std::to_string(run.start_.said_ + run.token_);
+    const auto text = "token " + number + " of " + run.hash_ + "; ";
     run.text_ += text;
     if (!run.stream_)
         return;
--- a/tests/standins/StandinEngine.h
+++ b/tests/standins/StandinEngine.h
@@ -138,14 +138,22 @@
                               optionalField("model", &Order::model_)};
         }
     };
+    /// What a run was asked for.
+    struct RunStart
+    {
+        /// Tokens that the request's trailing assistant message holds.
+        std::uint64_t said_ = 0;
+        /// Tokens to say.
+        std::uint64_t tokens_ = 0;
+    };
     /// One answer in progress.
     struct Run
     {
         std::shared_ptr<HttpReply> reply_;
         HttpHeaders echo_;
         std::string hash_;
+        RunStart start_;
         std::uint64_t token_ = 0;
-        std::uint64_t last_ = 0;
         bool stream_ = false;
         std::string text_;
         std::shared_ptr<Timer> timer_;
@@ -197,6 +205,8 @@
     MemberPhase phase_ = MemberPhase::Idle;
     std::uint64_t loadNumber_ = 0;
     std::map<std::string, Run> runs_;
+    /// Of every attempt since the start, so that it can be resumed.
+    std::map<std::string, RunStart> starts_;
 };
 
 } // namespace lycheereach
