tests: Let the stand-in engine's refusals name their request

Cause: the stand-in refused without X-Request-Id and X-Attempt-Id, so that a request which had not run was taken for one with the answer of another (502 may-have-run), was not tried elsewhere, and its permit counted on as unknown in place of lowering the group's limit. Ruled out: trusting a refusal that does not name its request.

--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -1,9 +1,8 @@
 #include "standins/StandinEngine.h"
 
+#include "standins/EngineDialect.h"
+
 #include <algorithm>
-#include <array>
-#include <cstdio>
-#include <cstdlib>
 #include <utility>
 
 namespace lycheereach {
@@ -12,66 +11,6 @@
 
 constexpr std::uint64_t defaultTokens = 16;
 
-/// FNV-1a in hexadecimal.
-auto promptHash(const std::string &prompt) -> std::string
-{
-    auto hash = std::uint64_t{14695981039346656037U};
-    for (const auto letter : prompt) {
-        hash ^= static_cast<unsigned char>(letter);
-        hash *= 1099511628211U;
-    }
-    auto text = std::array<char, 17>{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(hash));
-    return text.data();
-}
-
-/// The words of every user message.
-auto promptOf(const Json &body) -> std::string
-{
-    auto prompt = std::string{};
-    for (const auto &message : body.value("messages", Json::array())) {
-        if (message.value("role", "") == "user")
-            prompt += message.value("content", "");
-    }
-    return prompt;
-}
-
-/// The tokens that a trailing assistant message already holds.
-auto tokensSaid(const Json &body) -> std::uint64_t
-{
-    const auto messages = body.value("messages", Json::array());
-    if (messages.empty() || messages.back().value("role", "") != "assistant")
-        return 0;
-    const auto text = messages.back().value("content", "");
-    return static_cast<std::uint64_t>(std::count(text.begin(), text.end(), ';'));
-}
-
-auto jsonAnswer(std::uint16_t status, const Json &body) -> HttpResponse
-{
-    return {status, {{"Content-Type", "application/json"}}, body.dump()};
-}
-
-auto refusal(std::uint16_t status, const std::string &detail) -> HttpResponse
-{
-    auto answer = jsonAnswer(status, {{"error", detail}});
-    answer.headers_.add("X-Verdict", "not-run");
-    return answer;
-}
-
-auto echoed(const HttpRequest &request) -> HttpHeaders
-{
-    auto headers = HttpHeaders{};
-    for (const auto *name : {"X-Request-Id", "X-Attempt-Id", "X-Group", "X-Group-Epoch"})
-        headers.add(name, request.headers_.value(name));
-    return headers;
-}
-
-auto numberOf(const HttpRequest &request, const char *name) -> std::uint64_t
-{
-    const auto text = request.headers_.value(name, "0");
-    return std::strtoull(text.c_str(), nullptr, 10);
-}
-
 } // namespace
 
 StandinEngine::StandinEngine(StandinFabric &fabric, StandinEngineSettings settings)
@@ -216,13 +155,13 @@
         return;
     const auto body = Json::parse(request.body_, nullptr, false);
     if (!body.is_object()) {
-        reply->send(refusal(400, "the body is not a JSON object"));
+        reply->send(refusal(request, 400, "the body is not a JSON object"));
         return;
     }
     const auto agreed
         = agrees(request.headers_.value("X-Group"), numberOf(request, "X-Group-Epoch"));
     if (!agreed || joined_.rank_ != 0 || !groupIsWhole()) {
-        reply->send(refusal(409, "not ready in this group and epoch"));
+        reply->send(refusal(request, 409, "not ready in this group and epoch"));
         return;
     }
     const auto over = runs_.size() >= carries();
@@ -238,7 +177,7 @@
                          {"request", request.headers_.value("X-Request-Id")},
                          {"attempt", request.headers_.value("X-Attempt-Id")}});
     if (over)
-        reply->send(refusal(503, "carries no more"));
+        reply->send(refusal(request, 503, "carries no more"));
     else
         startRun(request, body, reply);
 }
@@ -360,7 +299,7 @@
 {
     const auto body = Json::parse(request.body_, nullptr, false);
     if (!body.is_object()) {
-        reply->send(refusal(400, "the body is not a JSON object"));
+        reply->send(refusal(request, 400, "the body is not a JSON object"));
         return;
     }
     endRun(body.value("attempt", ""), false);
