--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -1,9 +1,8 @@
 #include "standins/StandinEngine.h"
 
+#include "standins/EngineDialect.h"
+
 #include <algorithm>
-#include <array>
-#include <cstdio>
-#include <cstdlib>
 #include <utility>
 
 namespace lycheereach {
@@ -12,66 +11,6 @@
 
 constexpr std::uint64_t defaultTokens = 16;
 
-/// FNV-1a in hexadecimal.
-auto promptHash(const std::string &prompt) -> std::string
-{
-    auto hash = std::uint64_t{14695981039346656037U};
-    for (const auto letter : prompt) {
-        hash ^= static_cast<unsigned char>(letter);
-        hash *= 1099511628211U;
-    }
-    auto text = std::array<char, 17>{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(hash));
-    return text.data();
-}
-
-/// The words of every user message.
-auto promptOf(const Json &body) -> std::string
-{
-    auto prompt = std::string{};
-    for (const auto &message : body.value("messages", Json::array())) {
-        if (message.value("role", "") == "user")
-            prompt += message.value("content", "");
-    }
-    return prompt;
-}
-
-/// The tokens that a trailing assistant message already holds.
-auto tokensSaid(const Json &body) -> std::uint64_t
-{
-    const auto messages = body.value("messages", Json::array());
-    if (messages.empty() || messages.back().value("role", "") != "assistant")
-        return 0;
-    const auto text = messages.back().value("content", "");
-    return static_cast<std::uint64_t>(std::count(text.begin(), text.end(), ';'));
-}
-
-auto jsonAnswer(std::uint16_t status, const Json &body) -> HttpResponse
-{
-    return {status, {{"Content-Type", "application/json"}}, body.dump()};
-}
-
-auto refusal(std::uint16_t status, const std::string &detail) -> HttpResponse
-{
-    auto answer = jsonAnswer(status, {{"error", detail}});
-    answer.headers_.add("X-Verdict", "not-run");
-    return answer;
-}
-
-auto echoed(const HttpRequest &request) -> HttpHeaders
-{
-    auto headers = HttpHeaders{};
-    for (const auto *name : {"X-Request-Id", "X-Attempt-Id", "X-Group", "X-Group-Epoch"})
-        headers.add(name, request.headers_.value(name));
-    return headers;
-}
-
-auto numberOf(const HttpRequest &request, const char *name) -> std::uint64_t
-{
-    const auto text = request.headers_.value(name, "0");
-    return std::strtoull(text.c_str(), nullptr, 10);
-}
-
 } // namespace
 
 StandinEngine::StandinEngine(StandinFabric &fabric, StandinEngineSettings settings)
@@ -149,8 +88,14 @@
         return;
     }
     fencingSeen_ = std::max(fencingSeen_, fencing);
+    if (order->order_ == "load" && !load(order->model_)) {
+        reply->send(jsonAnswer(409, {{"accepted", false}, {"seen", fencingSeen_}}));
+        return;
+    }
     if (order->order_ == "join")
         join(*order);
+    else if (order->order_ == "load")
+        announcer_->announce();
     else if (order->group_ == joined_.group_ && order->epoch_ >= joined_.epoch_)
         leave();
     reply->send(jsonAnswer(200, {{"accepted", true}}));
@@ -165,7 +110,17 @@
     if (loaded_ == order.model_)
         phase_ = MemberPhase::Ready;
     else
-        beginLoading();
+        beginLoading(order.model_);
+}
+
+/// Loads weights outside of a group; a member or an engine that loads already refuses.
+auto StandinEngine::load(const std::string &model) -> bool
+{
+    if (!joined_.group_.empty() || phase_ != MemberPhase::Idle)
+        return false;
+    if (loaded_ != model)
+        beginLoading(model);
+    return true;
 }
 
 auto StandinEngine::leave() -> void
@@ -177,19 +132,19 @@
 }
 
 /// The more load at once than the weight store serves, the longer each takes.
-auto StandinEngine::beginLoading() -> void
+auto StandinEngine::beginLoading(const std::string &model) -> void
 {
     phase_ = MemberPhase::Loading;
     ++fabric_.loading_;
     const auto share = std::max(1U, fabric_.loading_ / std::max(1U, fabric_.weightStoreLoads_));
     const auto duration = std::chrono::milliseconds(settings_.loadMs_ * share);
-    loadTimer_ = fabric_.workers_.after(duration, [this, number = ++loadNumber_] {
+    loadTimer_ = fabric_.workers_.after(duration, [this, model, number = ++loadNumber_] {
         const auto lock = std::scoped_lock(fabric_.mutex_);
         --fabric_.loading_;
         if (number != loadNumber_ || phase_ != MemberPhase::Loading)
             return;
-        loaded_ = joined_.model_;
-        phase_ = MemberPhase::Ready;
+        loaded_ = model;
+        phase_ = joined_.group_.empty() ? MemberPhase::Idle : MemberPhase::Ready;
         announcer_->announce();
     });
 }
@@ -200,13 +155,13 @@
         return;
     const auto body = Json::parse(request.body_, nullptr, false);
     if (!body.is_object()) {
-        reply->send(refusal(400, "the body is not a JSON object"));
+        reply->send(refusal(request, 400, "the body is not a JSON object"));
         return;
     }
     const auto agreed
         = agrees(request.headers_.value("X-Group"), numberOf(request, "X-Group-Epoch"));
     if (!agreed || joined_.rank_ != 0 || !groupIsWhole()) {
-        reply->send(refusal(409, "not ready in this group and epoch"));
+        reply->send(refusal(request, 409, "not ready in this group and epoch"));
         return;
     }
     const auto over = runs_.size() >= carries();
@@ -222,7 +177,7 @@
                          {"request", request.headers_.value("X-Request-Id")},
                          {"attempt", request.headers_.value("X-Attempt-Id")}});
     if (over)
-        reply->send(refusal(503, "carries no more"));
+        reply->send(refusal(request, 503, "carries no more"));
     else
         startRun(request, body, reply);
 }
@@ -230,7 +185,8 @@
 auto StandinEngine::startRun(const HttpRequest &request, const Json &body, const Reply &reply)
     -> void
 {
-    if (const auto earlier = request.headers_.value("X-Resume-Attempt"); !earlier.empty())
+    const auto earlier = request.headers_.value("X-Resume-Attempt");
+    if (!earlier.empty())
         endRun(earlier, false);
     const auto attempt = request.headers_.value("X-Attempt-Id");
     auto run = Run{};
@@ -238,8 +194,11 @@
     run.echo_ = echoed(request);
     run.hash_ = promptHash(promptOf(body));
     run.stream_ = body.value("stream", false);
-    run.token_ = std::max(tokensSaid(body), numberOf(request, "X-Resume-Offset"));
-    run.last_ = tokensSaid(body) + body.value("max_tokens", defaultTokens);
+    run.start_ = RunStart{tokensSaid(body), body.value("max_tokens", defaultTokens)};
+    if (const auto known = starts_.find(earlier); known != starts_.end())
+        run.start_ = known->second;
+    starts_[attempt] = run.start_;
+    run.token_ = numberOf(request, "X-Resume-Offset");
     if (run.stream_) {
         auto head = HttpResponse{200, run.echo_, ""};
         head.headers_.add("Content-Type", "text/event-stream");
@@ -271,7 +230,7 @@
         armRun(attempt);
         return;
     }
-    if (found->second.token_ >= found->second.last_) {
+    if (found->second.token_ >= found->second.start_.tokens_) {
         finishRun(attempt);
         return;
     }
@@ -282,7 +241,8 @@
 auto StandinEngine::sendToken(const std::string &attempt, Run &run) -> void
 {
     ++run.token_;
-    const auto text = "token " + std::to_string(run.token_) + " of " + run.hash_ + "; ";
+    const auto number = std::to_string(run.start_.said_ + run.token_);
+    const auto text = "token " + number + " of " + run.hash_ + "; ";
     run.text_ += text;
     if (!run.stream_)
         return;
@@ -339,7 +299,7 @@
 {
     const auto body = Json::parse(request.body_, nullptr, false);
     if (!body.is_object()) {
-        reply->send(refusal(400, "the body is not a JSON object"));
+        reply->send(refusal(request, 400, "the body is not a JSON object"));
         return;
     }
     endRun(body.value("attempt", ""), false);
--- a/tests/standins/StandinEngine.h
+++ b/tests/standins/StandinEngine.h
@@ -131,21 +131,29 @@
         static constexpr auto fields()
         {
             return std::tuple{field("order", &Order::order_),
-                              field("group", &Order::group_),
-                              field("epoch", &Order::epoch_),
+                              optionalField("group", &Order::group_),
+                              optionalField("epoch", &Order::epoch_),
                               optionalField("rank", &Order::rank_),
                               optionalField("members", &Order::members_),
                               optionalField("model", &Order::model_)};
         }
     };
+    /// What a run was asked for.
+    struct RunStart
+    {
+        /// Tokens that the request's trailing assistant message holds.
+        std::uint64_t said_ = 0;
+        /// Tokens to say.
+        std::uint64_t tokens_ = 0;
+    };
     /// One answer in progress.
     struct Run
     {
         std::shared_ptr<HttpReply> reply_;
         HttpHeaders echo_;
         std::string hash_;
+        RunStart start_;
         std::uint64_t token_ = 0;
-        std::uint64_t last_ = 0;
         bool stream_ = false;
         std::string text_;
         std::shared_ptr<Timer> timer_;
@@ -159,7 +167,8 @@
     auto handleCancel(const HttpRequest &request, const Reply &reply) -> void;
     auto join(const Order &order) -> void;
     auto leave() -> void;
-    auto beginLoading() -> void;
+    auto load(const std::string &model) -> bool;
+    auto beginLoading(const std::string &model) -> void;
     auto startRun(const HttpRequest &request, const Json &body, const Reply &reply) -> void;
     auto armRun(const std::string &attempt) -> void;
     auto step(const std::string &attempt) -> void;
@@ -196,6 +205,8 @@
     MemberPhase phase_ = MemberPhase::Idle;
     std::uint64_t loadNumber_ = 0;
     std::map<std::string, Run> runs_;
+    /// Of every attempt since the start, so that it can be resumed.
+    std::map<std::string, RunStart> starts_;
 };
 
 } // namespace lycheereach
