control: Say that a proposal may have run when an earlier try was sent

Cause: a command that was forwarded and then failed at this entry's own disk was answered as not run, though the earlier leader may have committed it. Change: the verdict counts the earlier try. Before and after: found by reading; no test reproduces it.

--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -35,7 +35,7 @@
 }
 
 auto ControlService::appendHere(const Command &command, ProposalCallback done,
-                                MonotonicTime giveUpAt) -> bool
+                                MonotonicTime giveUpAt, Verdict before) -> bool
 {
     const auto now = hooks_.now_();
     if (!isLeaderNow(now))
@@ -44,7 +44,9 @@
     if (!position && position.failure().code_ == Error::NotLeader)
         return false;
     if (!position) {
-        answer(std::move(done), position.failure());
+        auto failure = position.failure();
+        failure.verdict_ = combine(failure.verdict_, before);
+        answer(std::move(done), std::move(failure));
         return true;
     }
     waiting_[position->index_] = Waiting{position->term_, command, std::move(done), giveUpAt};
@@ -88,7 +90,8 @@
         auto &remote = item->second;
         if (now < remote.sendAgainAt_) {
             ++item;
-        } else if (appendHere(remote.command_, remote.done_, remote.giveUpAt_)) {
+        } else if (appendHere(remote.command_, remote.done_, remote.giveUpAt_,
+                              remote.sent_ ? Verdict::MayHaveRun : Verdict::NotRun)) {
             item = remote_.erase(item);
         } else {
             forward(remote, item->first, now);
@@ -139,7 +142,8 @@
             message.message_ = result.failure().message_;
         hooks_.send_(from, "control.proposed", encode(message));
     };
-    if (appendHere(*command, reply, hooks_.now_() + settings_.proposalTimeout_))
+    if (appendHere(*command, reply, hooks_.now_() + settings_.proposalTimeout_,
+                   Verdict::MayHaveRun))
         return;
     const auto refusal = ProposalAnswer{.number_ = number, .notLeader_ = true};
     hooks_.send_(from, "control.proposed", encode(refusal));
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -116,7 +116,9 @@
     [[nodiscard]] auto isLeaderNow(MonotonicTime now) const -> bool;
 
     // Proposals.
-    auto appendHere(const Command &command, ProposalCallback done, MonotonicTime giveUpAt) -> bool;
+    /// \a before is whether the command may have been committed by an earlier try.
+    auto appendHere(const Command &command, ProposalCallback done, MonotonicTime giveUpAt,
+                    Verdict before = Verdict::NotRun) -> bool;
     auto proposeLater(Waiting waiting) -> void;
     auto forward(Remote &remote, std::uint64_t number, MonotonicTime now) -> void;
     auto scheduleFlush() -> void;
