state: Let a declaration say how long outcomes under a key are kept

Cause: ExpireClaims was never proposed, so claims grew for ever. Change: claimRetentionHours of the declaration, 24 by default, and expiryOf() for the leader. The retention is of the fleet, so it is no tunable that an exception could set.

--- a/packages/state/ClaimCommands.cpp
+++ b/packages/state/ClaimCommands.cpp
@@ -1,5 +1,6 @@
 #include "state/CommandHandlers.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace lycheereach {
@@ -90,6 +91,19 @@
     return outcome;
 }
 
+auto expiryOf(const FleetState &state, WallTime now) -> std::optional<ExpireClaims>
+{
+    const auto retention = std::chrono::hours(state.declaration_.claimRetentionHours_);
+    const auto limit = (now - retention).time_since_epoch();
+    const auto limitMs = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+    const auto isOld = [&](const auto &item) {
+        return item.second.phase_ != ClaimPhase::Claimed && item.second.claimedAtMs_ < limitMs;
+    };
+    if (std::none_of(state.claims_.begin(), state.claims_.end(), isOld))
+        return std::nullopt;
+    return ExpireClaims{limitMs};
+}
+
 auto handle(CommandContext &context, const ExpireClaims &command) -> CommandOutcome
 {
     const auto isOld = [&](const auto &item) {
--- a/packages/state/Declaration.h
+++ b/packages/state/Declaration.h
@@ -23,6 +23,8 @@
     std::vector<Service> services_;
     std::vector<Workspace> workspaces_;
     std::vector<ExceptionRule> exceptions_;
+    /// The outcome under an Idempotency-Key is kept for this time, in hours.
+    std::uint32_t claimRetentionHours_ = 24;
 
     auto operator==(const Declaration &) const -> bool = default;
     static constexpr auto fields()
@@ -32,7 +34,8 @@
                           optionalField("pools", &Declaration::pools_),
                           optionalField("services", &Declaration::services_),
                           optionalField("workspaces", &Declaration::workspaces_),
-                          optionalField("exceptions", &Declaration::exceptions_)};
+                          optionalField("exceptions", &Declaration::exceptions_),
+                          optionalField("claimRetentionHours", &Declaration::claimRetentionHours_)};
     }
 };
 
--- a/packages/state/DeclarationCheck.cpp
+++ b/packages/state/DeclarationCheck.cpp
@@ -182,6 +182,8 @@
     checkNames(declaration.services_, "services", ownName, problems);
     checkNames(declaration.workspaces_, "workspaces", ownName, problems);
     checkPolicy(declaration.defaults_, "/defaults", problems);
+    if (declaration.claimRetentionHours_ == 0)
+        problems.push_back("/claimRetentionHours: must be at least 1");
     checkPools(declaration, problems);
     checkServices(declaration, problems);
     checkWorkspaces(declaration, problems);
--- a/packages/state/ExpireClaims.h
+++ b/packages/state/ExpireClaims.h
@@ -3,11 +3,15 @@
 #pragma once
 
 #include "base/JsonCodec.h"
+#include "base/Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace lycheereach {
 
+struct FleetState;
+
 /// Command: forget claims older than the retention.
 struct ExpireClaims
 {
@@ -21,4 +25,8 @@
     }
 };
 
+/// The command that forgets the claims that are older than the retention at \a now; nothing when
+/// there are none.
+auto expiryOf(const FleetState &state, WallTime now) -> std::optional<ExpireClaims>;
+
 } // namespace lycheereach
--- a/tests/state/ClaimCommandsTest.cpp
+++ b/tests/state/ClaimCommandsTest.cpp
@@ -78,3 +78,17 @@
     fixture_.run(ExpireClaims{5000});
     CHECK(fixture_.state().claims_.empty());
 }
+
+TEST(ClaimCommands, aClaimPastTheRetention_expiryOf_namesTheLimit)
+{
+    const auto day = std::chrono::hours(24);
+    const auto at = [](auto time) { return WallTime(std::chrono::microseconds(time)); };
+    claim("r1");
+    CHECK_FALSE(expiryOf(fixture_.state(), at(2 * day)).has_value());
+    settle("r1", ClaimPhase::Completed);
+    CHECK_FALSE(expiryOf(fixture_.state(), at(day)).has_value());
+    const auto expiry = expiryOf(fixture_.state(), at(day + std::chrono::seconds(2)));
+    CHECK_EQUAL(2000, expiry.value().olderThanMs_);
+    fixture_.run(*expiry);
+    CHECK(fixture_.state().claims_.empty());
+}
