gateway: Keep the contracts of the request machine

- The right to start is checked by the client's thread right before the first byte leaves, not before the connection is made, which may take a second.
- A settlement that failed, or a release that was applied before its claim, is proposed again while the state shows the claim as open; the key stayed in progress until the entry restarted.
- The leader proposes ExpireClaims by the retention of the declaration.
- FairQueue hears of run times, so that requests which can't end in time are not started.
- Suspects go to the group that suspectTarget() names.
- A permit given up while its take is under way is answered when the take comes back empty.
- Whether an attempt was stopped belongs to the attempt; a late answer to a cancel marked the next.
- Plain services get no POST /v1/cancel, which is not theirs; their connection is closed.
Read and found right: post() reads the machine outside the lock on the draining thread alone; CancelAttempt ends with AttemptEnded, also when the call has ended just before.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -7,11 +7,13 @@
 #include "gateway/AdminApi.h"
 #include "gateway/BudgetService.h"
 #include "gateway/CallerApi.h"
+#include "gateway/ClaimSettler.h"
 #include "gateway/Metrics.h"
 #include "gateway/RequestService.h"
 #include "gateway/SuspicionService.h"
 #include "gateway/UpstreamApi.h"
 #include "log/FileLogStorage.h"
+#include "serving/ClaimExpiry.h"
 #include "serving/LeaseholderService.h"
 #include "serving/LoadReport.h"
 #include "serving/PermitBroker.h"
@@ -116,6 +118,7 @@
     auto plannerHooks() -> PlannerServiceHooks;
     auto networkHooks() -> PeerNetworkHooks;
     auto requestContext() -> RequestContext;
+    [[nodiscard]] auto claimOf(const IdempotencyKey &key) const -> std::optional<Claim>;
     auto send(const EntryId &to, const std::string &method, Json params) -> void;
     auto received(const EntryId &from, const PeerMessage &message) -> void;
     auto stateChanged() -> void;
@@ -132,6 +135,8 @@
     PeerNetwork network_;
     HttpClient client_;
     ControlService control_;
+    ClaimExpiry expiry_;
+    ClaimSettler settler_;
     SuspicionService suspicion_;
     BudgetService budgets_;
     std::shared_ptr<LeaseholderService> leaseholder_;
@@ -161,6 +166,10 @@
                                    .key_ = keyIn(settings_.peerKeyFile_).value_or("")},
                networkHooks())
     , control_(controlSettings(settings_), storageFor(settings_), controlHooks())
+    , expiry_(control_, readMonotonic, readWall)
+    , settler_([this](const Command &command,
+                      ProposalCallback done) { control_.propose(command, std::move(done)); },
+               [this](const IdempotencyKey &key) { return claimOf(key); }, readMonotonic)
     , suspicion_(
           settings_.id_, control_, workers_,
           [this](const EntryId &to, const std::string &method, Json params) {
@@ -262,11 +271,20 @@
             }};
 }
 
+auto Daemon::Parts::claimOf(const IdempotencyKey &key) const -> std::optional<Claim>
+{
+    return control_.read([&](const FleetState &state) {
+        const auto found = state.claims_.find(key);
+        return found == state.claims_.end() ? std::nullopt : std::optional(found->second);
+    });
+}
+
 auto Daemon::Parts::requestContext() -> RequestContext
 {
     return RequestContext{.self_ = settings_.id_,
                           .incarnation_ = [this] { return control_.incarnation(); },
                           .control_ = control_,
+                          .settler_ = settler_,
                           .broker_ = broker_,
                           .suspicion_ = suspicion_,
                           .client_ = client_,
@@ -322,10 +340,14 @@
 auto Daemon::Parts::beginTicking() -> void
 {
     timers_.push_back(workers_.every(controlTick, [this] { control_.tick(); }));
-    timers_.push_back(workers_.every(plannerTick, [this] { planner_->tick(); }));
+    timers_.push_back(workers_.every(plannerTick, [this] {
+        planner_->tick();
+        expiry_.tick();
+    }));
     timers_.push_back(workers_.every(servingTick, [this] {
         leaseholder_->tick();
         suspicion_.tick();
+        settler_.tick();
         budgets_.tick();
     }));
     timers_.push_back(workers_.every(queueTick, [this] { broker_.tick(); }));
--- a/packages/gateway/ActiveRequest.h
+++ b/packages/gateway/ActiveRequest.h
@@ -63,7 +63,7 @@
     [[nodiscard]] auto callFor(const request_action::StartAttempt &action) const -> HttpCall;
     [[nodiscard]] auto hooksFor(const AttemptId &attempt) -> HttpCallHooks;
     [[nodiscard]] auto answerHeaders(Verdict verdict) const -> HttpHeaders;
-    auto attemptEnded(const AttemptId &attempt, const HttpOutcome &outcome) -> void;
+    auto attemptEnded(const AttemptId &attempt, const HttpOutcome &outcome, bool stopped) -> void;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
     RequestContext &context_;
@@ -85,8 +85,8 @@
     MonotonicTime startedAt_;
     std::atomic<std::int64_t> firstByteNs_{0};
     std::optional<HttpCallId> call_;
-    /// Whether the upstream said that it stopped the attempt being cancelled.
-    std::atomic<bool> lastStopped_{false};
+    /// Whether the upstream said that it stopped the latest attempt.
+    std::shared_ptr<std::atomic<bool>> stopped_;
     std::shared_ptr<Timer> timer_;
 };
 
--- a/packages/gateway/ActiveRequestActions.cpp
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -1,6 +1,7 @@
 #include "gateway/ActiveRequest.h"
 
 #include "control/ControlService.h"
+#include "gateway/ClaimSettler.h"
 #include "gateway/Metrics.h"
 #include "gateway/SuspicionService.h"
 #include "serving/PermitBroker.h"
@@ -100,20 +101,20 @@
 
 auto ActiveRequest::perform(const request_action::SettleClaim &action) -> void
 {
-    context_.control_.propose(action.command_,
-                              [self = shared_from_this()](const Result<CommandOutcome> &) {
-                                  self->post(request_event::ClaimSettled{});
-                              });
+    context_.settler_.settle(action.command_, [self = shared_from_this()] {
+        self->post(request_event::ClaimSettled{});
+    });
 }
 
 auto ActiveRequest::callFor(const request_action::StartAttempt &action) const -> HttpCall
 {
-    auto call
-        = HttpCall{.address_ = action.target_.address_,
-                   .connectTimeout_ = std::chrono::milliseconds(policy_.connectTimeoutMs_),
-                   .firstByteTimeout_ = std::chrono::milliseconds(policy_.firstByteTimeoutMs_),
-                   .idleTimeout_ = std::chrono::milliseconds(policy_.streamIdleTimeoutMs_),
-                   .freshConnection_ = action.freshConnection_};
+    auto call = HttpCall{
+        .address_ = action.target_.address_,
+        .connectTimeout_ = std::chrono::milliseconds(policy_.connectTimeoutMs_),
+        .firstByteTimeout_ = std::chrono::milliseconds(policy_.firstByteTimeoutMs_),
+        .idleTimeout_ = std::chrono::milliseconds(policy_.streamIdleTimeoutMs_),
+        .freshConnection_ = action.freshConnection_,
+        .mayStart_ = [now = context_.now_, until = action.validUntil_] { return now() < until; }};
     auto &request = call.request_;
     request.method_ = request_.method_;
     request.target_ = request_.target_;
@@ -152,7 +153,8 @@
                 self->post(request_event::AttemptPart{attempt, std::string(bytes)});
             },
         .ended_
-        = [self, attempt](const HttpOutcome &outcome) { self->attemptEnded(attempt, outcome); }};
+        = [self, attempt, stopped = stopped_](
+              const HttpOutcome &outcome) { self->attemptEnded(attempt, outcome, *stopped); }};
 }
 
 auto ActiveRequest::perform(const request_action::StartAttempt &action) -> void
@@ -170,13 +172,15 @@
     }
     startedAt_ = context_.now_();
     firstByteNs_ = 0;
+    stopped_ = std::make_shared<std::atomic<bool>>(false);
     context_.metrics_.attemptStarted();
     call_ = context_.client_.start(callFor(action), hooksFor(action.attempt_));
     if (permit_)
         context_.broker_.started(*permit_);
 }
 
-auto ActiveRequest::attemptEnded(const AttemptId &attempt, const HttpOutcome &outcome) -> void
+auto ActiveRequest::attemptEnded(const AttemptId &attempt, const HttpOutcome &outcome, bool stopped)
+    -> void
 {
     if (outcome.error_ == Error::ConnectionSilent)
         emit(EventNumber::ConnectionSilent, {{"attempt", attempt.text()}});
@@ -188,11 +192,18 @@
                                      .error_ = outcome.error_,
                                      .verdict_ = outcome.verdict_,
                                      .message_ = outcome.message_,
-                                     .stopped_ = lastStopped_.exchange(false)});
+                                     .stopped_ = stopped});
 }
 
 auto ActiveRequest::perform(const request_action::CancelAttempt &action) -> void
 {
+    const auto call = call_;
+    if (!call)
+        return;
+    if (!request_.chat_) {
+        context_.client_.cancel(*call);
+        return;
+    }
     auto cancel = HttpCall{.address_ = action.target_.address_,
                            .connectTimeout_ = cancelTimeout,
                            .firstByteTimeout_ = cancelTimeout,
@@ -201,13 +212,12 @@
                                   "/v1/cancel",
                                   {{"Content-Type", "application/json"}},
                                   Json{{"attempt", action.attempt_.text()}}.dump()};
-    const auto call = call_;
     auto status = std::make_shared<std::atomic<int>>(0);
-    const auto finish = [self = shared_from_this(), call, status](const HttpOutcome &outcome) {
-        static constexpr auto stopped = 200;
-        self->lastStopped_ = !outcome.error_ && *status == stopped;
-        if (call)
-            self->context_.client_.cancel(*call);
+    const auto finish = [self = shared_from_this(), call = *call, status,
+                         stopped = stopped_](const HttpOutcome &outcome) {
+        static constexpr auto accepted = 200;
+        *stopped = !outcome.error_ && *status == accepted;
+        self->context_.client_.cancel(call);
     };
     const auto noteStatus = [status](const HttpResponse &response) { *status = response.status_; };
     context_.client_.start(std::move(cancel), HttpCallHooks{noteStatus, nullptr, finish});
@@ -217,7 +227,9 @@
 {
     if (!permit_)
         return;
-    context_.broker_.ended(*permit_, outcomeOf(action.use_), Duration(firstByteNs_.load()));
+    const auto runTime = context_.now_() - startedAt_;
+    context_.broker_.ended(*permit_, outcomeOf(action.use_), Duration(firstByteNs_.load()),
+                           runTime);
     permit_.reset();
 }
 
--- a/packages/gateway/RequestContext.h
+++ b/packages/gateway/RequestContext.h
@@ -10,6 +10,7 @@
 
 namespace lycheereach {
 
+class ClaimSettler;
 class ControlService;
 class HttpClient;
 class Metrics;
@@ -24,6 +25,7 @@
     /// The incarnation that claims are made under.
     std::function<Incarnation()> incarnation_;
     ControlService &control_;
+    ClaimSettler &settler_;
     PermitBroker &broker_;
     SuspicionService &suspicion_;
     HttpClient &client_;
--- a/packages/requests/RequestAction.h
+++ b/packages/requests/RequestAction.h
@@ -48,6 +48,8 @@
     /// What the caller has of the answer when a new run goes on with it; see continuedBody().
     std::string textSoFar_;
     std::uint64_t tokensSoFar_ = 0;
+    /// The end of the right to start, as RequestMachine::mayDispatch() has it.
+    MonotonicTime validUntil_;
 };
 
 /// Close the attempt's connection and tell the upstream to stop; ends with AttemptEnded.
--- a/packages/requests/RequestMachineAttempts.cpp
+++ b/packages/requests/RequestMachineAttempts.cpp
@@ -75,7 +75,10 @@
     const auto until = claimsFirst() ? std::min(validUntil, claimValidUntil_) : validUntil;
     attempt_.emplace(
         Attempt{id, target, until, StreamAssembler(plan_.answer_, plan_.request_, id, progress_)});
-    return {id, target, freshConnection};
+    return {.attempt_ = id,
+            .target_ = target,
+            .freshConnection_ = freshConnection,
+            .validUntil_ = until};
 }
 
 auto RequestMachine::returnPermit(PermitUse use) -> void
--- a/packages/routing/GroupChooser.cpp
+++ b/packages/routing/GroupChooser.cpp
@@ -140,6 +140,29 @@
     return best;
 }
 
+auto GroupChooser::chooseExactly(const GroupId &group, std::uint32_t priority) const
+    -> std::optional<Choice>
+{
+    const auto pool = poolOf_.find(group);
+    if (pool == poolOf_.end())
+        return std::nullopt;
+    const auto &found = targets_.at(pool->second).at(group);
+    if (!hasRoom(found, priority))
+        return std::nullopt;
+    return found.choice_;
+}
+
+auto GroupChooser::targets(const PoolName &pool) const -> std::vector<GroupId>
+{
+    auto groups = std::vector<GroupId>{};
+    const auto found = targets_.find(pool);
+    if (found == targets_.end())
+        return groups;
+    for (const auto &[group, target] : found->second)
+        groups.push_back(group);
+    return groups;
+}
+
 auto GroupChooser::hasTarget(const PoolName &pool) const -> bool
 {
     return targets_.contains(pool);
--- a/packages/routing/GroupChooser.h
+++ b/packages/routing/GroupChooser.h
@@ -35,6 +35,11 @@
     /// The best group; nothing when none may get work or all are full for this request.
     [[nodiscard]] auto choose(const ChoiceRequest &request, const PrefixIndex &index) const
         -> std::optional<Choice>;
+    /// \a group if it may get work and has room.
+    [[nodiscard]] auto chooseExactly(const GroupId &group, std::uint32_t priority) const
+        -> std::optional<Choice>;
+    /// The groups of \a pool that may get work, full or not.
+    [[nodiscard]] auto targets(const PoolName &pool) const -> std::vector<GroupId>;
     /// Whether any group of \a pool may get work, full or not.
     [[nodiscard]] auto hasTarget(const PoolName &pool) const -> bool;
 
--- a/packages/serving/BrokeredPermit.h
+++ b/packages/serving/BrokeredPermit.h
@@ -2,6 +2,7 @@
 /// \brief A permit in the hands of the entry that starts the request.
 #pragma once
 
+#include "base/Ids.h"
 #include "base/Time.h"
 #include "routing/Choice.h"
 #include "routing/Permit.h"
@@ -19,6 +20,7 @@
     MonotonicTime validUntil_;
     /// The fingerprint of a suspect; empty for other requests.
     std::string suspect_;
+    PoolName pool_;
 };
 
 } // namespace lycheereach
--- a/packages/serving/PermitBroker.cpp
+++ b/packages/serving/PermitBroker.cpp
@@ -1,6 +1,7 @@
 #include "serving/PermitBroker.h"
 
 #include "control/ControlService.h"
+#include "requests/SuspicionTable.h"
 #include "serving/LoadReport.h"
 
 #include <algorithm>
@@ -30,6 +31,11 @@
         item();
 }
 
+auto PermitBroker::notWanted() -> Failure
+{
+    return Failure{Error::Cancelled, "the request is no longer wanted"};
+}
+
 auto PermitBroker::stateChanged() -> void
 {
     auto work = Work{};
@@ -82,13 +88,16 @@
     {
         const auto lock = std::scoped_lock(mutex_);
         const auto isTaken = [&](const auto &take) { return take.second.request_ == request; };
-        if (std::any_of(takes_.begin(), takes_.end(), isTaken))
+        if (std::any_of(takes_.begin(), takes_.end(), isTaken)) {
+            if (const auto found = pending_.find(request); found != pending_.end())
+                found->second.abandoned_ = true;
             return;
+        }
         for (auto &[pool, queue] : pools_) {
             queue.queue_.remove(request);
             std::erase(queue.stalled_, request);
         }
-        fail(request, Failure{Error::Cancelled, "the request is no longer wanted"}, work);
+        fail(request, notWanted(), work);
     }
     run(work);
 }
@@ -138,6 +147,8 @@
 
 auto PermitBroker::choose(const PermitRequest &request) const -> std::optional<Choice>
 {
+    if (!request.suspect_.empty())
+        return chooseAlone(request);
     if (auto choice = chooser_.choose(request.choice_, prefixes_))
         return choice;
     auto any = request.choice_;
@@ -145,6 +156,22 @@
     return chooser_.choose(any, prefixes_);
 }
 
+auto PermitBroker::chooseAlone(const PermitRequest &request) const -> std::optional<Choice>
+{
+    const auto &wanted = request.choice_;
+    auto groups = std::vector<std::string>{};
+    for (const auto &group : chooser_.targets(wanted.pool_)) {
+        if (!wanted.avoid_.contains(group))
+            groups.push_back(group.text());
+    }
+    if (groups.empty()) {
+        for (const auto &group : chooser_.targets(wanted.pool_))
+            groups.push_back(group.text());
+    }
+    return chooser_.chooseExactly(GroupId(suspectTarget(request.suspect_, groups)),
+                                  wanted.priority_);
+}
+
 auto PermitBroker::waiting() const -> std::size_t
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/serving/PermitBroker.h
+++ b/packages/serving/PermitBroker.h
@@ -44,8 +44,10 @@
     auto cancel(const RequestId &request) -> void;
     /// The request of a permit was sent.
     auto started(const BrokeredPermit &permit) -> void;
-    /// The request of a permit has ended.
-    auto ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency) -> void;
+    /// The request of a permit has ended; \a latency is the time from its start to the first byte
+    /// of its answer and \a runTime that to the end.
+    auto ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency,
+               Duration runTime) -> void;
     /// Takes a message of a peer; true when it was one for this broker.
     auto receive(const EntryId &from, const std::string &method, const Json &params) -> bool;
     /// Takes the loads of groups.
@@ -57,6 +59,8 @@
     {
         PermitRequest request_;
         PermitCallback done_;
+        /// Whether the request no longer wants its permit.
+        bool abandoned_ = false;
     };
     struct Take
     {
@@ -74,12 +78,15 @@
     using Work = std::vector<std::function<void()>>;
 
     static auto run(const Work &work) -> void;
+    static auto notWanted() -> Failure;
     auto poolQueue(const PoolName &pool) -> PoolQueue &;
     auto pump(Work &work) -> void;
     auto pumpPool(const PoolName &pool, PoolQueue &queue, Work &work) -> void;
     auto nextWaiting(PoolQueue &queue, MonotonicTime now) -> std::optional<RequestId>;
     auto startTake(const RequestId &request, Work &work) -> bool;
     [[nodiscard]] auto choose(const PermitRequest &request) const -> std::optional<Choice>;
+    /// The group where every entry sends this suspect; nothing while it is full.
+    [[nodiscard]] auto chooseAlone(const PermitRequest &request) const -> std::optional<Choice>;
     auto onAnswer(const PermitAnswer &answer) -> void;
     auto grant(const Take &take, const Permit &permit, Work &work) -> void;
     auto putBack(const Take &take, Work &work) -> void;
--- a/packages/serving/PermitBrokerTakes.cpp
+++ b/packages/serving/PermitBrokerTakes.cpp
@@ -97,7 +97,7 @@
 auto PermitBroker::grant(const Take &take, const Permit &permit, Work &work) -> void
 {
     const auto ttl = std::chrono::milliseconds(permit.ttlMs_);
-    auto brokered = BrokeredPermit{permit, take.choice_, take.askedAt_ + ttl, {}};
+    auto brokered = BrokeredPermit{permit, take.choice_, take.askedAt_ + ttl, {}, {}};
     const auto found = pending_.find(take.request_);
     if (found == pending_.end()) {
         auto note = noteFor(brokered);
@@ -107,6 +107,7 @@
     }
     auto &pending = found->second;
     brokered.suspect_ = pending.request_.suspect_;
+    brokered.pool_ = pending.request_.choice_.pool_;
     prefixes_.routed(pending.request_.choice_.prefix_, take.choice_.group_);
     work.emplace_back([done = std::move(pending.done_), brokered] { done(brokered); });
     pending_.erase(found);
@@ -114,10 +115,13 @@
 
 auto PermitBroker::putBack(const Take &take, Work &work) -> void
 {
-    static_cast<void>(work);
     const auto found = pending_.find(take.request_);
     if (found == pending_.end())
         return;
+    if (found->second.abandoned_) {
+        fail(take.request_, notWanted(), work);
+        return;
+    }
     const auto &pool = found->second.request_.choice_.pool_;
     poolQueue(pool).stalled_.push_back(take.request_);
 }
@@ -160,13 +164,15 @@
     run(work);
 }
 
-auto PermitBroker::ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency)
-    -> void
+auto PermitBroker::ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency,
+                         Duration runTime) -> void
 {
     auto work = Work{};
     {
         const auto lock = std::scoped_lock(mutex_);
         chooser_.ended(permit.choice_.group_);
+        if (outcome == PermitOutcome::Completed)
+            poolQueue(permit.pool_).queue_.noteRunTime(runTime);
         auto note = noteFor(permit);
         note.outcome_ = outcome;
         note.latencyMs_ = toMilliseconds(latency);
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -26,6 +26,9 @@
     Duration idleTimeout_ = std::chrono::seconds(10);
     /// A new connection instead of one from the pool, for a request that must not be repeated.
     bool freshConnection_ = false;
+    /// Asked by the client's thread right before the first byte leaves; on false the call ends with
+    /// Error::LeaseExpired and Verdict::NotRun. Without it every call may start.
+    std::function<bool()> mayStart_ = nullptr;
 };
 
 /// How a call ended.
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -147,6 +147,10 @@
         hooks_.ended_(HttpOutcome{{}, Verdict::Ran, {}});
         return;
     }
+    if (forbidden_) {
+        endWith(Error::LeaseExpired, call_.address_ + ": the right to start ran out");
+        return;
+    }
     const auto message = call_.address_ + ": " + curl_easy_strerror(code);
     if (verdict() == Verdict::NotRun)
         endWith(code == CURLE_URL_MALFORMAT ? Error::InvalidArgument : Error::ConnectionFailed,
@@ -208,6 +212,10 @@
 auto HttpTransfer::onConnected(void *self, char *, char *, int, int) -> int
 {
     auto *transfer = static_cast<HttpTransfer *>(self);
+    const auto &mayStart = transfer->call_.mayStart_;
+    transfer->forbidden_ = mayStart && !mayStart();
+    if (transfer->forbidden_)
+        return CURL_PREREQFUNC_ABORT;
     transfer->connected_ = true;
     transfer->lastHeard_ = now();
     return CURL_PREREQFUNC_OK;
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -53,6 +53,8 @@
     MonotonicTime lastHeard_;
     bool connected_ = false;
     bool headTold_ = false;
+    /// Whether HttpCall::mayStart_ said no.
+    bool forbidden_ = false;
 };
 
 } // namespace lycheereach
--- a/tests/routing/GroupChooserTest.cpp
+++ b/tests/routing/GroupChooserTest.cpp
@@ -205,3 +205,13 @@
     CHECK(index_.match({0}).empty());
     CHECK_FALSE(index_.match({100}).empty());
 }
+
+TEST(GroupChooser, groupsOfAPool_chooseExactly_takesTheNamedOneWhileItHasRoom)
+{
+    CHECK_EQUAL(3, chooser_.targets(pool_).size());
+    CHECK(chooser_.targets(PoolName("other")).empty());
+    loads(0, 9, 10);
+    STRCMP_EQUAL("b", chooser_.chooseExactly(GroupId("b"), 5)->group_.text().c_str());
+    CHECK_FALSE(chooser_.chooseExactly(GroupId("c"), 5).has_value());
+    CHECK_FALSE(chooser_.chooseExactly(GroupId("none"), 5).has_value());
+}
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -43,7 +43,10 @@
     {
         acceptor_.accept(socket_);
         auto head = asio::streambuf{};
-        asio::read_until(socket_, head, "\r\n\r\n");
+        auto error = std::error_code{};
+        asio::read_until(socket_, head, "\r\n\r\n", error);
+        if (error)
+            return;
         asio::write(socket_, asio::buffer(answer));
         if (close)
             socket_.close();
@@ -97,6 +100,16 @@
     CHECK(answer.failure().verdict_ == Verdict::NotRun);
 }
 
+TEST(HttpClient, aRightToStartThatRanOut_fetch_hasNotRun)
+{
+    auto server = RawServer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+    auto call = callTo(server.address());
+    call.mayStart_ = [] { return false; };
+    const auto answer = client_.fetch(call);
+    CHECK(answer.failure().code_ == Error::LeaseExpired);
+    CHECK(answer.failure().verdict_ == Verdict::NotRun);
+}
+
 TEST(HttpClient, silenceBeforeTheAnswer_fetch_mayHaveRun)
 {
     const auto failure = failureOf("", false);
