tests: Echo the ids of a request in the stand-in engine's refusals

Cause: docs/API.md has every answer echo the ids; a refusal without them was dropped as the answer of another request, so that 24 neighbours of a crashing prompt got may-have-run. After: refusals are taken as such and the request is tried again.

--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -66,6 +66,17 @@
     return headers;
 }
 
+/// A refusal that names the request that it refuses.
+auto refusedCall(const HttpRequest &request, std::uint16_t status, const std::string &detail)
+    -> HttpResponse
+{
+    auto answer = refusal(status, detail);
+    const auto echo = echoed(request);
+    for (const auto &header : echo.all())
+        answer.headers_.add(header.name_, header.value_);
+    return answer;
+}
+
 auto numberOf(const HttpRequest &request, const char *name) -> std::uint64_t
 {
     const auto text = request.headers_.value(name, "0");
@@ -200,13 +211,13 @@
         return;
     const auto body = Json::parse(request.body_, nullptr, false);
     if (!body.is_object()) {
-        reply->send(refusal(400, "the body is not a JSON object"));
+        reply->send(refusedCall(request, 400, "the body is not a JSON object"));
         return;
     }
     const auto agreed
         = agrees(request.headers_.value("X-Group"), numberOf(request, "X-Group-Epoch"));
     if (!agreed || joined_.rank_ != 0 || !groupIsWhole()) {
-        reply->send(refusal(409, "not ready in this group and epoch"));
+        reply->send(refusedCall(request, 409, "not ready in this group and epoch"));
         return;
     }
     const auto over = runs_.size() >= carries();
@@ -222,7 +233,7 @@
                          {"request", request.headers_.value("X-Request-Id")},
                          {"attempt", request.headers_.value("X-Attempt-Id")}});
     if (over)
-        reply->send(refusal(503, "carries no more"));
+        reply->send(refusedCall(request, 503, "carries no more"));
     else
         startRun(request, body, reply);
 }
