--- a/packages/serving/PermitBrokerTakes.cpp
+++ b/packages/serving/PermitBrokerTakes.cpp
@@ -123,7 +123,7 @@
 auto PermitBroker::grant(const Take &take, const Permit &permit, Work &work) -> void
 {
     const auto ttl = std::chrono::milliseconds(permit.ttlMs_);
-    auto brokered = BrokeredPermit{permit, take.choice_, take.askedAt_ + ttl, {}};
+    auto brokered = BrokeredPermit{permit, take.choice_, take.askedAt_ + ttl, {}, {}};
     const auto found = pending_.find(take.request_);
     if (found == pending_.end()) {
         auto note = noteFor(brokered);
@@ -134,6 +134,7 @@
     auto &pending = found->second;
     brokered.suspect_ = pending.request_.suspect_;
     granted_[keyOf(permit)] = Granted{take.choice_, brokered.suspect_};
+    brokered.pool_ = pending.request_.choice_.pool_;
     prefixes_.routed(pending.request_.choice_.prefix_, take.choice_.group_);
     work.emplace_back([done = std::move(pending.done_), brokered] { done(brokered); });
     pending_.erase(found);
@@ -141,10 +142,13 @@
 
 auto PermitBroker::putBack(const Take &take, Work &work) -> void
 {
-    static_cast<void>(work);
     const auto found = pending_.find(take.request_);
     if (found == pending_.end())
         return;
+    if (found->second.abandoned_) {
+        fail(take.request_, notWanted(), work);
+        return;
+    }
     const auto &pool = found->second.request_.choice_.pool_;
     poolQueue(pool).stalled_.push_back(take.request_);
 }
@@ -195,8 +199,8 @@
     return !isVoid;
 }
 
-auto PermitBroker::ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency)
-    -> void
+auto PermitBroker::ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency,
+                         Duration runTime) -> void
 {
     auto work = Work{};
     {
@@ -205,6 +209,8 @@
         const auto granted = granted_.extract(keyOf(permit.permit_));
         if (granted && granted.mapped().isRecalled_)
             outcome = PermitOutcome::NotStarted;
+        if (outcome == PermitOutcome::Completed)
+            poolQueue(permit.pool_).queue_.noteRunTime(runTime);
         auto note = noteFor(permit);
         note.outcome_ = outcome;
         note.latencyMs_ = toMilliseconds(latency);
