--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -179,7 +179,7 @@
     , planner_(std::make_shared<PlannerService>(control_, plannerHooks()))
     , requests_(requestContext(), settings_.zone_,
                 std::chrono::milliseconds(settings_.addressKeepMs_), budgets_)
-    , callers_(control_, requests_, broker_, metrics_,
+    , callers_(control_, requests_, broker_, metrics_, network_,
                std::chrono::milliseconds(settings_.addressKeepMs_))
     , upstreams_(control_, *leaseholder_, keyIn(settings_.upstreamKeyFile_), event_)
     , admin_(
--- a/packages/gateway/CallerApi.cpp
+++ b/packages/gateway/CallerApi.cpp
@@ -5,6 +5,7 @@
 #include "gateway/Metrics.h"
 #include "gateway/RequestService.h"
 #include "serving/PermitBroker.h"
+#include "transport/PeerNetwork.h"
 
 namespace lycheereach {
 
@@ -16,11 +17,12 @@
 } // namespace
 
 CallerApi::CallerApi(ControlService &control, RequestService &requests, PermitBroker &broker,
-                     Metrics &metrics, Duration addressKeep)
+                     Metrics &metrics, const PeerNetwork &network, Duration addressKeep)
     : control_(control)
     , requests_(requests)
     , broker_(broker)
     , metrics_(metrics)
+    , network_(network)
     , addressKeep_(addressKeep)
 { }
 
@@ -76,7 +78,26 @@
                  static_cast<double>(status.inForceIndex_));
     metrics_.set("lycheereach_may_take_work", "Whether the state lease is live",
                  status.mayTakeWork_ ? 1 : 0);
+    setPeerGauges();
     return HttpResponse{ok, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text()};
 }
 
+auto CallerApi::setPeerGauges() const -> void
+{
+    const auto counters = network_.counters();
+    const auto set = [this](const char *name, const char *help, std::uint64_t value) {
+        metrics_.set(name, help, static_cast<double>(value));
+    };
+    set("lycheereach_peer_bytes_sent", "Bytes sent to other entries since the start",
+        counters.bytesSent_);
+    set("lycheereach_peer_bytes_received", "Bytes received from other entries since the start",
+        counters.bytesReceived_);
+    set("lycheereach_peer_messages_sent", "Messages sent to other entries since the start",
+        counters.messagesSent_);
+    set("lycheereach_peer_messages_received",
+        "Messages received from other entries since the start", counters.messagesReceived_);
+    set("lycheereach_peer_messages_dropped", "Messages dropped before a peer since the start",
+        counters.messagesDropped_);
+}
+
 } // namespace lycheereach
--- a/packages/gateway/CallerApi.h
+++ b/packages/gateway/CallerApi.h
@@ -12,6 +12,7 @@
 
 class ControlService;
 class Metrics;
+class PeerNetwork;
 class PermitBroker;
 class RequestService;
 
@@ -20,7 +21,7 @@
 {
 public:
     CallerApi(ControlService &control, RequestService &requests, PermitBroker &broker,
-              Metrics &metrics, Duration addressKeep);
+              Metrics &metrics, const PeerNetwork &network, Duration addressKeep);
 
     /// The answer; nothing when the call is not one of these.
     auto handle(const HttpRequest &request) -> std::optional<HttpResponse>;
@@ -29,11 +30,13 @@
     auto entries() const -> HttpResponse;
     auto readiness() const -> HttpResponse;
     auto metrics() const -> HttpResponse;
+    auto setPeerGauges() const -> void;
 
     ControlService &control_;
     RequestService &requests_;
     PermitBroker &broker_;
     Metrics &metrics_;
+    const PeerNetwork &network_;
     Duration addressKeep_;
 };
 
