--- a/tests/control/ControlFleet.cpp
+++ b/tests/control/ControlFleet.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr auto stepLength = Duration(20ms);
+constexpr auto firstPort = std::size_t{8000};
 constexpr auto percent = 100U;
 constexpr auto bootIncarnation = 1000U;
 
@@ -24,6 +25,7 @@
         node.self_.id_ = EntryId("e" + std::to_string(index));
         node.self_.incarnation_ = bootIncarnation;
         node.self_.zone_ = ZoneName("z" + std::to_string(index % 3));
+        node.self_.address_ = "127.0.0.1:" + std::to_string(firstPort + index);
         node.self_.control_ = index < voters;
         if (!node.self_.control_)
             continue;
@@ -205,20 +207,22 @@
     }
 }
 
-auto ControlFleet::propose(std::size_t node, const Command &command) -> void
+auto ControlFleet::propose(std::size_t node, const OperationId &operation, const Command &command)
+    -> void
 {
     auto &target = nodes_[node];
     if (target.service_ == nullptr || target.frozen_)
         return;
     ++asked_;
-    target.service_->propose(command,
-                             [this](const Result<CommandOutcome> &result) { noteOutcome(result); });
+    target.service_->propose(command, [this, operation](const Result<CommandOutcome> &result) {
+        noteOutcome(operation, result);
+    });
 }
 
 auto ControlFleet::proposeFresh(std::size_t node) -> OperationId
 {
     const auto operation = OperationId("op-" + std::to_string(nextOperation_++));
-    propose(node,
+    propose(node, operation,
             ApplyDeclaration{.operation_ = operation,
                              .fromVersion_
                              = service(node).read([](const auto &state) { return state.version_; }),
@@ -226,15 +230,18 @@
     return operation;
 }
 
-auto ControlFleet::noteOutcome(const Result<CommandOutcome> &result) -> void
+auto ControlFleet::noteOutcome(const OperationId &asked, const Result<CommandOutcome> &result)
+    -> void
 {
     ++answered_;
     if (!result) {
         ++unknown_;
         return;
     }
-    if (!result->operation_)
+    if (!result->operation_ || result->operation_->operation_ != asked) {
+        violate(asked.text() + " got the outcome of another command");
         return;
+    }
     const auto &outcome = *result->operation_;
     const auto [found, isNew] = outcomes_.try_emplace(outcome.operation_, outcome);
     if (!isNew && found->second != outcome)
--- a/tests/control/ControlFleet.h
+++ b/tests/control/ControlFleet.h
@@ -59,7 +59,7 @@
     auto heal() -> void;
 
     /// Proposes at \a node; the outcome is checked against earlier ones of that operation.
-    auto propose(std::size_t node, const Command &command) -> void;
+    auto propose(std::size_t node, const OperationId &operation, const Command &command) -> void;
     /// Proposes a change of a zone under a fresh operation id.
     auto proposeFresh(std::size_t node) -> OperationId;
 
@@ -105,7 +105,7 @@
     auto take(std::size_t from, const EntryId &to, const std::string &method, const Json &params)
         -> void;
     auto deliver() -> void;
-    auto noteOutcome(const Result<CommandOutcome> &result) -> void;
+    auto noteOutcome(const OperationId &asked, const Result<CommandOutcome> &result) -> void;
     auto noteOperations(const FleetState &state) -> void;
     auto check() -> void;
     auto checkNode(ControlNode &node, LogIndex required) -> void;
--- a/tests/control/InForceTest.cpp
+++ b/tests/control/InForceTest.cpp
@@ -90,6 +90,25 @@
     checkHealed(fleet);
 }
 
+TEST(InForce, aRelayCutOffFromTheLeader_grantsNoLongerThanItsOwnLease)
+{
+    constexpr auto schedules = std::uint64_t{10};
+    for (auto seed = std::uint64_t{1}; seed <= schedules; ++seed) {
+        auto fleet = ControlFleet(seed, 3, 2);
+        startAll(fleet);
+        fleet.run(10s);
+        // The plain entries renew with the first two, which are in their zones.
+        const auto relay = std::size_t{fleet.leader() == 0U ? 1U : 0U};
+        fleet.filter_ = [relay](std::size_t from, std::size_t to, const std::string &) {
+            return (from == relay && to < 3) || (to == relay && from < 3);
+        };
+        fleet.proposeFresh(*fleet.leader());
+        CHECK(fleet.runUntil([&] { return fleet.allInForce(); }, 5s));
+        fleet.run(3s);
+        checkHealed(fleet);
+    }
+}
+
 TEST(InForce, aRelayThatLostItsLog_countsTheLeasesThatItGrantedBefore)
 {
     for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
--- a/tests/control/ProposalTest.cpp
+++ b/tests/control/ProposalTest.cpp
@@ -152,7 +152,7 @@
 
 TEST(Proposal, anAnswerToAnEarlierRun_isNotTaken)
 {
-    constexpr auto rounds = 100;
+    constexpr auto rounds = 200;
     auto fleet = ControlFleet(6, 3, 2);
     startAll(fleet);
     fleet.maximumDelay_ = 700ms;
@@ -160,7 +160,7 @@
         fleet.stop(4);
         fleet.start(4);
         const auto operation = OperationId("zone-" + std::to_string(round));
-        fleet.run(2s);
+        fleet.run(100ms);
         fleet.service(4).propose(SetZone{.operation_ = operation},
                                  [operation](const Result<CommandOutcome> &result) {
                                      CHECK(!result || result->operation_);
