--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -177,9 +177,9 @@
                                   const std::optional<EntryId> &remove) -> Result<Nothing>
 {
     const auto lock = std::scoped_lock(mutex_);
-    if (replica_ == nullptr)
-        return Failure{Error::NotLeader, "this entry keeps no control log"};
     const auto now = hooks_.now_();
+    if (!isLeaderNow(now))
+        return notLeader();
     const auto position = replica_->changeVoters(add, remove, now);
     replica_->flush(now);
     if (!position)
@@ -187,6 +187,17 @@
     return Nothing{};
 }
 
+auto ControlService::notLeader() const -> Failure
+{
+    const auto &entries = machine_.state().entries_;
+    const auto found = entries.find(leader_);
+    const auto isKnown = found != entries.end() && leader_ != settings_.self_.id_;
+    const auto where = isKnown ? "ask " + leader_.text() + " at " + found->second.address_
+                               : std::string("no leader is known, try again");
+    return Failure{Error::NotLeader,
+                   settings_.self_.id_.text() + " does not lead the control log; " + where};
+}
+
 auto ControlService::leads() const -> bool
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -59,7 +59,7 @@
 
     /// Has a command committed and applied.
     auto propose(const Command &command, ProposalCallback done) -> void;
-    /// Adds or removes one voter; only on the leader.
+    /// Adds or removes one voter; elsewhere than on the leader the failure names its address.
     auto changeVoters(const std::optional<EntryId> &add, const std::optional<EntryId> &remove)
         -> Result<Nothing>;
     /// Begins a planned stop: the entry registers as leaving.
@@ -115,6 +115,8 @@
     auto emitWhenLeader(const Event &event) -> void;
     [[nodiscard]] auto isLeaderNow(MonotonicTime now) const -> bool;
 
+    [[nodiscard]] auto notLeader() const -> Failure;
+
     // Proposals.
     auto appendHere(const Command &command, ProposalCallback done, MonotonicTime giveUpAt) -> bool;
     auto proposeLater(Waiting waiting) -> void;
--- a/tests/control/MembershipTest.cpp
+++ b/tests/control/MembershipTest.cpp
@@ -72,6 +72,20 @@
     CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(relay) == EntryPhase::Live; }, 5s));
 }
 
+TEST(Membership, aChangeOfVotersElsewhere_isNotRun_andNamesTheLeadersAddress)
+{
+    startAll();
+    const auto leader = *fleet_.leader();
+    const auto address = fleet_.node(leader).self_.address_;
+    for (const auto other : {(leader + 1) % 3, std::size_t{4}}) {
+        const auto result = fleet_.service(other).changeVoters(std::nullopt, EntryId("e0"));
+        CHECK(!result);
+        CHECK(result.failure().code_ == Error::NotLeader);
+        CHECK(result.failure().verdict_ == Verdict::NotRun);
+        CHECK(result.failure().message_.find(address) != std::string::npos);
+    }
+}
+
 TEST(Membership, aLeavingEntry_leaves)
 {
     startAll();
