--- a/tests/control/ControlFleet.cpp
+++ b/tests/control/ControlFleet.cpp
@@ -100,7 +100,9 @@
         return;
     const auto copies = random_() % percent < duplicated_ ? 2 : 1;
     for (auto copy = 0; copy < copies; ++copy) {
-        const auto range = static_cast<std::uint64_t>(maximumDelay_.count()) + 1;
+        const auto isPlain = !nodes_[from].disk_ || !nodes_[target].disk_;
+        const auto longest = isPlain ? std::max(maximumDelay_, maximumPlainDelay_) : maximumDelay_;
+        const auto range = static_cast<std::uint64_t>(longest.count()) + 1;
         const auto delay = Duration(static_cast<std::int64_t>(random_() % range));
         packets_.push_back({from, target, method, params, elapsed_ + delay});
     }
--- a/tests/control/ControlFleet.h
+++ b/tests/control/ControlFleet.h
@@ -80,6 +80,8 @@
     unsigned dropped_ = 0;
     unsigned duplicated_ = 0;
     Duration maximumDelay_ = std::chrono::milliseconds(5);
+    /// Of messages from and to plain entries.
+    Duration maximumPlainDelay_ = std::chrono::milliseconds(5);
     /// Whether a message is dropped, by its sender, receiver and method.
     std::function<bool(std::size_t, std::size_t, const std::string &)> filter_;
     std::size_t snapshotAfterRecords_ = 2000;
--- a/tests/control/InForceTest.cpp
+++ b/tests/control/InForceTest.cpp
@@ -152,6 +152,24 @@
     }
 }
 
+TEST(InForce, snapshotsThatOvertakeEachOther_revertNoVersion)
+{
+    constexpr auto rounds = 12;
+    auto fleet = ControlFleet(7, 3, 2);
+    fleet.snapshotAfterRecords_ = 5;
+    startAll(fleet);
+    fleet.maximumPlainDelay_ = 2s;
+    for (auto round = 0; round < rounds; ++round) {
+        fleet.stop(4);
+        fleet.start(4);
+        for (auto change = 0; change < 30; ++change) {
+            fleet.proposeFresh(*fleet.leader());
+            fleet.run(100ms);
+        }
+    }
+    STRCMP_EQUAL("", fleet.violations().c_str());
+}
+
 TEST(InForce, versions_neverRevert_over500ChangesWithRestartsAndSnapshots)
 {
     constexpr auto changes = 500;
