--- a/tests/control/InForceTest.cpp
+++ b/tests/control/InForceTest.cpp
@@ -90,6 +90,25 @@
     checkHealed(fleet);
 }
 
+TEST(InForce, aRelayCutOffFromTheLeader_grantsNoLongerThanItsOwnLease)
+{
+    constexpr auto schedules = std::uint64_t{10};
+    for (auto seed = std::uint64_t{1}; seed <= schedules; ++seed) {
+        auto fleet = ControlFleet(seed, 3, 2);
+        startAll(fleet);
+        fleet.run(10s);
+        // The plain entries renew with the first two, which are in their zones.
+        const auto relay = std::size_t{fleet.leader() == 0U ? 1U : 0U};
+        fleet.filter_ = [relay](std::size_t from, std::size_t to, const std::string &) {
+            return (from == relay && to < 3) || (to == relay && from < 3);
+        };
+        fleet.proposeFresh(*fleet.leader());
+        CHECK(fleet.runUntil([&] { return fleet.allInForce(); }, 5s));
+        fleet.run(3s);
+        checkHealed(fleet);
+    }
+}
+
 TEST(InForce, aRelayThatLostItsLog_countsTheLeasesThatItGrantedBefore)
 {
     for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
@@ -133,6 +152,24 @@
     }
 }
 
+TEST(InForce, snapshotsThatOvertakeEachOther_revertNoVersion)
+{
+    constexpr auto rounds = 12;
+    auto fleet = ControlFleet(7, 3, 2);
+    fleet.snapshotAfterRecords_ = 5;
+    startAll(fleet);
+    fleet.maximumPlainDelay_ = 2s;
+    for (auto round = 0; round < rounds; ++round) {
+        fleet.stop(4);
+        fleet.start(4);
+        for (auto change = 0; change < 30; ++change) {
+            fleet.proposeFresh(*fleet.leader());
+            fleet.run(100ms);
+        }
+    }
+    STRCMP_EQUAL("", fleet.violations().c_str());
+}
+
 TEST(InForce, versions_neverRevert_over500ChangesWithRestartsAndSnapshots)
 {
     constexpr auto changes = 500;
