--- /dev/null
+++ b/tests/groups/FakeFleetRequests.cpp
@@ -0,0 +1,152 @@
+// The requests of FakeFleet.
+#include "groups/FakeFleet.h"
+
+#include <algorithm>
+
+namespace lycheereach {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto workEndsWithin = seconds(5);
+
+} // namespace
+
+auto FakeFleet::arrivalTick() -> void
+{
+    const auto number = random(entries_.size());
+    const auto gap = static_cast<double>(random(2000)) / 1000.0 / plan_.requestRate_;
+    queue_.after(std::chrono::microseconds(static_cast<std::int64_t>(gap * 1e6)),
+                 [this] { arrivalTick(); });
+    if (!isUp(entries_[number]))
+        return;
+    entries_[number].waiting_.push_back({RequestId("q" + std::to_string(++requests_)), now()});
+    pump(number);
+}
+
+auto FakeFleet::pump(std::size_t number) -> void
+{
+    auto &entry = entries_[number];
+    while (!entry.waiting_.empty()
+           && now() - entry.waiting_.front().arrivedAt_ > plan_.requestTimeout_) {
+        finished_.push_back({entry.waiting_.front().arrivedAt_, std::nullopt});
+        entry.waiting_.pop_front();
+    }
+    static const auto noPrefixes = PrefixIndex(1);
+    while (!entry.waiting_.empty() && holdsLease(entry)) {
+        const auto choice = entry.chooser_.choose({PoolName("llm"), {}, 5, {}}, noPrefixes);
+        if (!choice)
+            return;
+        entry.chooser_.taken(choice->group_);
+        const auto id = AttemptId("a" + std::to_string(++attempts_));
+        const auto attempt = Attempt{id, number, entry.waiting_.front(), *choice, now()};
+        entry.waiting_.pop_front();
+        queue_.after(delay(), [this, attempt] { ask(attempt); });
+    }
+}
+
+auto FakeFleet::ask(const Attempt &attempt) -> void
+{
+    auto &holder = entryOf(attempt.choice_.leaseholder_);
+    const auto &taker = entries_[attempt.entry_];
+    if (!holdsLease(holder)) {
+        queue_.after(seconds(1), [this, attempt] { refused(attempt); });
+        return;
+    }
+    const auto answer = holder.permits_.take(attempt.choice_.group_, taker.id_, attempt.id_, now());
+    queue_.after(delay(), [this, attempt, answer] {
+        if (const auto *permit = std::get_if<Permit>(&answer))
+            granted(attempt, *permit);
+        else
+            refused(attempt);
+    });
+}
+
+auto FakeFleet::refused(const Attempt &attempt) -> void
+{
+    auto &entry = entries_[attempt.entry_];
+    entry.waiting_.push_front(attempt.request_);
+    queue_.after(milliseconds(50), [this, attempt] {
+        entries_[attempt.entry_].chooser_.ended(attempt.choice_.group_);
+        pump(attempt.entry_);
+    });
+}
+
+auto FakeFleet::granted(const Attempt &attempt, const Permit &permit) -> void
+{
+    auto &entry = entries_[attempt.entry_];
+    const auto *seen = holdsLease(entry) ? entry.state_.get() : nullptr;
+    const auto group = seen == nullptr ? std::map<GroupId, Group>::const_iterator{}
+                                       : seen->groups_.find(permit.group_);
+    const auto isValid = seen != nullptr && group != seen->groups_.end()
+        && group->second.leaseNumber_ == permit.leaseNumber_ && !group->second.leaseholder_.empty()
+        && group->second.epoch_ == permit.epoch_
+        && now() - attempt.askedAt_ < milliseconds(permit.ttlMs_);
+    if (!isValid) {
+        refused(attempt);
+        return;
+    }
+    const auto engine = engineOf(attempt.choice_.upstream_);
+    const auto isPaused = now() < pausedUntil_[engine];
+    if (isPaused || !engines_[engine].start(permit.group_, permit.epoch_, now())) {
+        ended(attempt, permit, PermitOutcome::NotStarted);
+        refused(attempt);
+        return;
+    }
+    checkStart(attempt, permit, engine);
+    const auto incarnation = engines_[engine].announced().incarnation_;
+    auto &holder = entryOf(attempt.choice_.leaseholder_);
+    queue_.after(delay(), [this, &holder, permit] {
+        if (isUp(holder))
+            holder.permits_.started(permit.group_, permit.leaseNumber_, permit.number_, now());
+    });
+    finished_.push_back({attempt.request_.arrivedAt_, now() - attempt.request_.arrivedAt_});
+    const auto service = plan_.serviceTime_ / 2
+        + milliseconds(random(static_cast<std::uint64_t>(
+            std::max<std::int64_t>(1, toMilliseconds(plan_.serviceTime_)))));
+    queue_.after(service, [this, attempt, permit, engine, incarnation] {
+        engines_[engine].finish(incarnation, true);
+        ended(attempt, permit, PermitOutcome::Completed);
+    });
+}
+
+auto FakeFleet::ended(const Attempt &attempt, const Permit &permit, PermitOutcome outcome) -> void
+{
+    auto &entry = entries_[attempt.entry_];
+    entry.chooser_.ended(permit.group_);
+    auto &holder = entryOf(attempt.choice_.leaseholder_);
+    queue_.after(delay() + milliseconds(3), [this, &holder, &entry, permit, outcome] {
+        if (isUp(holder) && isUp(entry))
+            holder.permits_.finished(permit.group_, permit.leaseNumber_, permit.number_, outcome,
+                                     plan_.serviceTime_, now());
+    });
+}
+
+auto FakeFleet::checkStart(const Attempt &attempt, const Permit &permit, std::size_t engine) -> void
+{
+    const auto &announced = engines_[engine].announced();
+    ++startedIn_[announced.zone_.text()];
+    if (announced.running_ > engines_[engine].capacity())
+        fail(announced.upstream_.text() + " runs " + std::to_string(announced.running_));
+    const auto out = zoneOutAt_.find(announced.zone_.text());
+    if (out != zoneOutAt_.end() && now() - out->second > workEndsWithin)
+        fail("work in zone " + announced.zone_.text());
+    const auto group = state().groups_.find(attempt.choice_.group_);
+    if (group == state().groups_.end() || group->second.epoch_ != permit.epoch_)
+        return;
+    // A member may have gone unnoticed for the silence timeout, and the permit lives on.
+    const auto unnoticed
+        = milliseconds(plan_.policy_.silenceTimeoutMs_ + plan_.policy_.permitTtlMs_ + 1000);
+    for (const auto &member : group->second.members_) {
+        const auto away = engines_[engineOf(member)].awaySince(permit.group_, permit.epoch_);
+        if (away && now() - *away > unnoticed)
+            fail(permit.group_.text() + " serves without " + member.text());
+        const auto drained = drainingSince_.find(member);
+        if (drained != drainingSince_.end() && now() - drained->second > workEndsWithin)
+            fail("work at the draining " + member.text());
+    }
+}
+
+} // namespace lycheereach
