tests: Measure permits by the real table and a load above two zones

The permits of the cold comparison are granted by PermitTable over messages of up to 3 ms, in place of a count without delay; the zone comparison also runs at 420 requests in a second, above the 320 that two zones carry, so that shedding shows.

--- a/tests/measure/PolicyBench.cpp
+++ b/tests/measure/PolicyBench.cpp
@@ -5,6 +5,7 @@
 
 #include "groups/FakeFleet.h"
 #include "groups/Placement.h"
+#include "measure/PermitLoad.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -230,13 +231,14 @@
          {"p95Ms", waits.empty() ? 0 : waits[std::min(rank, waits.size() - 1)]}});
 }
 
-/// A zone leaves under load for two minutes and returns, with its engines running or restarted.
-auto measureZone(Report &report) -> void
+/// A zone leaves under load for two minutes and returns, with its engines running or restarted. The
+/// groups of the other zones carry 320 requests in a second, those of all zones 600.
+auto measureZone(Report &report, double rate) -> void
 {
     for (const auto &[name, zones] : deployments) {
         for (const auto restarts : {false, true}) {
             auto plan = deployment(zones, 1);
-            plan.requestRate_ = 300;
+            plan.requestRate_ = rate;
             auto fleet = FakeFleet(plan);
             fleet.run(seconds(300));
             const auto out = fleet.now();
@@ -252,7 +254,8 @@
             const auto startedBefore = fleet.startedIn(zones[0]);
             fleet.setZone(zones[0], false);
             fleet.run(seconds(120));
-            const auto way = name + (restarts ? ", restarted" : ", kept");
+            const auto load = " at " + std::to_string(static_cast<int>(rate)) + "/s";
+            const auto way = name + load + (restarts ? ", restarted" : ", kept");
             addService(report, way + ", before", fleet, out - seconds(60), out);
             addService(report, way + ", out", fleet, out, in);
             addService(report, way + ", return", fleet, in, in + seconds(110));
@@ -264,14 +267,14 @@
     }
 }
 
-enum class Gate { Permits, Shares, TwoChoices };
+enum class Gate { Shares, TwoChoices };
 
 /// What cold targets carry when every entry has more work than they can take.
 auto coldLoad(Gate gate, std::uint64_t seed) -> std::pair<double, double>
 {
-    constexpr auto targets = std::size_t{16};
-    constexpr auto entries = std::size_t{9};
-    constexpr auto capacity = 4U;
+    constexpr auto targets = coldTargets;
+    constexpr auto entries = coldEntries;
+    constexpr auto capacity = coldCapacity;
     constexpr auto share = std::max<std::uint32_t>(1, capacity / entries);
     constexpr auto reportEvery = 500;
     constexpr auto steps = 60000;
@@ -295,10 +298,6 @@
         const auto other = random() % targets;
         auto allowed = false;
         switch (gate) {
-        case Gate::Permits:
-            target = running[target] <= running[other] ? target : other;
-            allowed = running[target] < capacity;
-            break;
         case Gate::Shares:
             allowed = own[entry][target] < share;
             break;
@@ -319,23 +318,27 @@
     return {carried / 60, excess / 60};
 }
 
-auto measureCold(Report &report) -> void
+auto addCold(Report &report, const char *name,
+             const std::function<std::pair<double, double>(std::uint64_t)> &load) -> void
 {
-    const auto ways = std::vector<std::pair<Gate, const char *>>{
-        {Gate::Permits, "permits of a leaseholder"},
-        {Gate::Shares, "equal static shares"},
-        {Gate::TwoChoices, "two choices on lagging reports"}};
-    for (const auto &[gate, name] : ways) {
-        auto carried = 0.0;
-        auto excess = 0.0;
-        for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed) {
-            const auto [within, over] = coldLoad(gate, seed);
-            carried += within / seeds;
-            excess += over / seeds;
-        }
-        report.add("cold", name,
-                   {{"withinLimitPerSecond", carried}, {"aboveLimitPerSecond", excess}});
+    auto carried = 0.0;
+    auto excess = 0.0;
+    for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed) {
+        const auto [within, over] = load(seed);
+        carried += within / seeds;
+        excess += over / seeds;
     }
+    report.add("cold", name, {{"withinLimitPerSecond", carried}, {"aboveLimitPerSecond", excess}});
+}
+
+auto measureCold(Report &report) -> void
+{
+    addCold(report, "permits of a leaseholder",
+            [](std::uint64_t seed) { return PermitLoad(seed).run(); });
+    addCold(report, "equal static shares",
+            [](std::uint64_t seed) { return coldLoad(Gate::Shares, seed); });
+    addCold(report, "two choices on lagging reports",
+            [](std::uint64_t seed) { return coldLoad(Gate::TwoChoices, seed); });
 }
 
 auto microseconds(int repeats, const std::function<void(int)> &action) -> double
@@ -416,7 +419,8 @@
     measureCold(report);
     for (const auto runners : {std::size_t{65}, std::size_t{325}, std::size_t{1300}})
         measureCost(report, runners);
-    measureZone(report);
+    for (const auto rate : {300.0, 420.0})
+        measureZone(report, rate);
     measureDowntime(report);
     if (arguments.size() == 2 && arguments[0] == "--json")
         report.write(arguments[1]);
