groups: Look up members once in a planning pass

Cause: every pass gathered the addresses of all members and looked each of them up several times in maps with string keys, also for groups that need no order. Change: groups whose members all agree are left out before orders are planned.

--- a/packages/groups/GroupPlanner.cpp
+++ b/packages/groups/GroupPlanner.cpp
@@ -52,7 +52,9 @@
 auto hasLeavingMember(const FleetState &state, const Group &group) -> bool
 {
     const auto leaves = [&](const UpstreamId &member) {
-        return !isLost(state, member) && !mayTakeWork(state.upstreams_.at(member));
+        const auto found = state.upstreams_.find(member);
+        return found != state.upstreams_.end() && !found->second.lost_
+            && !mayTakeWork(found->second);
     };
     return std::any_of(group.members_.begin(), group.members_.end(), leaves);
 }
--- a/packages/groups/OrderPlanner.cpp
+++ b/packages/groups/OrderPlanner.cpp
@@ -55,7 +55,7 @@
     return order;
 }
 
-/// A group whose members should get orders to join.
+/// A group with members that should get orders.
 struct Joining
 {
     std::size_t withoutWeights_ = 0;
@@ -73,13 +73,17 @@
             continue;
         auto item = Joining{0, &group, pool};
         auto isComplete = true;
-        for (const auto &member : group.members_) {
-            isComplete = isComplete && !isLost(state, member);
-            const auto found = state.upstreams_.find(member);
-            if (isComplete && !hasWeights(found->second.announced_, pool->model_))
-                ++item.withoutWeights_;
+        auto haveJoined = true;
+        for (auto rank = std::uint32_t{0}; isComplete && rank < group.members_.size(); ++rank) {
+            const auto found = state.upstreams_.find(group.members_[rank]);
+            isComplete = found != state.upstreams_.end() && !found->second.lost_;
+            if (!isComplete)
+                continue;
+            const auto &announced = found->second.announced_;
+            haveJoined = haveJoined && agrees(announced, group, rank);
+            item.withoutWeights_ += hasWeights(announced, pool->model_) ? 0 : 1;
         }
-        if (isComplete)
+        if (isComplete && !haveJoined)
             joining.push_back(item);
     }
     std::stable_sort(joining.begin(), joining.end(), [](const Joining &left, const Joining &right) {
