base: Refuse JSON with a number that is out of range

Cause: the reader caught errors of the grammar only, so that a number like 1e999 in an announcement or a declaration ended the whole process. Found by the new corpus of damaged inputs (seen: terminate with out_of_range 406 in announcements_decoded_areReadOrRefused).

--- a/packages/base/JsonCodec.cpp
+++ b/packages/base/JsonCodec.cpp
@@ -46,6 +46,9 @@
         if (const auto colon = detail.find(": "); colon != std::string::npos)
             detail = detail.substr(colon + 2);
         return Failure{Error::InvalidJson, where + ": not valid JSON: " + detail};
+    } catch (const Json::out_of_range &error) {
+        return Failure{Error::InvalidJson,
+                       source + ": not valid JSON: a number is out of range: " + error.what()};
     }
 }
 
