--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -249,8 +249,9 @@
     run.echo_ = echoed(request);
     run.hash_ = promptHash(promptOf(body));
     run.stream_ = body.value("stream", false);
-    run.token_ = std::max(tokensSaid(body), numberOf(request, "X-Resume-Offset"));
-    run.last_ = tokensSaid(body) + body.value("max_tokens", defaultTokens);
+    run.said_ = tokensSaid(body);
+    run.token_ = run.said_ + numberOf(request, "X-Resume-Offset");
+    run.last_ = run.said_ + body.value("max_tokens", defaultTokens);
     if (run.stream_) {
         auto head = HttpResponse{200, run.echo_, ""};
         head.headers_.add("Content-Type", "text/event-stream");
@@ -301,7 +302,7 @@
                             {"object", "chat.completion.chunk"},
                             {"model", joined_.model_},
                             {"choices", {{{"index", 0}, {"delta", {{"content", text}}}}}}};
-    run.reply_->write("id: " + std::to_string(run.token_) + "\ndata: " + event.dump() + "\n\n",
+    run.reply_->write("id: " + std::to_string(run.token_ - run.said_) + "\ndata: " + event.dump() + "\n\n",
                       [this, attempt](const std::error_code &error) {
                           if (!error)
                               return;
--- a/tests/standins/StandinEngine.h
+++ b/tests/standins/StandinEngine.h
@@ -144,6 +144,8 @@
         std::shared_ptr<HttpReply> reply_;
         HttpHeaders echo_;
         std::string hash_;
+        /// Tokens of the answer that the request brought along; events count from there.
+        std::uint64_t said_ = 0;
         std::uint64_t token_ = 0;
         std::uint64_t last_ = 0;
         bool stream_ = false;
