serving: Leave out a group that does not answer until it counts as silent

Cause: an entry sent to a dead group until control took it off, up to a hundred refused connections a second, which spent the retry budget and the attempts of innocent requests. Ruled out: the budget itself, its few retries a second are enough. Change: a refused connection or a crash holds the group off for silenceTimeoutMs, or until its next epoch or lease.

--- a/packages/gateway/ActiveRequestActions.cpp
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -188,6 +188,8 @@
          {{"attempt", attempt.text()},
           {"verdict", std::string(toString(outcome.verdict_))},
           {"reason", outcome.error_ ? outcome.error_.message() : std::string("whole answer")}});
+    if (outcome.error_ == Error::ConnectionFailed)
+        context_.broker_.unreachable(GroupId(target_));
     post(request_event::AttemptEnded{.attempt_ = attempt,
                                      .error_ = outcome.error_,
                                      .verdict_ = outcome.verdict_,
@@ -248,6 +250,7 @@
 
 auto ActiveRequest::perform(const request_action::ReportSuspect &action) -> void
 {
+    context_.broker_.unreachable(GroupId(action.target_.name_));
     context_.suspicion_.report(action.target_.name_, action.target_.epoch_, action.fingerprint_,
                                [self = shared_from_this()](SuspicionRuling ruling) {
                                    self->post(request_event::SuspicionShared{ruling});
--- a/packages/routing/GroupChooser.cpp
+++ b/packages/routing/GroupChooser.cpp
@@ -94,6 +94,12 @@
         --found->pending_;
 }
 
+auto GroupChooser::setHeldOff(const GroupId &group, bool heldOff) -> void
+{
+    if (auto *found = target(group))
+        found->heldOff_ = heldOff;
+}
+
 auto GroupChooser::choose(const ChoiceRequest &request, const PrefixIndex &index) const
     -> std::optional<Choice>
 {
@@ -184,6 +190,8 @@
 
 auto GroupChooser::hasRoom(const Target &target, std::uint32_t priority) -> bool
 {
+    if (target.heldOff_)
+        return false;
     const auto inUse = std::int64_t{target.inUse_} + target.pending_;
     if (!target.isReported_)
         return inUse <= 0;
--- a/packages/routing/GroupChooser.h
+++ b/packages/routing/GroupChooser.h
@@ -32,6 +32,9 @@
     auto taken(const GroupId &group) -> void;
     auto ended(const GroupId &group) -> void;
 
+    /// Whether to leave \a group out for now; a new epoch or lease of it ends that.
+    auto setHeldOff(const GroupId &group, bool heldOff) -> void;
+
     /// The best group; nothing when none may get work or all are full for this request.
     [[nodiscard]] auto choose(const ChoiceRequest &request, const PrefixIndex &index) const
         -> std::optional<Choice>;
@@ -54,6 +57,7 @@
         std::int32_t pending_ = 0;
         /// Without a report one request at a time is tried.
         bool isReported_ = false;
+        bool heldOff_ = false;
     };
     struct Candidate
     {
--- a/packages/serving/PermitBroker.cpp
+++ b/packages/serving/PermitBroker.cpp
@@ -61,6 +61,7 @@
         const auto lock = std::scoped_lock(mutex_);
         const auto now = hooks_.now_();
         giveUpTakes(now, work);
+        endHoldOffs(now);
         for (auto &[pool, queue] : pools_)
             shed(queue.queue_.expire(now), work);
         pump(work);
@@ -82,6 +83,23 @@
     run(work);
 }
 
+auto PermitBroker::unreachable(const GroupId &group) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    heldOff_[group] = hooks_.now_() + std::chrono::milliseconds(policy_.silenceTimeoutMs_);
+    chooser_.setHeldOff(group, true);
+}
+
+auto PermitBroker::endHoldOffs(MonotonicTime now) -> void
+{
+    std::erase_if(heldOff_, [&](const auto &item) {
+        if (now < item.second)
+            return false;
+        chooser_.setHeldOff(item.first, false);
+        return true;
+    });
+}
+
 auto PermitBroker::cancel(const RequestId &request) -> void
 {
     auto work = Work{};
--- a/packages/serving/PermitBroker.h
+++ b/packages/serving/PermitBroker.h
@@ -48,6 +48,9 @@
     /// of its answer and \a runTime that to the end.
     auto ended(const BrokeredPermit &permit, PermitOutcome outcome, Duration latency,
                Duration runTime) -> void;
+    /// Nothing answered at the address of \a group: no request goes there until it counts as
+    /// silent or has a new epoch or lease.
+    auto unreachable(const GroupId &group) -> void;
     /// Takes a message of a peer; true when it was one for this broker.
     auto receive(const EntryId &from, const std::string &method, const Json &params) -> bool;
     /// Takes the loads of groups.
@@ -90,6 +93,7 @@
     auto onAnswer(const PermitAnswer &answer) -> void;
     auto grant(const Take &take, const Permit &permit, Work &work) -> void;
     auto putBack(const Take &take, Work &work) -> void;
+    auto endHoldOffs(MonotonicTime now) -> void;
     auto giveUpTakes(MonotonicTime now, Work &work) -> void;
     auto shed(const std::vector<ShedItem> &items, Work &work) -> void;
     auto fail(const RequestId &request, Failure failure, Work &work) -> void;
@@ -106,6 +110,8 @@
     std::map<RequestId, Pending> pending_;
     std::map<std::uint64_t, Take> takes_;
     std::uint64_t lastTake_ = 0;
+    /// Groups that did not answer, and until when they are left out.
+    std::map<GroupId, MonotonicTime> heldOff_;
 };
 
 } // namespace lycheereach
--- a/tests/routing/GroupChooserTest.cpp
+++ b/tests/routing/GroupChooserTest.cpp
@@ -149,6 +149,8 @@
     loads(10, 10, 10);
     state_.groups_.at(GroupId("a")).leaseNumber_ = 2;
     chooser_.update(state_);
+    load("b", 10);
+    load("c", 10);
     STRCMP_EQUAL("a", chosen().c_str());
     load("a", 10);
     STRCMP_EQUAL("a", chosen().c_str());
@@ -215,3 +217,17 @@
     CHECK_FALSE(chooser_.chooseExactly(GroupId("c"), 5).has_value());
     CHECK_FALSE(chooser_.chooseExactly(GroupId("none"), 5).has_value());
 }
+
+TEST(GroupChooser, aGroupHeldOff_choose_leavesItOutUntilItsNextLease)
+{
+    loads(0, 5, 5);
+    chooser_.setHeldOff(GroupId("a"), true);
+    STRCMP_EQUAL("b", chosen().c_str());
+    chooser_.update(state_);
+    STRCMP_EQUAL("b", chosen().c_str());
+    state_.groups_.at(GroupId("a")).leaseNumber_ = 2;
+    chooser_.update(state_);
+    load("b", 10);
+    load("c", 10);
+    STRCMP_EQUAL("a", chosen().c_str());
+}
