--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -302,7 +302,8 @@
                             {"object", "chat.completion.chunk"},
                             {"model", joined_.model_},
                             {"choices", {{{"index", 0}, {"delta", {{"content", text}}}}}}};
-    run.reply_->write("id: " + std::to_string(run.token_ - run.said_) + "\ndata: " + event.dump() + "\n\n",
+    run.reply_->write("id: " + std::to_string(run.token_ - run.said_) + "\ndata: " + event.dump()
+                          + "\n\n",
                       [this, attempt](const std::error_code &error) {
                           if (!error)
                               return;
