requests: End a stream that broke off behind its last token

Ruled out: a crossed answer, the ids were right. Now the entry ends such a stream itself. The new test failed before the change.

--- a/packages/gateway/ActiveRequest.cpp
+++ b/packages/gateway/ActiveRequest.cpp
@@ -22,6 +22,7 @@
                        .digest_ = request.digest_,
                        .answer_ = request.answer_,
                        .suspicion_ = ruling,
+                       .tokenLimit_ = request.chat_ ? request.chat_->maxTokens_ : std::nullopt,
                        .deadline_ = request.deadline_,
                        .attemptLimit_ = policy.attemptLimit_};
 }
--- a/packages/requests/RequestMachine.h
+++ b/packages/requests/RequestMachine.h
@@ -101,6 +101,10 @@
     /// Tries again or gives up, when the attempt's target has been dealt with.
     auto afterFailure() -> void;
     [[nodiscard]] auto mayRetry() const -> bool;
+    /// Whether the caller of a broken stream has everything but the end mark.
+    [[nodiscard]] auto lacksOnlyEnd() const -> bool;
+    /// Ends the caller's stream in place of the upstream.
+    auto endStream() -> void;
     [[nodiscard]] auto canResume() const -> bool;
     [[nodiscard]] auto claimsFirst() const -> bool;
     /// Answers from a claim that another request made.
--- a/packages/requests/RequestMachineAttempts.cpp
+++ b/packages/requests/RequestMachineAttempts.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <string_view>
 #include <utility>
 
 namespace lycheereach {
@@ -12,6 +13,11 @@
 
 constexpr auto firstError = 400;
 constexpr auto firstServerError = 500;
+/// The events that end a stream whose upstream broke off behind its last token.
+constexpr auto lengthReached
+    = std::string_view("data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"length\","
+                       "\"index\":0}],\"object\":\"chat.completion.chunk\"}\n\n");
+constexpr auto endMark = std::string_view("data: [DONE]\n\n");
 
 auto hexadecimal(std::uint64_t number) -> std::string
 {
@@ -230,6 +236,8 @@
 
 auto RequestMachine::afterFailure() -> void
 {
+    if (lacksOnlyEnd())
+        return endStream();
     const auto notRun = failure_.verdict_ == Verdict::NotRun;
     const auto allowed = plan_.repeatable_ || (notRun && now_ < claimValidUntil_);
     if (allowed && mayRetry() && hooks_.takeRetry_())
@@ -244,6 +252,24 @@
     fail(failure_);
 }
 
+auto RequestMachine::lacksOnlyEnd() const -> bool
+{
+    if (replied_ || !headSent_ || plan_.answer_ != AnswerKind::ChatStream)
+        return false;
+    const auto &progress = attempt_->assembler_.progress();
+    const auto hasAll = plan_.tokenLimit_ && progress.tokens_ >= *plan_.tokenLimit_;
+    return hasAll || progress.finishSeen_;
+}
+
+auto RequestMachine::endStream() -> void
+{
+    verdict_ = Verdict::Ran;
+    if (!attempt_->assembler_.progress().finishSeen_)
+        emit(request_action::SendPart{std::string(lengthReached)});
+    emit(request_action::SendPart{std::string(endMark)});
+    reply(request_action::SendEnd{});
+}
+
 auto RequestMachine::mayRetry() const -> bool
 {
     return !replied_ && attempts_ < plan_.attemptLimit_ && now_ < plan_.deadline_;
--- a/packages/requests/RequestPlan.h
+++ b/packages/requests/RequestPlan.h
@@ -8,6 +8,7 @@
 #include "requests/SuspicionRuling.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lycheereach {
@@ -25,6 +26,8 @@
     AnswerKind answer_ = AnswerKind::Bytes;
     /// What the suspicion table says of the digest.
     SuspicionRuling suspicion_ = SuspicionRuling::Clear;
+    /// The most tokens that the caller asked for.
+    std::optional<std::uint64_t> tokenLimit_;
     MonotonicTime deadline_;
     std::uint32_t attemptLimit_ = 3;
     /// How long after asking for it a claim gives the right to dispatch.
--- a/tests/requests/RequestMachineTest.cpp
+++ b/tests/requests/RequestMachineTest.cpp
@@ -95,6 +95,25 @@
     CHECK(find<request_action::TakePermit>()->avoid_.contains("g"));
 }
 
+TEST(RequestMachine, aStreamThatLacksOnlyItsEndMark_brokenOff_isEndedWithoutAnotherRun)
+{
+    plan_.answer_ = AnswerKind::ChatStream;
+    plan_.tokenLimit_ = 1;
+    start();
+    permit();
+    const auto id = find<request_action::StartAttempt>()->attempt_;
+    feed(request_event::AttemptHead{
+        id, AnswerHead{200, "text/event-stream", RequestId("r"), id, std::nullopt}});
+    feed(request_event::AttemptPart{
+        id, "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"},\"index\":0}]}\n\n"});
+    feed(request_event::AttemptEnded{id, Error::IncompleteAnswer, Verdict::MayHaveRun, "cut"});
+    feed(request_event::ProbeAnswered{false});
+    feed(request_event::SuspicionShared{SuspicionRuling::Clear});
+    CHECK(find<request_action::TakePermit>() == nullptr);
+    CHECK(find<request_action::SendEnd>() != nullptr);
+    CHECK(machine_->finished());
+}
+
 TEST(RequestMachine, aNamedRequest_ruled_isRefused)
 {
     start();
