--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -57,7 +57,11 @@
 
 auto ControlService::proposeLater(Waiting waiting) -> void
 {
-    remote_[++lastNumber_] = Remote{.command_ = std::move(waiting.command_),
+    if (!waiting.command_) {
+        answer(std::move(waiting.done_), gaveUp(true));
+        return;
+    }
+    remote_[++lastNumber_] = Remote{.command_ = std::move(*waiting.command_),
                                     .done_ = std::move(waiting.done_),
                                     .giveUpAt_ = waiting.giveUpAt_,
                                     .sent_ = true};
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -105,6 +105,8 @@
     auto outcome = std::optional<CommandOutcome>{};
     if (record.kind_ == RecordKind::StateCommand)
         outcome = applyCommand(record.index_, record.payload_);
+    else if (record.kind_ == RecordKind::Voters)
+        outcome = CommandOutcome{.accepted_ = true};
     machine_.advance(record.index_);
     failOvertaken(record.index_ - 1);
     const auto found = waiting_.find(record.index_);
@@ -174,16 +176,20 @@
 }
 
 auto ControlService::changeVoters(const std::optional<EntryId> &add,
-                                  const std::optional<EntryId> &remove) -> Result<Nothing>
+                                  const std::optional<EntryId> &remove, ProposalCallback done)
+    -> Result<Nothing>
 {
     const auto lock = std::scoped_lock(mutex_);
     const auto now = hooks_.now_();
     if (!isLeaderNow(now))
         return notLeader();
     const auto position = replica_->changeVoters(add, remove, now);
-    replica_->flush(now);
     if (!position)
         return position.failure();
+    const auto giveUpAt = now + settings_.proposalTimeout_;
+    overtake(position->index_);
+    waiting_[position->index_] = Waiting{position->term_, std::nullopt, std::move(done), giveUpAt};
+    scheduleFlush();
     return Nothing{};
 }
 
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -59,9 +59,10 @@
 
     /// Has a command committed and applied.
     auto propose(const Command &command, ProposalCallback done) -> void;
-    /// Adds or removes one voter; elsewhere than on the leader the failure names its address.
-    auto changeVoters(const std::optional<EntryId> &add, const std::optional<EntryId> &remove)
-        -> Result<Nothing>;
+    /// Adds or removes one voter; elsewhere than on the leader the failure names its address. \a
+    /// done hears when the change is committed, or that its outcome is not known.
+    auto changeVoters(const std::optional<EntryId> &add, const std::optional<EntryId> &remove,
+                      ProposalCallback done) -> Result<Nothing>;
     /// Begins a planned stop: the entry registers as leaving.
     auto leave() -> void;
 
@@ -91,7 +92,8 @@
     struct Waiting
     {
         Term term_ = 0;
-        Command command_;
+        /// Nothing for a change of voters, which is not proposed again.
+        std::optional<Command> command_;
         ProposalCallback done_;
         MonotonicTime giveUpAt_;
     };
--- a/packages/gateway/AdminApi.cpp
+++ b/packages/gateway/AdminApi.cpp
@@ -211,12 +211,15 @@
         reply->send(failureResponse(change.failure(), RequestId()));
         return;
     }
-    const auto result = control_.changeVoters(change->add_, change->remove_);
-    if (!result) {
-        reply->send(failureResponse(result.failure(), RequestId()));
-        return;
-    }
-    reply->send(jsonResponse(ok, Json{{"accepted", true}}));
+    const auto done = [reply](const Result<CommandOutcome> &result) {
+        if (result)
+            reply->send(jsonResponse(ok, Json{{"accepted", true}}));
+        else
+            reply->send(failureResponse(result.failure(), RequestId()));
+    };
+    const auto begun = control_.changeVoters(change->add_, change->remove_, done);
+    if (!begun)
+        reply->send(failureResponse(begun.failure(), RequestId()));
 }
 
 auto AdminApi::status(const Reply &reply) const -> void
--- a/tests/control/MembershipTest.cpp
+++ b/tests/control/MembershipTest.cpp
@@ -78,7 +78,8 @@
     const auto leader = *fleet_.leader();
     const auto address = fleet_.node(leader).self_.address_;
     for (const auto other : {(leader + 1) % 3, std::size_t{4}}) {
-        const auto result = fleet_.service(other).changeVoters(std::nullopt, EntryId("e0"));
+        const auto result
+            = fleet_.service(other).changeVoters(std::nullopt, EntryId("e0"), nullptr);
         CHECK(!result);
         CHECK(result.failure().code_ == Error::NotLeader);
         CHECK(result.failure().verdict_ == Verdict::NotRun);
