--- a/tests/docs/SettingsPageTest.cpp
+++ b/tests/docs/SettingsPageTest.cpp
@@ -12,7 +12,7 @@
 {
     std::string page_;
 
-    void setup() override
+    auto setup()->void override
     {
         auto content = std::ostringstream();
         content << std::ifstream(LYCHEEREACH_DOCS "/SETTINGS.md").rdbuf();
--- a/tests/requests/RequestMachineTest.cpp
+++ b/tests/requests/RequestMachineTest.cpp
@@ -17,7 +17,7 @@
     std::unique_ptr<RequestMachine> machine_;
     std::vector<RequestAction> actions_;
 
-    void setup() override
+    auto setup()->void override
     {
         plan_.request_ = RequestId("r");
         plan_.digest_ = "digest";
--- a/tests/settings/DaemonSettingsTest.cpp
+++ b/tests/settings/DaemonSettingsTest.cpp
@@ -13,7 +13,7 @@
     std::filesystem::path folder_;
     Json json_;
 
-    void setup() override
+    auto setup()->void override
     {
         auto name = std::string("/tmp/lycheereach-settings-XXXXXX");
         folder_ = mkdtemp(name.data());
@@ -27,7 +27,7 @@
                      {"peerKeyFile", (folder_ / "peer.key").string()}};
     }
 
-    void teardown() override
+    auto teardown()->void override
     {
         std::filesystem::remove_all(folder_);
     }
--- a/tests/state/ClaimCommandsTest.cpp
+++ b/tests/state/ClaimCommandsTest.cpp
@@ -8,7 +8,7 @@
 {
     StateFixture fixture_;
 
-    void setup() override
+    auto setup()->void override
     {
         fixture_.joinEntry("e1", 5);
     }
--- a/tests/state/GroupCommandsTest.cpp
+++ b/tests/state/GroupCommandsTest.cpp
@@ -8,7 +8,7 @@
 {
     StateFixture fixture_;
 
-    void setup() override
+    auto setup()->void override
     {
         fixture_.applyDeclaration("first", 0, StateFixture::declaration());
         for (const auto *id : {"u1", "u2", "u3", "u4"})
--- a/tests/state/OperatorCommandsTest.cpp
+++ b/tests/state/OperatorCommandsTest.cpp
@@ -8,7 +8,7 @@
 {
     StateFixture fixture_;
 
-    void setup() override
+    auto setup()->void override
     {
         fixture_.applyDeclaration("first", 0, StateFixture::declaration());
     }
--- a/tests/timeline/EventRecorderTest.cpp
+++ b/tests/timeline/EventRecorderTest.cpp
@@ -15,7 +15,7 @@
     HybridClock clock_ = HybridClock([] { return WallTime(std::chrono::microseconds(1000)); });
     EventRecorderSettings settings_;
 
-    void setup() override
+    auto setup()->void override
     {
         auto name = std::string("/tmp/lycheereach-timeline-XXXXXX");
         folder_ = mkdtemp(name.data());
@@ -23,7 +23,7 @@
         settings_.eventFile_ = (folder_ / "events.jsonl").string();
     }
 
-    void teardown() override
+    auto teardown()->void override
     {
         std::filesystem::remove_all(folder_);
     }
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -55,7 +55,7 @@
         http_->client_.start(http_->call("GET", "/"), http_->recordInto(record_));
     }
 
-    void teardown() override
+    auto teardown()->void override
     {
         reply_.change([](auto &kept) { kept.reset(); });
         http_.reset();
--- a/tests/transport/PeerNetworkTest.cpp
+++ b/tests/transport/PeerNetworkTest.cpp
@@ -85,7 +85,7 @@
     std::unique_ptr<Node> first_;
     std::unique_ptr<Node> second_;
 
-    void setup() override
+    auto setup()->void override
     {
         first_ = std::make_unique<Node>(workers_, "a", "key");
         CHECK(!first_->error_);
@@ -103,7 +103,7 @@
             first_->network_->send(EntryId("b"), PeerMessage{"test", number});
     }
 
-    void teardown() override
+    auto teardown()->void override
     {
         first_->network_->stop();
         if (second_)
--- a/tests/transport/WorkerPoolTest.cpp
+++ b/tests/transport/WorkerPoolTest.cpp
@@ -21,7 +21,7 @@
         return runs_.waitFor([times](int runs) { return runs >= times; });
     }
 
-    void teardown() override
+    auto teardown()->void override
     {
         workers_.stop();
     }
