daemon, gateway, control: Drop a repeated send hook, an unused argument and a dead flag

Behaviour is the same: the five hooks that send to a peer come from one function, readChat no longer takes a declaration that it does not read, and ControlService no longer keeps a flag that nobody reads.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -303,7 +303,6 @@
 auto ControlService::leave() -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    leaving_ = true;
     settings_.self_.phase_ = EntryPhase::Leaving;
     registeredAt_ = MonotonicTime{};
 }
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -183,7 +183,6 @@
     bool relaying_ = false;
     bool leading_ = false;
     bool mayWork_ = false;
-    bool leaving_ = false;
     MonotonicTime leadingSince_;
     LogIndex inForceIndex_ = 0;
     Version versionInForce_ = 0;
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -119,7 +119,8 @@
     auto networkHooks() -> PeerNetworkHooks;
     auto requestContext() -> RequestContext;
     [[nodiscard]] auto claimOf(const IdempotencyKey &key) const -> std::optional<Claim>;
-    auto send(const EntryId &to, const std::string &method, Json params) -> void;
+    /// Sends a message to a peer.
+    auto sender() -> std::function<void(const EntryId &, const std::string &, Json)>;
     auto received(const EntryId &from, const PeerMessage &message) -> void;
     auto stateChanged() -> void;
     auto beginTicking() -> void;
@@ -170,18 +171,8 @@
     , settler_([this](const Command &command,
                       ProposalCallback done) { control_.propose(command, std::move(done)); },
                [this](const IdempotencyKey &key) { return claimOf(key); }, readMonotonic)
-    , suspicion_(
-          settings_.id_, control_, workers_,
-          [this](const EntryId &to, const std::string &method, Json params) {
-              send(to, method, std::move(params));
-          },
-          event_, readMonotonic)
-    , budgets_(
-          settings_.id_, control_,
-          [this](const EntryId &to, const std::string &method, Json params) {
-              send(to, method, std::move(params));
-          },
-          readMonotonic)
+    , suspicion_(settings_.id_, control_, workers_, sender(), event_, readMonotonic)
+    , budgets_(settings_.id_, control_, sender(), readMonotonic)
     , leaseholder_(
           std::make_shared<LeaseholderService>(settings_.id_, control_, leaseholderHooks()))
     , broker_(settings_.id_, settings_.zone_, control_, brokerHooks())
@@ -204,8 +195,7 @@
 auto Daemon::Parts::controlHooks() -> ControlHooks
 {
     return ControlHooks{
-        .send_ = [this](const EntryId &to, const std::string &method,
-                        Json params) { send(to, method, std::move(params)); },
+        .send_ = sender(),
         .setPeer_ = [this](const EntryId &peer,
                            const std::string &address) { network_.setPeer(peer, address); },
         .post_ = [this](std::function<void()> work) { workers_.post(std::move(work)); },
@@ -218,8 +208,7 @@
 
 auto Daemon::Parts::leaseholderHooks() -> LeaseholderHooks
 {
-    return LeaseholderHooks{.send_ = [this](const EntryId &to, const std::string &method,
-                                            Json params) { send(to, method, std::move(params)); },
+    return LeaseholderHooks{.send_ = sender(),
                             .admitSuspect_ =
                                 [this](const GroupId &group, const std::string &fingerprint) {
                                     return suspicion_.admit(group.text(), fingerprint);
@@ -236,8 +225,7 @@
 auto Daemon::Parts::brokerHooks() -> PermitBrokerHooks
 {
     return PermitBrokerHooks{
-        .send_ = [this](const EntryId &to, const std::string &method,
-                        Json params) { send(to, method, std::move(params)); },
+        .send_ = sender(),
         .takeHere_
         = [this](const PermitTake &take) { return leaseholder_->take(settings_.id_, take); },
         .noteHere_ = [this](const PermitNote &note) { leaseholder_->note(note); },
@@ -297,9 +285,11 @@
                           .random_ = readRandom};
 }
 
-auto Daemon::Parts::send(const EntryId &to, const std::string &method, Json params) -> void
+auto Daemon::Parts::sender() -> std::function<void(const EntryId &, const std::string &, Json)>
 {
-    network_.send(to, PeerMessage{method, std::move(params)});
+    return [this](const EntryId &to, const std::string &method, Json params) {
+        network_.send(to, PeerMessage{method, std::move(params)});
+    };
 }
 
 auto Daemon::Parts::received(const EntryId &from, const PeerMessage &message) -> void
--- a/packages/gateway/RequestReader.cpp
+++ b/packages/gateway/RequestReader.cpp
@@ -77,8 +77,7 @@
     return *found;
 }
 
-auto readChat(CallerRequest &read, const Declaration &declaration, const RouteTable &routes)
-    -> Result<Nothing>
+auto readChat(CallerRequest &read, const RouteTable &routes) -> Result<Nothing>
 {
     auto chat = parseChatRequest(read.body_);
     if (!chat)
@@ -86,7 +85,6 @@
     auto pool = routes.poolOf(chat->model_);
     if (!pool)
         return pool.failure();
-    static_cast<void>(declaration);
     read.pool_ = *pool;
     read.answer_ = chat->stream_ ? AnswerKind::ChatStream : AnswerKind::ChatBody;
     read.prefix_ = prefixChain(chat->body_.at("messages").dump());
@@ -146,7 +144,7 @@
                               .contentType_ = request.headers_.value("Content-Type"),
                               .repeatable_ = route->repeatable_};
     if (route->service_.empty()) {
-        if (auto result = readChat(read, declaration, routes); !result)
+        if (auto result = readChat(read, routes); !result)
             return result.failure();
     }
     if (auto result = readKey(request, read); !result)
