--- a/packages/base/RankedMutex.h
+++ b/packages/base/RankedMutex.h
@@ -18,6 +18,8 @@
     Routing = 30,
     /// Requests, queues, budgets and suspicion.
     Requests = 40,
+    /// The targets of forwarded requests and their load.
+    Targets = 45,
     /// Connections to peers.
     Transport = 50,
 };
--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -179,9 +179,39 @@
     else if (relaying_)
         heardOf_[renewal.entry_.id_] = now;
     addRecords(grant, renewal.applied_);
+    sentTo_[renewal.entry_.id_] = renewal.applied_;
+    noteSent(renewal.entry_.id_, grant);
     return grant;
 }
 
+auto ControlService::noteSent(const EntryId &holder, const LeaseGrant &grant) -> void
+{
+    auto &sent = sentTo_[holder];
+    if (grant.snapshot_)
+        sent = std::max(sent, replica_->latestSnapshot().position_.index_);
+    if (!grant.records_.empty())
+        sent = std::max(sent, grant.records_.back().index_);
+}
+
+auto ControlService::pushRecords(MonotonicTime now) -> void
+{
+    if (replica_ == nullptr || !relaying_)
+        return;
+    const auto holders = relayed_.holders(now);
+    std::erase_if(sentTo_, [&](const auto &item) {
+        return std::find(holders.begin(), holders.end(), item.first) == holders.end();
+    });
+    for (const auto &holder : holders) {
+        const auto sent = sentTo_.find(holder);
+        if (sent == sentTo_.end() || sent->second >= machine_.state().applied_)
+            continue;
+        auto grant = LeaseGrant{.inForceIndex_ = inForceIndex_, .leader_ = leader_};
+        addRecords(grant, sent->second);
+        noteSent(holder, grant);
+        hooks_.send_(holder, "control.grant", encode(grant));
+    }
+}
+
 auto ControlService::addRecords(LeaseGrant &grant, LogIndex applied) const -> void
 {
     const auto committed = replica_->recordsFrom(applied + 1, recordLimitBytes);
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -149,6 +149,7 @@
             const auto lock = std::scoped_lock(mutex_);
             changeNoted_ = false;
             notePeers();
+            pushRecords(hooks_.now_());
         }
         hooks_.stateChanged_();
     });
@@ -157,7 +158,9 @@
 auto ControlService::notePeers() -> void
 {
     for (const auto &[id, entry] : machine_.state().entries_) {
-        if (id != settings_.self_.id_)
+        const auto isNeeded
+            = settings_.connectsEntries_ || settings_.self_.control_ || entry.control_;
+        if (id != settings_.self_.id_ && isNeeded)
             hooks_.setPeer_(id, entry.peerAddress_);
     }
 }
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -146,6 +146,9 @@
     auto grantAsLeader(const Renewal &renewal, MonotonicTime now) -> LeaseGrant;
     auto grantAsRelay(const Renewal &renewal, MonotonicTime now) -> LeaseGrant;
     auto addRecords(LeaseGrant &grant, LogIndex applied) const -> void;
+    /// Sends the holders of leases granted here what was applied since their last answer.
+    auto pushRecords(MonotonicTime now) -> void;
+    auto noteSent(const EntryId &holder, const LeaseGrant &grant) -> void;
     auto onGrant(const EntryId &from, const LeaseGrant &grant) -> void;
     auto takeRecords(const LeaseGrant &grant) -> void;
     auto noteLeadership(MonotonicTime now) -> void;
@@ -171,6 +174,8 @@
     StateLease lease_;
     /// Leases granted as a relay, to entries.
     LeaseGrantor relayed_;
+    /// The last record sent to each holder of a lease granted as a relay.
+    std::map<EntryId, LogIndex> sentTo_;
     /// Leases granted as the leader, to relays.
     LeaseGrantor granted_;
     EntryId leader_;
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Daemon.h"
 
 #include "base/HybridClock.h"
+#include "base/SystemClock.h"
 #include "control/ControlService.h"
 #include "daemon/HttpRoutes.h"
 #include "daemon/OrderSender.h"
@@ -25,7 +26,6 @@
 #include "transport/PeerNetwork.h"
 #include "transport/WorkerPool.h"
 
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -42,24 +42,6 @@
 /// The longest wait for another entry to take over the groups held here.
 constexpr auto handoverLimit = std::chrono::seconds(10);
 
-auto readMonotonic() -> MonotonicTime
-{
-    return std::chrono::steady_clock::now();
-}
-
-auto readWall() -> WallTime
-{
-    return std::chrono::time_point_cast<std::chrono::microseconds>(
-        std::chrono::system_clock::now());
-}
-
-/// A random source for each thread.
-auto readRandom() -> std::uint64_t
-{
-    thread_local auto generator = std::mt19937_64(std::random_device{}());
-    return generator();
-}
-
 auto controlSettings(const DaemonSettings &settings) -> ControlSettings
 {
     const auto incarnation = static_cast<Incarnation>(readWall().time_since_epoch().count());
@@ -176,7 +158,7 @@
     , leaseholder_(
           std::make_shared<LeaseholderService>(settings_.id_, control_, leaseholderHooks()))
     , broker_(settings_.id_, settings_.zone_, control_, brokerHooks())
-    , planner_(std::make_shared<PlannerService>(control_, plannerHooks()))
+    , planner_(std::make_shared<PlannerService>(control_, leasedGroupPlanning(event_), plannerHooks()))
     , requests_(requestContext(), settings_.zone_,
                 std::chrono::milliseconds(settings_.addressKeepMs_), budgets_)
     , callers_(control_, requests_, broker_, metrics_, network_,
--- /dev/null
+++ b/packages/forward/EventStreamReader.h
@@ -0,0 +1,36 @@
+/// \file
+/// \brief Cuts a stream of server-sent events into whole events.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lycheereach {
+
+/// Cuts a stream of server-sent events into whole events, which are handed on byte for byte. Events
+/// at or before the last one handed on are left out. Not thread-safe.
+class EventStreamReader
+{
+public:
+    /// \a lastEventId is the last event that the caller has.
+    explicit EventStreamReader(std::optional<std::uint64_t> lastEventId);
+
+    /// Takes bytes of the current run; returns the whole events that they complete.
+    auto take(std::string_view bytes) -> std::string;
+    /// Another run goes on with the stream: an event that was cut off is dropped.
+    auto beginRun() -> void;
+    /// Whether the run ended between two events.
+    [[nodiscard]] auto isBetweenEvents() const -> bool { return pending_.empty(); }
+    [[nodiscard]] auto lastEventId() const -> std::optional<std::uint64_t> { return last_; }
+    /// Whether an event was left out or handed on without an id, so that the stream can't be resumed.
+    [[nodiscard]] auto hasUnnumbered() const -> bool { return hasUnnumbered_; }
+
+private:
+    std::string pending_;
+    std::optional<std::uint64_t> last_;
+    bool hasUnnumbered_ = false;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/ForwardContext.h
@@ -0,0 +1,32 @@
+/// \file
+/// \brief What the forwarded requests of one entry share.
+#pragma once
+
+#include "base/Event.h"
+#include "base/Time.h"
+#include "forward/ForwardDialect.h"
+#include "forward/ForwardSettings.h"
+
+#include <functional>
+
+namespace lycheereach {
+
+class HttpClient;
+class TargetTable;
+class WorkerPool;
+
+/// What the forwarded requests of one entry share; outlives them.
+struct ForwardContext
+{
+    ForwardSettings settings_;
+    ForwardDialect dialect_;
+    TargetTable &targets_;
+    HttpClient &client_;
+    WorkerPool &workers_;
+    /// Takes one repeated send to a service from the budget that entries share.
+    std::function<bool(const PoolName &service)> takeRetry_;
+    EventSink event_;
+    MonotonicClock now_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/ForwardMachine.h
@@ -0,0 +1,83 @@
+/// \file
+/// \brief The life of one forwarded request, from its arrival to its whole answer or its refusal.
+#pragma once
+
+#include "base/Time.h"
+#include "base/Verdict.h"
+#include "forward/EventStreamReader.h"
+#include "forward/ForwardAction.h"
+#include "forward/ForwardEvent.h"
+#include "forward/ForwardPlan.h"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lycheereach {
+
+/// Decides the attempts at one forwarded request and what the caller gets. Pure: events go in, actions
+/// come out. Not thread-safe.
+///
+/// A request that may not be repeated is sent again only when no attempt at it can have run. Of a
+/// stream the caller gets whole events only; a resumable one goes on at another upstream behind the
+/// last event delivered, under the head of its first run. An answer with another request's id or
+/// without the signature of its upstream is not handed on.
+class ForwardMachine
+{
+public:
+    /// \a takeRetry takes one retry from the budget that entries share; false when it is spent.
+    ForwardMachine(ForwardPlan plan, std::function<bool()> takeRetry);
+
+    /// Takes \a event at \a now; the actions are to be done in their order.
+    auto handle(const ForwardEvent &event, MonotonicTime now) -> std::vector<ForwardAction>;
+    /// Whether the caller has its answer and no attempt is open.
+    [[nodiscard]] auto finished() const -> bool { return replied_ && !isOpen_; }
+
+private:
+    auto on(const forward_event::Start &event) -> void;
+    auto on(const forward_event::TargetChosen &event) -> void;
+    auto on(const forward_event::NoTarget &event) -> void;
+    auto on(const forward_event::AttemptHead &event) -> void;
+    auto on(const forward_event::AttemptPart &event) -> void;
+    auto on(const forward_event::AttemptEnded &event) -> void;
+    auto on(const forward_event::CallerGone &event) -> void;
+    auto on(const forward_event::DeadlinePassed &event) -> void;
+
+    auto emit(ForwardAction action) -> void { actions_.push_back(std::move(action)); }
+    [[nodiscard]] auto isStreaming() const -> bool;
+    [[nodiscard]] auto isCurrent(std::uint32_t attempt) const -> bool;
+    /// Why the ended attempt has no answer to hand on; empty when it has one.
+    auto failureOf(const forward_event::AttemptEnded &event) const -> std::string;
+    auto attemptSucceeded() -> void;
+    auto attemptFailed(const std::string &failure, Verdict verdict) -> void;
+    [[nodiscard]] auto mayRepeat(Verdict verdict) const -> bool;
+    auto refuse(std::uint16_t status, std::string reason, std::optional<Duration> retryAfter)
+        -> void;
+    auto spoil(std::string why) -> void;
+    auto cancel() -> void;
+
+    ForwardPlan plan_;
+    std::function<bool()> takeRetry_;
+    MonotonicTime now_;
+    std::vector<ForwardAction> actions_;
+
+    std::uint32_t attempts_ = 0;
+    ForwardTarget target_;
+    /// Whether the attempt's connection is open.
+    bool isOpen_ = false;
+    bool isCancelled_ = false;
+    std::optional<ForwardHead> head_;
+    std::string body_;
+    /// Why the answer of the attempt can't be handed on.
+    std::string spoiled_;
+    EventStreamReader reader_;
+    std::set<UpstreamId> avoid_;
+    Verdict verdict_ = Verdict::NotRun;
+    bool headSent_ = false;
+    /// Whether the caller has its answer or refusal, or is gone.
+    bool replied_ = false;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/ForwardService.cpp
@@ -0,0 +1,196 @@
+#include "forward/ForwardService.h"
+
+#include "control/ControlService.h"
+#include "forward/ForwardedRequest.h"
+#include "forward/RouteIndex.h"
+#include "forward/TargetTable.h"
+#include "transport/HttpReply.h"
+
+#include <mutex>
+#include <numeric>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+constexpr std::uint16_t unauthorized = 401;
+constexpr std::uint16_t notFound = 404;
+constexpr std::uint16_t unavailable = 503;
+/// When to come back to an entry that takes no requests.
+constexpr auto idleRetryAfter = std::chrono::milliseconds(300);
+
+/// The share of \a route that \a number falls to.
+auto pickShare(const HttpRoute &route, std::uint64_t number) -> PoolName
+{
+    const auto add = [](std::uint64_t sum, const RouteShare &share) { return sum + share.weight_; };
+    const auto total
+        = std::accumulate(route.shares_.begin(), route.shares_.end(), std::uint64_t{0}, add);
+    if (total == 0)
+        return {};
+    auto left = number % total;
+    for (const auto &share : route.shares_) {
+        if (left < share.weight_)
+            return share.service_;
+        left -= share.weight_;
+    }
+    return {};
+}
+
+} // namespace
+
+ForwardService::ForwardService(ControlService &control, ForwardContext context,
+                               RandomSource random)
+    : control_(control)
+    , context_(std::move(context))
+    , random_(std::move(random))
+    , mutex_(LockRank::Requests)
+    , retryMutex_(LockRank::Targets)
+    , retries_(context_.settings_.retries_)
+{
+    context_.takeRetry_ = [this](const PoolName &service) { return takeRetry(service); };
+}
+
+ForwardService::~ForwardService() = default;
+
+auto ForwardService::stateChanged() -> void
+{
+    auto index = std::shared_ptr<const RouteIndex>{};
+    auto version = Version{0};
+    control_.read([&](const FleetState &state) {
+        version = state.version_;
+        if (state.hasTraffic_)
+            trafficNoted_ = true;
+        if (version != 0 && version != indexVersion_)
+            index = std::make_shared<const RouteIndex>(state.declaration_);
+        context_.targets_.update(state);
+    });
+    const auto entries = context_.targets_.entries();
+    {
+        const auto lock = std::scoped_lock(retryMutex_);
+        retries_.setEntries(entries);
+    }
+    if (!index)
+        return;
+    const auto lock = std::scoped_lock(mutex_);
+    if (version < indexVersion_)
+        return;
+    index_ = std::move(index);
+    indexVersion_ = version;
+}
+
+auto ForwardService::handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void
+{
+    auto read = context_.dialect_.readRequest_(std::move(request));
+    auto index = std::shared_ptr<const RouteIndex>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        index = index_;
+    }
+    if (!index) {
+        refuse(read, unavailable, "no declaration is known yet", reply);
+        return;
+    }
+    if (!control_.mayTakeWork()) {
+        refuse(read, unavailable, "this entry has no live state lease", reply);
+        return;
+    }
+    forward(std::move(read), *index, reply);
+}
+
+auto ForwardService::forward(ForwardRequest request, const RouteIndex &index,
+                             const std::shared_ptr<HttpReply> &reply) -> void
+{
+    const auto *route = index.match(request.host_, request.http_.target_);
+    if (route == nullptr) {
+        refuse(request, notFound, "no route matches " + request.host_ + request.http_.target_,
+               reply);
+        return;
+    }
+    const Workspace *workspace = nullptr;
+    if (index.needsKeys() && !route->isPublic_) {
+        workspace = index.workspaceOf(request.key_);
+        if (workspace == nullptr) {
+            refuse(request, unauthorized, "the key belongs to no workspace", reply);
+            return;
+        }
+    }
+    noteTraffic();
+    const auto service = pickShare(*route, random_());
+    const auto pool = index.poolOf(service, request.model_);
+    if (!pool) {
+        refuse(request, unavailable, "no pool serves the model '" + request.model_ + "'", reply);
+        return;
+    }
+    {
+        const auto lock = std::scoped_lock(retryMutex_);
+        retries_.noteRequest(service, context_.now_());
+    }
+    const auto name = workspace == nullptr ? WorkspaceName() : workspace->name_;
+    const auto hasOwn = workspace != nullptr && workspace->priority_;
+    const auto priority = hasOwn ? *workspace->priority_ : route->priority_;
+    auto forwarded = std::make_shared<ForwardedRequest>(
+        context_, std::move(request), *route, name, priority, service, *pool, reply,
+        [this](const ForwardedRequest *done) { ended(done); });
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        active_.emplace(forwarded.get(), forwarded);
+    }
+    forwarded->start();
+}
+
+auto ForwardService::noteTraffic() -> void
+{
+    if (!trafficNoted_.exchange(true))
+        control_.propose(Command(NoteTraffic{}), nullptr);
+}
+
+auto ForwardService::refuse(const ForwardRequest &request, std::uint16_t status,
+                            const std::string &reason, const std::shared_ptr<HttpReply> &reply)
+    -> void
+{
+    context_.event_(Event{EventNumber::RequestRefused,
+                          {{"request", request.id_.text()},
+                           {"status", std::to_string(status)},
+                           {"verdict", "not-run"},
+                           {"reason", reason}}});
+    auto refusal = ForwardRefusal{status, reason, std::nullopt};
+    if (status == unavailable)
+        refusal.retryAfter_ = idleRetryAfter;
+    reply->send(context_.dialect_.writeRefusal_(refusal));
+}
+
+auto ForwardService::ended(const ForwardedRequest *request) -> void
+{
+    auto last = std::shared_ptr<ForwardedRequest>{};
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = active_.find(request);
+    if (found == active_.end())
+        return;
+    last = std::move(found->second);
+    active_.erase(found);
+}
+
+auto ForwardService::takeRetry(const PoolName &service) -> bool
+{
+    const auto lock = std::scoped_lock(retryMutex_);
+    return retries_.take(service, context_.now_());
+}
+
+auto ForwardService::active() const -> std::size_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return active_.size();
+}
+
+auto ForwardService::takesWork() const -> bool
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (!index_)
+            return false;
+    }
+    return control_.mayTakeWork();
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/ForwardService.h
@@ -0,0 +1,66 @@
+/// \file
+/// \brief The forwarded requests in progress at one entry.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/RankedMutex.h"
+#include "base/Time.h"
+#include "forward/ForwardContext.h"
+#include "forward/RetryAllowance.h"
+#include "transport/HttpRequest.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lycheereach {
+
+class ControlService;
+class ForwardedRequest;
+class HttpReply;
+class RouteIndex;
+
+/// Takes the requests that routes by host and path forward, and has them carried out. Thread-safe;
+/// guarded by one lock of rank LockRank::Requests that is never held over another of that rank.
+class ForwardService
+{
+public:
+    ForwardService(ControlService &control, ForwardContext context, RandomSource random);
+    ~ForwardService();
+    ForwardService(const ForwardService &) = delete;
+    auto operator=(const ForwardService &) -> ForwardService & = delete;
+
+    /// Takes in the replicated state.
+    auto stateChanged() -> void;
+    /// Takes one request.
+    auto handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void;
+    /// Requests that have no whole answer yet.
+    [[nodiscard]] auto active() const -> std::size_t;
+    /// Whether new requests can be taken.
+    [[nodiscard]] auto takesWork() const -> bool;
+
+private:
+    auto refuse(const ForwardRequest &request, std::uint16_t status, const std::string &reason,
+                const std::shared_ptr<HttpReply> &reply) -> void;
+    auto forward(ForwardRequest request, const RouteIndex &index,
+                 const std::shared_ptr<HttpReply> &reply) -> void;
+    auto noteTraffic() -> void;
+    auto ended(const ForwardedRequest *request) -> void;
+    auto takeRetry(const PoolName &service) -> bool;
+
+    ControlService &control_;
+    ForwardContext context_;
+    RandomSource random_;
+    mutable RankedMutex mutex_;
+    std::shared_ptr<const RouteIndex> index_;
+    std::uint64_t indexVersion_ = 0;
+    std::map<const ForwardedRequest *, std::shared_ptr<ForwardedRequest>> active_;
+    std::atomic<bool> trafficNoted_ = false;
+    /// Taken while a request holds its own lock, so it has a rank of its own.
+    RankedMutex retryMutex_;
+    RetryAllowance retries_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/ForwardSettings.h
@@ -0,0 +1,27 @@
+/// \file
+/// \brief Time limits of forwarded requests.
+#pragma once
+
+#include "base/Time.h"
+#include "forward/RetryAllowance.h"
+
+#include <chrono>
+
+namespace lycheereach {
+
+/// Time limits of forwarded requests.
+struct ForwardSettings
+{
+    /// The longest time to connect to an upstream.
+    Duration connectTimeout_ = std::chrono::milliseconds(400);
+    /// Silence allowed in a stream between two events.
+    Duration streamIdleTimeout_ = std::chrono::milliseconds(1200);
+    /// Silence allowed before the first event of a stream; callers give up a stream that pauses for two
+    /// seconds.
+    Duration firstEventTimeout_ = std::chrono::milliseconds(1800);
+    RetryLimits retries_;
+
+    auto operator==(const ForwardSettings &) const -> bool = default;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/ForwardedRequest.cpp
@@ -0,0 +1,213 @@
+#include "forward/ForwardedRequest.h"
+
+#include "base/ErrorCode.h"
+#include "forward/TargetTable.h"
+#include "transport/HttpClient.h"
+#include "transport/HttpReply.h"
+#include "transport/WorkerPool.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// When to come back while no upstream takes requests.
+constexpr auto noTargetRetryAfter = std::chrono::milliseconds(300);
+
+auto isStreaming(RouteKind kind) -> bool
+{
+    return kind == RouteKind::Stream || kind == RouteKind::ResumableStream;
+}
+
+auto deadlineOf(const ForwardRequest &request, const HttpRoute &route, MonotonicTime now)
+    -> MonotonicTime
+{
+    auto allowed = Duration(std::chrono::milliseconds(route.timeoutMs_));
+    if (request.patience_)
+        allowed = std::min(allowed, *request.patience_);
+    return now + allowed;
+}
+
+} // namespace
+
+ForwardedRequest::ForwardedRequest(ForwardContext &context, ForwardRequest request,
+                                   HttpRoute route, WorkspaceName workspace,
+                                   std::uint32_t priority, PoolName service, PoolName pool,
+                                   std::shared_ptr<HttpReply> reply, Finished finished)
+    : context_(context)
+    , request_(std::move(request))
+    , route_(std::move(route))
+    , workspace_(std::move(workspace))
+    , priority_(priority)
+    , service_(std::move(service))
+    , pool_(std::move(pool))
+    , reply_(std::move(reply))
+    , finished_(std::move(finished))
+    , arrivedAt_(context_.now_())
+    , deadline_(deadlineOf(request_, route_, arrivedAt_))
+    , mutex_(LockRank::Requests)
+    , machine_(
+          ForwardPlan{
+              .request_ = request_.id_,
+              .kind_ = route_.kind_,
+              .deadline_ = deadline_,
+              .attemptLimit_ = route_.attemptLimit_,
+              .lastEventId_ = request_.lastEventId_,
+          },
+          [this] { return context_.takeRetry_(service_); })
+{ }
+
+ForwardedRequest::~ForwardedRequest() = default;
+
+auto ForwardedRequest::start() -> void
+{
+    reply_->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->post(forward_event::CallerGone{});
+    });
+    timer_ = context_.workers_.after(deadline_ - arrivedAt_, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->post(forward_event::DeadlinePassed{});
+    });
+    post(forward_event::Start{});
+}
+
+auto ForwardedRequest::post(const ForwardEvent &event) -> void
+{
+    const auto self = shared_from_this();
+    auto isOver = false;
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (isDone_)
+            return;
+        handle(event);
+        isDone_ = machine_.finished();
+        isOver = isDone_;
+    }
+    if (!isOver)
+        return;
+    timer_->cancel();
+    finished_(this);
+}
+
+auto ForwardedRequest::handle(const ForwardEvent &event) -> void
+{
+    for (const auto &action : machine_.handle(event, context_.now_()))
+        std::visit([this](const auto &body) { perform(body); }, action);
+}
+
+auto ForwardedRequest::perform(const forward_action::ChooseTarget &action) -> void
+{
+    const auto target = context_.targets_.choose(pool_, action.avoid_, context_.now_());
+    if (target) {
+        handle(forward_event::TargetChosen{*target});
+        return;
+    }
+    auto failure = Failure{.code_ = Error::Overloaded,
+                           .message_ = "no upstream of '" + pool_.text() + "' takes requests",
+                           .retryAfter_ = noTargetRetryAfter};
+    handle(forward_event::NoTarget{std::move(failure)});
+}
+
+auto ForwardedRequest::perform(const forward_action::StartAttempt &action) -> void
+{
+    target_ = action.target_;
+    const auto left = deadline_ - context_.now_();
+    const auto call = ForwardCall{.target_ = action.target_,
+                                  .workspace_ = workspace_,
+                                  .left_ = left,
+                                  .lastEventId_ = action.lastEventId_,
+                                  .priority_ = priority_};
+    const auto streams = isStreaming(route_.kind_);
+    const auto &settings = context_.settings_;
+    auto http = HttpCall{.address_ = action.target_.address_,
+                         .request_ = context_.dialect_.writeRequest_(request_, call),
+                         .connectTimeout_ = std::min<Duration>(settings.connectTimeout_, left),
+                         .firstByteTimeout_ = streams ? settings.firstEventTimeout_ : left,
+                         .idleTimeout_ = streams ? settings.streamIdleTimeout_ : left,
+                         .freshConnection_ = route_.kind_ == RouteKind::Unsafe};
+    call_ = context_.client_.start(std::move(http), hooksFor(action.attempt_));
+}
+
+auto ForwardedRequest::hooksFor(std::uint32_t attempt) -> HttpCallHooks
+{
+    const auto self = shared_from_this();
+    return HttpCallHooks{
+        [self, attempt](const HttpResponse &response) {
+            auto head = self->context_.dialect_.readHead_(response);
+            if (head.load_)
+                self->context_.targets_.report(self->target_, *head.load_, self->context_.now_());
+            self->post(forward_event::AttemptHead{attempt, std::move(head)});
+        },
+        [self, attempt](std::string_view part) {
+            self->post(forward_event::AttemptPart{attempt, std::string(part)});
+        },
+        [self, attempt](const HttpOutcome &outcome) {
+            self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
+                                                   outcome.message_});
+        }};
+}
+
+auto ForwardedRequest::perform(const forward_action::CancelAttempt & /*action*/) -> void
+{
+    if (call_)
+        context_.client_.cancel(*call_);
+}
+
+auto ForwardedRequest::perform(const forward_action::ReleaseTarget &action) -> void
+{
+    const auto failed = !action.failure_.empty();
+    context_.targets_.release(action.target_, failed, context_.now_());
+    if (failed)
+        emit(EventNumber::AttemptEnded, {{"upstream", action.target_.upstream_.text()},
+                                         {"verdict", std::string(toString(action.verdict_))},
+                                         {"reason", action.failure_}});
+}
+
+auto ForwardedRequest::perform(const forward_action::SendHead &action) -> void
+{
+    reply_->begin(HttpResponse{action.head_.status_, action.head_.headers_, action.events_});
+}
+
+auto ForwardedRequest::perform(const forward_action::SendPart &action) -> void
+{
+    reply_->write(action.events_, nullptr);
+}
+
+auto ForwardedRequest::perform(const forward_action::SendEnd & /*action*/) -> void
+{
+    reply_->finish();
+}
+
+auto ForwardedRequest::perform(const forward_action::SendAnswer &action) -> void
+{
+    reply_->send(HttpResponse{action.head_.status_, action.head_.headers_, action.body_});
+}
+
+auto ForwardedRequest::perform(const forward_action::SendRefusal &action) -> void
+{
+    emit(EventNumber::RequestRefused, {{"status", std::to_string(action.refusal_.status_)},
+                                       {"verdict", std::string(toString(action.verdict_))},
+                                       {"reason", action.refusal_.reason_}});
+    reply_->send(context_.dialect_.writeRefusal_(action.refusal_));
+}
+
+auto ForwardedRequest::perform(const forward_action::BreakOff &action) -> void
+{
+    emit(EventNumber::RequestRefused,
+         {{"verdict", "may-have-run"}, {"reason", "stream broken off: " + action.reason_}});
+    reply_->abort();
+}
+
+auto ForwardedRequest::emit(EventNumber number, std::map<std::string, std::string> attributes)
+    -> void
+{
+    attributes["request"] = request_.id_.text();
+    attributes["ageMs"] = std::to_string(toMilliseconds(context_.now_() - arrivedAt_));
+    context_.event_(Event{number, std::move(attributes)});
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/ForwardedRequest.h
@@ -0,0 +1,79 @@
+/// \file
+/// \brief Carries out the actions of one forwarded request's ForwardMachine.
+#pragma once
+
+#include "base/RankedMutex.h"
+#include "base/Time.h"
+#include "forward/ForwardContext.h"
+#include "forward/ForwardMachine.h"
+#include "forward/ForwardRequest.h"
+#include "state/HttpRoute.h"
+#include "transport/HttpCall.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace lycheereach {
+
+class HttpReply;
+class Timer;
+
+/// One forwarded request in progress. Events come from any thread and are handled one at a time under
+/// a lock of rank LockRank::Requests; what an action answers at once is handled in the same turn.
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
+{
+public:
+    /// Told when the caller has its answer and no attempt is open.
+    using Finished = std::function<void(const ForwardedRequest *)>;
+
+    /// \a service is the share of the route that the request fell to, and \a pool the one that serves
+    /// its model.
+    ForwardedRequest(ForwardContext &context, ForwardRequest request, HttpRoute route,
+                     WorkspaceName workspace, std::uint32_t priority, PoolName service,
+                     PoolName pool, std::shared_ptr<HttpReply> reply, Finished finished);
+    ~ForwardedRequest();
+    ForwardedRequest(const ForwardedRequest &) = delete;
+    auto operator=(const ForwardedRequest &) -> ForwardedRequest & = delete;
+
+    /// Begins.
+    auto start() -> void;
+    /// Takes an event.
+    auto post(const ForwardEvent &event) -> void;
+
+private:
+    auto handle(const ForwardEvent &event) -> void;
+    auto perform(const forward_action::ChooseTarget &action) -> void;
+    auto perform(const forward_action::StartAttempt &action) -> void;
+    auto perform(const forward_action::CancelAttempt &action) -> void;
+    auto perform(const forward_action::ReleaseTarget &action) -> void;
+    auto perform(const forward_action::SendHead &action) -> void;
+    auto perform(const forward_action::SendPart &action) -> void;
+    auto perform(const forward_action::SendEnd &action) -> void;
+    auto perform(const forward_action::SendAnswer &action) -> void;
+    auto perform(const forward_action::SendRefusal &action) -> void;
+    auto perform(const forward_action::BreakOff &action) -> void;
+    [[nodiscard]] auto hooksFor(std::uint32_t attempt) -> HttpCallHooks;
+    auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
+
+    ForwardContext &context_;
+    ForwardRequest request_;
+    HttpRoute route_;
+    WorkspaceName workspace_;
+    std::uint32_t priority_;
+    PoolName service_;
+    PoolName pool_;
+    std::shared_ptr<HttpReply> reply_;
+    Finished finished_;
+    MonotonicTime arrivedAt_;
+    MonotonicTime deadline_;
+
+    RankedMutex mutex_;
+    ForwardMachine machine_;
+    ForwardTarget target_;
+    std::optional<std::uint64_t> call_;
+    std::shared_ptr<Timer> timer_;
+    bool isDone_ = false;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/RouteIndex.h
@@ -0,0 +1,47 @@
+/// \file
+/// \brief Finds the route and the workspace of a forwarded request.
+#pragma once
+
+#include "base/Ids.h"
+#include "state/HttpRoute.h"
+#include "state/Workspace.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheereach {
+
+struct Declaration;
+
+/// Finds the route and the workspace of a forwarded request. Immutable.
+class RouteIndex
+{
+public:
+    explicit RouteIndex(const Declaration &declaration);
+
+    /// The route of \a host with the longest prefix of \a target's path; null when there is none.
+    [[nodiscard]] auto match(std::string_view host, std::string_view target) const
+        -> const HttpRoute *;
+    /// The workspace that holds \a key; null when there is none.
+    [[nodiscard]] auto workspaceOf(const std::string &key) const -> const Workspace *;
+    /// Whether callers need keys at all.
+    [[nodiscard]] auto needsKeys() const -> bool { return !workspaces_.empty(); }
+    /// The pool of the engines of \a service that serves \a model; \a service itself when it is a
+    /// plain one; nothing when the model is unknown.
+    [[nodiscard]] auto poolOf(const PoolName &service, const std::string &model) const
+        -> std::optional<PoolName>;
+
+private:
+    /// Of each host, longest prefix first.
+    std::map<std::string, std::vector<HttpRoute>, std::less<>> routes_;
+    std::vector<Workspace> workspaces_;
+    /// By the digest of a key.
+    std::map<std::string, std::size_t> byDigest_;
+    std::map<std::pair<PoolName, std::string>, PoolName> pools_;
+    std::map<PoolName, bool> hasEngines_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/TargetTable.cpp
@@ -0,0 +1,169 @@
+#include "forward/TargetTable.h"
+
+#include "state/FleetState.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// An upstream that failed a request is left out for so long while there are others.
+constexpr auto failureHoldOff = std::chrono::milliseconds(500);
+/// What an upstream said of its load counts for so long.
+constexpr auto reportLifetime = std::chrono::milliseconds(400);
+/// What the way to another zone counts in requests in progress.
+constexpr auto otherZoneCost = 0.3;
+
+auto isOpen(const FleetState &state, const Group &group) -> bool
+{
+    if (group.phase_ != GroupPhase::Serving || group.members_.empty())
+        return false;
+    const auto head = state.upstreams_.find(group.members_.front());
+    return head != state.upstreams_.end()
+        && head->second.announced_.phase_ == MemberPhase::Open
+        && memberAgrees(group, head->second);
+}
+
+} // namespace
+
+TargetTable::TargetTable(ZoneName zone, RandomSource random)
+    : zone_(std::move(zone))
+    , random_(std::move(random))
+    , mutex_(LockRank::Targets)
+{ }
+
+auto TargetTable::update(const FleetState &state) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto live = std::size_t{0};
+    for (const auto &[id, entry] : state.entries_)
+        live += !entry.control_ && entry.phase_ != EntryPhase::Lost ? 1 : 0;
+    entries_ = std::max<std::size_t>(live, 1);
+    auto targets = std::map<PoolName, std::map<UpstreamId, Target>>{};
+    for (const auto &[id, group] : state.groups_) {
+        if (isOpen(state, group))
+            add(state, group.pool_, group.members_.front(), targets);
+    }
+    for (const auto &[id, upstream] : state.upstreams_) {
+        const auto isPlain = upstream.announced_.kind_ == UpstreamKind::Service;
+        if (isPlain && !upstream.lost_ && !upstream.draining_ && !upstream.announced_.leaving_)
+            add(state, upstream.announced_.pool_, id, targets);
+    }
+    targets_ = std::move(targets);
+}
+
+auto TargetTable::add(const FleetState &state, const PoolName &pool, const UpstreamId &upstream,
+                      std::map<PoolName, std::map<UpstreamId, Target>> &targets) const -> void
+{
+    const auto &announced = state.upstreams_.at(upstream).announced_;
+    if (isZoneOut(state, announced.zone_))
+        return;
+    auto added = Target{};
+    added.target_
+        = ForwardTarget{upstream, announced.incarnation_, announced.address_, pool, announced.zone_};
+    if (const auto pools = targets_.find(pool); pools != targets_.end()) {
+        const auto known = pools->second.find(upstream);
+        if (known != pools->second.end() && known->second.target_ == added.target_)
+            added = known->second;
+    }
+    const auto *profile = findProfile(state.declaration_, announced.pool_);
+    added.slots_ = profile == nullptr ? 0 : profile->slots_;
+    const auto isCold = announced.cold_ && profile != nullptr;
+    added.coldPerSecond_
+        = isCold ? profile->coldPerSecond_ / static_cast<double>(entries_) : 0;
+    targets[pool].emplace(upstream, std::move(added));
+}
+
+auto TargetTable::costOf(const Target &target, MonotonicTime now) const -> double
+{
+    auto load = static_cast<double>(target.inFlight_);
+    if (target.load_ && now - target.loadAt_ < reportLifetime) {
+        const auto others = static_cast<double>(target.load_->running_ + target.load_->waiting_);
+        load = std::max(load, others / static_cast<double>(entries_));
+    }
+    return load + (target.target_.zone_ == zone_ ? 0 : otherZoneCost);
+}
+
+auto TargetTable::mayStart(Target &target, MonotonicTime now) -> bool
+{
+    if (target.coldPerSecond_ <= 0)
+        return true;
+    auto &starts = target.coldStarts_;
+    while (!starts.empty() && now - starts.front() > std::chrono::seconds(1))
+        starts.pop_front();
+    return static_cast<double>(starts.size()) + 1 <= std::max(1.0, target.coldPerSecond_);
+}
+
+auto TargetTable::choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                         MonotonicTime now) -> std::optional<ForwardTarget>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = targets_.find(pool);
+    if (found == targets_.end())
+        return std::nullopt;
+    Target *best = nullptr;
+    auto bestRank = std::tuple<bool, bool, double, std::uint64_t>{};
+    for (auto &[id, target] : found->second) {
+        if (!mayStart(target, now))
+            continue;
+        const auto rank = std::tuple(avoid.contains(id), now < target.leftOutUntil_,
+                                     costOf(target, now), random_());
+        if (best == nullptr || rank < bestRank) {
+            best = &target;
+            bestRank = rank;
+        }
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    ++best->inFlight_;
+    if (best->coldPerSecond_ > 0)
+        best->coldStarts_.push_back(now);
+    return best->target_;
+}
+
+auto TargetTable::release(const ForwardTarget &target, bool failed, MonotonicTime now) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto pool = targets_.find(target.pool_);
+    if (pool == targets_.end())
+        return;
+    const auto found = pool->second.find(target.upstream_);
+    if (found == pool->second.end() || found->second.target_ != target)
+        return;
+    auto &known = found->second;
+    if (known.inFlight_ > 0)
+        --known.inFlight_;
+    if (failed)
+        known.leftOutUntil_ = now + failureHoldOff;
+}
+
+auto TargetTable::report(const ForwardTarget &target, const ReportedLoad &load, MonotonicTime now)
+    -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto pool = targets_.find(target.pool_);
+    if (pool == targets_.end())
+        return;
+    const auto found = pool->second.find(target.upstream_);
+    if (found == pool->second.end())
+        return;
+    found->second.load_ = load;
+    found->second.loadAt_ = now;
+}
+
+auto TargetTable::entries() const -> std::size_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return entries_;
+}
+
+auto TargetTable::hasTarget(const PoolName &pool) const -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return targets_.contains(pool);
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/forward/TargetTable.h
@@ -0,0 +1,70 @@
+/// \file
+/// \brief The upstreams that forwarded requests may go to, with their load.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/RankedMutex.h"
+#include "base/Time.h"
+#include "forward/ForwardHead.h"
+#include "forward/ForwardTarget.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace lycheereach {
+
+struct FleetState;
+
+/// The upstreams that forwarded requests may go to, with their load: first members of serving groups
+/// whose gate is open, and instances of plain services. Chooses by the requests of this entry and by
+/// what upstreams say in their answers. A cold upstream gets this entry's part of what it carries.
+/// Thread-safe; guarded by one lock of rank LockRank::Targets.
+class TargetTable
+{
+public:
+    TargetTable(ZoneName zone, RandomSource random);
+
+    /// Takes in the replicated state. Call it after every change.
+    auto update(const FleetState &state) -> void;
+    /// The best upstream of \a pool for one more request, which counts until release().
+    auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid, MonotonicTime now)
+        -> std::optional<ForwardTarget>;
+    /// A chosen target is no longer used; \a failed leaves it out for a while.
+    auto release(const ForwardTarget &target, bool failed, MonotonicTime now) -> void;
+    /// Takes in what an upstream said in an answer.
+    auto report(const ForwardTarget &target, const ReportedLoad &load, MonotonicTime now) -> void;
+    /// Entries that share the upstreams.
+    [[nodiscard]] auto entries() const -> std::size_t;
+    /// Whether \a pool has any upstream, full or not.
+    [[nodiscard]] auto hasTarget(const PoolName &pool) const -> bool;
+
+private:
+    struct Target
+    {
+        ForwardTarget target_;
+        std::uint32_t inFlight_ = 0;
+        std::uint32_t slots_ = 0;
+        /// Requests a second that this entry may send while the upstream is cold; 0 when it is warm.
+        double coldPerSecond_ = 0;
+        std::deque<MonotonicTime> coldStarts_;
+        std::optional<ReportedLoad> load_;
+        MonotonicTime loadAt_;
+        MonotonicTime leftOutUntil_;
+    };
+
+    [[nodiscard]] auto costOf(const Target &target, MonotonicTime now) const -> double;
+    static auto mayStart(Target &target, MonotonicTime now) -> bool;
+    auto add(const FleetState &state, const PoolName &pool, const UpstreamId &upstream,
+             std::map<PoolName, std::map<UpstreamId, Target>> &targets) const -> void;
+
+    ZoneName zone_;
+    RandomSource random_;
+    mutable RankedMutex mutex_;
+    std::map<PoolName, std::map<UpstreamId, Target>> targets_;
+    std::size_t entries_ = 1;
+};
+
+} // namespace lycheereach
--- a/packages/groups/FreeInstances.cpp
+++ b/packages/groups/FreeInstances.cpp
@@ -32,7 +32,7 @@
     auto free = std::vector<FreeInstance>{};
     for (const auto &[id, upstream] : state.upstreams_) {
         const auto &announced = upstream.announced_;
-        if (announced.pool_ != pool.name_ || announced.kind_ != UpstreamKind::Engine)
+        if (announced.pool_ != enginesOf(pool) || announced.kind_ != UpstreamKind::Engine)
             continue;
         if (!mayTakeWork(upstream) || !announced.group_.empty() || state.groupOf_.contains(id))
             continue;
--- /dev/null
+++ b/packages/groups/GatePlanner.cpp
@@ -0,0 +1,347 @@
+#include "groups/GatePlanner.h"
+
+#include "groups/FreeInstances.h"
+#include "groups/GatePlannerInputs.h"
+#include "groups/MemberAddress.h"
+#include "groups/Placement.h"
+#include "state/FleetState.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// Added to the time that a group stands still before its members are used again.
+constexpr auto stallMargin = std::chrono::milliseconds(1500);
+
+auto findUpstream(const FleetState &state, const UpstreamId &id) -> const Upstream *
+{
+    const auto found = state.upstreams_.find(id);
+    return found == state.upstreams_.end() ? nullptr : &found->second;
+}
+
+auto isMemberOf(const Announcement &announced, const Group &group) -> bool
+{
+    return announced.group_ == group.id_ && announced.epoch_ == group.epoch_;
+}
+
+auto orderFor(const Upstream &upstream, OrderKind kind, const GroupId &group, Epoch epoch)
+    -> MemberOrder
+{
+    auto order = MemberOrder{};
+    order.upstream_ = upstream.announced_.upstream_;
+    order.address_ = upstream.announced_.address_;
+    order.kind_ = kind;
+    order.group_ = group;
+    order.epoch_ = epoch;
+    return order;
+}
+
+auto memberAddresses(const FleetState &state, const Group &group) -> std::vector<MemberAddress>
+{
+    auto members = std::vector<MemberAddress>{};
+    for (const auto &id : group.members_) {
+        const auto *upstream = findUpstream(state, id);
+        members.push_back({id, upstream == nullptr ? "" : upstream->announced_.address_});
+    }
+    return members;
+}
+
+/// Whether a member is gone, or in a group that was complete no longer takes part.
+auto isIncomplete(const FleetState &state, const Group &group) -> bool
+{
+    const auto isMissing = [&](const UpstreamId &id) {
+        const auto *upstream = findUpstream(state, id);
+        return upstream == nullptr || upstream->lost_
+            || (group.mayBeOpen_ && !memberAgrees(group, *upstream));
+    };
+    return std::any_of(group.members_.begin(), group.members_.end(), isMissing);
+}
+
+auto hasLeavingMember(const FleetState &state, const Group &group) -> bool
+{
+    const auto leaves = [&](const UpstreamId &id) {
+        const auto *upstream = findUpstream(state, id);
+        return upstream != nullptr && !mayTakeWork(*upstream);
+    };
+    return std::any_of(group.members_.begin(), group.members_.end(), leaves);
+}
+
+auto isWanted(const FleetState &state, const Group &group) -> bool
+{
+    const auto *pool = findPool(state.declaration_, group.pool_);
+    return pool != nullptr && pool->instancesPerGroup_ == group.members_.size()
+        && mayBeIn(*pool, group.zone_);
+}
+
+auto groupsOf(const FleetState &state, const PoolName &pool) -> std::size_t
+{
+    const auto counts = [&](const auto &item) {
+        return item.second.pool_ == pool && item.second.phase_ != GroupPhase::Draining
+            && !isZoneOut(state, item.second.zone_);
+    };
+    return static_cast<std::size_t>(
+        std::count_if(state.groups_.begin(), state.groups_.end(), counts));
+}
+
+/// A pool that may get one more group.
+struct Wanting
+{
+    const Pool *pool_ = nullptr;
+    std::size_t groups_ = 0;
+
+    /// How much of the expected work one group would have after one more was formed.
+    [[nodiscard]] auto need() const -> double
+    {
+        const auto share = pool_->share_ > 0 ? pool_->share_ : 1.0;
+        return share * pool_->pace_ / static_cast<double>(groups_ + 1);
+    }
+};
+
+auto wantingPools(const FleetState &state) -> std::vector<Wanting>
+{
+    auto pools = std::vector<Wanting>{};
+    for (const auto &pool : state.declaration_.pools_)
+        pools.push_back({&pool, groupsOf(state, pool.name_)});
+    return pools;
+}
+
+auto neediest(std::vector<Wanting> &pools) -> Wanting *
+{
+    const auto less
+        = [](const Wanting &left, const Wanting &right) { return left.need() < right.need(); };
+    const auto found = std::max_element(pools.begin(), pools.end(), less);
+    return found == pools.end() ? nullptr : &*found;
+}
+
+/// The free instances of \a pool that \a used does not name.
+auto unused(const FleetState &state, const Pool &pool, const std::set<UpstreamId> &used)
+    -> std::vector<FreeInstance>
+{
+    auto free = freeInstances(state, pool);
+    std::erase_if(free, [&](const FreeInstance &item) { return used.contains(item.upstream_); });
+    return free;
+}
+
+} // namespace
+
+auto GatePlanner::plan(const FleetState &state, const GatePlannerInputs &inputs)
+    -> std::vector<PlannerAction>
+{
+    auto pass = Pass{state, inputs, {}, 0};
+    std::erase_if(brokenSince_,
+                  [&](const auto &item) { return !state.groups_.contains(item.first); });
+    for (const auto &[id, group] : state.groups_)
+        planGroup(pass, group);
+    planStrays(pass);
+    planNewGroups(pass);
+    for (auto &order : orders_.take())
+        pass.actions_.emplace_back(std::move(order));
+    return std::move(pass.actions_);
+}
+
+auto GatePlanner::planGroup(Pass &pass, const Group &group) -> void
+{
+    const auto &state = pass.state_;
+    if (group.phase_ == GroupPhase::Draining) {
+        planEnd(pass, group);
+        return;
+    }
+    if (isIncomplete(state, group) || hasLeavingMember(state, group) || !isWanted(state, group)) {
+        pass.actions_.emplace_back(
+            Command(SetGroupPhase{group.id_, group.epoch_, GroupPhase::Draining}));
+        return;
+    }
+    if (group.phase_ == GroupPhase::Serving) {
+        planOpening(pass, group);
+        return;
+    }
+    if (allMembersAgree(state, group))
+        pass.actions_.emplace_back(
+            Command(SetGroupPhase{group.id_, group.epoch_, GroupPhase::Serving}));
+    else
+        planJoins(pass, group, *findPool(state.declaration_, group.pool_));
+}
+
+auto GatePlanner::planJoins(Pass &pass, const Group &group, const Pool &pool) -> void
+{
+    const auto members = memberAddresses(pass.state_, group);
+    for (auto rank = std::uint32_t{0}; rank < group.members_.size(); ++rank) {
+        const auto &upstream = *findUpstream(pass.state_, group.members_[rank]);
+        if (isMemberOf(upstream.announced_, group))
+            continue;
+        auto order = orderFor(upstream, OrderKind::Join, group.id_, group.epoch_);
+        order.rank_ = rank;
+        order.members_ = members;
+        order.model_ = pool.model_;
+        order.fencing_ = group.fencing_;
+        if (!orders_.maySend(upstream, order, pass.inputs_.now_))
+            continue;
+        const auto isLoad = !hasWeights(upstream.announced_, pool.model_);
+        if (isLoad && !mayLoad(pass, enginesOf(pool)))
+            continue;
+        orders_.send(upstream, order, pass.inputs_.now_);
+    }
+}
+
+auto GatePlanner::planOpening(Pass &pass, const Group &group) -> void
+{
+    const auto &head = *findUpstream(pass.state_, group.members_.front());
+    if (head.announced_.phase_ != MemberPhase::Ready)
+        return;
+    orders_.send(head, orderFor(head, OrderKind::Open, group.id_, group.epoch_), pass.inputs_.now_);
+}
+
+auto GatePlanner::planEnd(Pass &pass, const Group &group) -> void
+{
+    if (isGateClosed(pass, group)) {
+        pass.actions_.emplace_back(
+            Command(SetGroupPhase{group.id_, group.epoch_, GroupPhase::Dissolved}));
+        return;
+    }
+    const auto now = pass.inputs_.now_;
+    const auto &head = *findUpstream(pass.state_, group.members_.front());
+    if (!head.lost_) {
+        const auto phase = head.announced_.phase_;
+        const auto finishes = phase == MemberPhase::Open || phase == MemberPhase::Closing;
+        const auto leaves = isIncomplete(pass.state_, group) || !finishes;
+        if (leaves)
+            orders_.send(head, orderFor(head, OrderKind::Leave, group.id_, group.epoch_), now);
+        else if (phase == MemberPhase::Open)
+            orders_.send(head, orderFor(head, OrderKind::Close, group.id_, group.epoch_), now);
+        return;
+    }
+    for (const auto &id : group.members_) {
+        const auto *member = findUpstream(pass.state_, id);
+        if (member != nullptr && !member->lost_ && isMemberOf(member->announced_, group))
+            orders_.send(*member, orderFor(*member, OrderKind::Leave, group.id_, group.epoch_),
+                         now);
+    }
+}
+
+auto GatePlanner::isGateClosed(const Pass &pass, const Group &group) -> bool
+{
+    const auto &state = pass.state_;
+    const auto *head = findUpstream(state, group.members_.front());
+    if (head == nullptr)
+        return true;
+    const auto &announced = head->announced_;
+    if (!head->lost_)
+        return !isMemberOf(announced, group);
+    if (!group.mayBeOpen_)
+        return true;
+    if (pass.inputs_.hasEnded_ && pass.inputs_.hasEnded_(*head))
+        return true;
+    // A lost first member may still take requests until its group has broken.
+    const auto hasLeft = [&](const UpstreamId &id) {
+        const auto *member = findUpstream(state, id);
+        return member != nullptr && !member->lost_ && !isMemberOf(member->announced_, group);
+    };
+    if (!std::any_of(group.members_.begin(), group.members_.end(), hasLeft)) {
+        brokenSince_.erase(group.id_);
+        return false;
+    }
+    const auto since = brokenSince_.try_emplace(group.id_, pass.inputs_.now_).first->second;
+    const auto *pool = findPool(state.declaration_, group.pool_);
+    const auto *profile
+        = pool == nullptr ? nullptr : findProfile(state.declaration_, enginesOf(*pool));
+    const auto stall = std::chrono::milliseconds(
+        profile == nullptr ? UpstreamProfile{}.stallMs_ : profile->stallMs_);
+    return pass.inputs_.now_ - since >= stall + stallMargin;
+}
+
+auto GatePlanner::planStrays(Pass &pass) -> void
+{
+    for (const auto &[id, upstream] : pass.state_.upstreams_) {
+        const auto &announced = upstream.announced_;
+        if (announced.group_.empty() || upstream.lost_ || announced.kind_ != UpstreamKind::Engine)
+            continue;
+        const auto membership = pass.state_.groupOf_.find(id);
+        const auto belongs = membership != pass.state_.groupOf_.end()
+            && isMemberOf(announced, pass.state_.groups_.at(membership->second));
+        if (!belongs)
+            orders_.send(upstream,
+                         orderFor(upstream, OrderKind::Leave, announced.group_, announced.epoch_),
+                         pass.inputs_.now_);
+    }
+}
+
+auto GatePlanner::planNewGroups(Pass &pass) -> void
+{
+    const auto &state = pass.state_;
+    auto pools = wantingPools(state);
+    auto used = std::set<UpstreamId>{};
+    while (auto *next = neediest(pools)) {
+        const auto &pool = *next->pool_;
+        const auto isFull = pool.groups_ != 0 && next->groups_ >= pool.groups_;
+        const auto placed = isFull
+            ? std::nullopt
+            : placeGroup(unused(state, pool, used), pool.instancesPerGroup_);
+        if (!placed) {
+            pools.erase(pools.begin() + (next - pools.data()));
+            continue;
+        }
+        used.insert(placed->members_.begin(), placed->members_.end());
+        ++next->groups_;
+        const auto id
+            = GroupId("g" + std::to_string(state.applied_) + "-" + std::to_string(++pass.formed_));
+        pass.actions_.emplace_back(
+            Command(FormGroup{id, pool.name_, placed->zone_, 0, placed->members_, true}));
+    }
+    auto planned = std::set<PoolName>{};
+    for (const auto &pool : state.declaration_.pools_) {
+        if (planned.insert(enginesOf(pool)).second)
+            planSpares(pass, enginesOf(pool), unused(state, pool, used));
+    }
+}
+
+auto GatePlanner::planSpares(Pass &pass, const PoolName &engines, std::vector<FreeInstance> spares)
+    -> void
+{
+    auto models = std::vector<const Pool *>{};
+    for (const auto &pool : pass.state_.declaration_.pools_) {
+        if (enginesOf(pool) == engines)
+            models.push_back(&pool);
+    }
+    auto countIn = std::map<FabricDomain, std::size_t>{};
+    for (const auto &spare : spares) {
+        const auto &pool = *models[countIn[spare.domain_]++ % models.size()];
+        const auto &upstream = *findUpstream(pass.state_, spare.upstream_);
+        const auto holdsAny
+            = std::any_of(models.begin(), models.end(), [&](const Pool *candidate) {
+                  return hasWeights(upstream.announced_, candidate->model_);
+              });
+        if (holdsAny)
+            continue;
+        auto order = orderFor(upstream, OrderKind::Load, {}, 0);
+        order.model_ = pool.model_;
+        if (orders_.maySend(upstream, order, pass.inputs_.now_) && mayLoad(pass, engines))
+            orders_.send(upstream, order, pass.inputs_.now_);
+    }
+}
+
+auto GatePlanner::mayLoad(const Pass &pass, const PoolName &engines) -> bool
+{
+    if (!pass.state_.hasTraffic_)
+        return true;
+    const auto *profile = findProfile(pass.state_.declaration_, engines);
+    auto &rate = loads_[engines];
+    rate.setRate(profile == nullptr ? 0 : profile->loadsPerSecond_);
+    return rate.take(pass.inputs_.now_);
+}
+
+auto GatePlanner::orderEnded(const UpstreamId &upstream, bool accepted, MonotonicTime now) -> void
+{
+    orders_.ended(upstream, accepted, now);
+}
+
+auto GatePlanner::reset() -> void
+{
+    orders_.reset();
+    brokenSince_.clear();
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/groups/GatePlanner.h
@@ -0,0 +1,69 @@
+/// \file
+/// \brief Plans the groups of engines that keep the gate of their group themselves.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Time.h"
+#include "groups/GateOrders.h"
+#include "groups/LoadRate.h"
+#include "groups/PlannerAction.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace lycheereach {
+
+struct FleetState;
+struct FreeInstance;
+struct GatePlannerInputs;
+struct Group;
+struct Pool;
+struct Upstream;
+
+/// Plans the groups of engines that keep the gate of their group themselves: the first member takes
+/// requests between an order to open and an order to close, and nobody else checks its group.
+///
+/// The gate is opened only after every member announced itself ready in the group's epoch. A group
+/// that lost a member, or is to end, is closed first; its members are free once the first member
+/// says that the gate is closed, its process is known to have ended, or the group must have broken
+/// because a member left it longer ago than a group stands still. Groups are never repaired in
+/// place: the members that are left form a new group, with weights that are still loaded.
+/// Runs on the control leader. Not thread-safe.
+class GatePlanner
+{
+public:
+    /// The next steps for \a state. Every order in the result is in flight until orderEnded().
+    auto plan(const FleetState &state, const GatePlannerInputs &inputs)
+        -> std::vector<PlannerAction>;
+    /// The order in flight to \a upstream was answered, or its connection is closed for good.
+    auto orderEnded(const UpstreamId &upstream, bool accepted, MonotonicTime now) -> void;
+    /// Forgets all that is in flight; for a new term of leadership.
+    auto reset() -> void;
+
+private:
+    struct Pass
+    {
+        const FleetState &state_;
+        const GatePlannerInputs &inputs_;
+        std::vector<PlannerAction> actions_;
+        std::size_t formed_ = 0;
+    };
+
+    auto planGroup(Pass &pass, const Group &group) -> void;
+    auto planJoins(Pass &pass, const Group &group, const Pool &pool) -> void;
+    auto planOpening(Pass &pass, const Group &group) -> void;
+    auto planEnd(Pass &pass, const Group &group) -> void;
+    auto isGateClosed(const Pass &pass, const Group &group) -> bool;
+    auto planNewGroups(Pass &pass) -> void;
+    auto planStrays(Pass &pass) -> void;
+    auto planSpares(Pass &pass, const PoolName &engines, std::vector<FreeInstance> spares) -> void;
+    auto mayLoad(const Pass &pass, const PoolName &engines) -> bool;
+
+    GateOrders orders_;
+    std::map<PoolName, LoadRate> loads_;
+    /// Since when a member of a group whose first member is lost has been out of it.
+    std::map<GroupId, MonotonicTime> brokenSince_;
+};
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/groups/GatePlannerInputs.h
@@ -0,0 +1,21 @@
+/// \file
+/// \brief What GatePlanner needs to know besides the replicated state.
+#pragma once
+
+#include "base/Time.h"
+#include "state/Upstream.h"
+
+#include <functional>
+
+namespace lycheereach {
+
+/// What GatePlanner needs to know besides the replicated state.
+struct GatePlannerInputs
+{
+    MonotonicTime now_;
+    /// Whether the process that announced itself as this upstream is known to have ended; may say
+    /// false for one that has.
+    std::function<bool(const Upstream &)> hasEnded_;
+};
+
+} // namespace lycheereach
--- a/packages/groups/GroupWatch.cpp
+++ b/packages/groups/GroupWatch.cpp
@@ -46,6 +46,7 @@
     auto adjusted = left;
     adjusted.sequence_ = right.sequence_;
     adjusted.carries_ = right.carries_;
+    adjusted.coldMs_ = right.coldMs_;
     adjusted.running_ = right.running_;
     adjusted.queued_ = right.queued_;
     return adjusted != right;
--- a/packages/groups/OrderKind.h
+++ b/packages/groups/OrderKind.h
@@ -16,6 +16,10 @@
     Leave,
     /// Load weights without joining a group.
     Load,
+    /// Take requests for the group; for the first member of engines that keep the gate.
+    Open,
+    /// Take no new requests and finish those in progress.
+    Close,
 };
 
 template <>
@@ -25,7 +29,8 @@
     {
         using Pair = std::pair<OrderKind, const char *>;
         return std::array{Pair{OrderKind::Join, "join"}, Pair{OrderKind::Leave, "leave"},
-                          Pair{OrderKind::Load, "load"}};
+                          Pair{OrderKind::Load, "load"}, Pair{OrderKind::Open, "open"},
+                          Pair{OrderKind::Close, "close"}};
     }
 };
 
--- a/packages/serving/PlannerService.cpp
+++ b/packages/serving/PlannerService.cpp
@@ -7,11 +7,12 @@
 
 namespace lycheereach {
 
-PlannerService::PlannerService(ControlService &control, PlannerServiceHooks hooks)
+PlannerService::PlannerService(ControlService &control, GroupPlanning planning,
+                               PlannerServiceHooks hooks)
     : control_(control)
     , hooks_(std::move(hooks))
     , mutex_(LockRank::Planner)
-    , planner_(hooks_.event_)
+    , planning_(std::move(planning))
 { }
 
 auto PlannerService::tick() -> void
@@ -29,7 +30,7 @@
         return;
     term_ = term;
     commandsUnderWay_ = 0;
-    planner_.reset();
+    planning_.reset_();
 }
 
 auto PlannerService::plan(Term term) -> std::vector<PlannerAction>
@@ -44,7 +45,7 @@
         inputs.revokedInForce_ = [&](const GroupId &group) {
             return state.groups_.at(group).leaseChangedAt_ <= inForce;
         };
-        return planner_.plan(state, inputs);
+        return planning_.plan_(state, inputs);
     });
     for (const auto &action : actions)
         commandsUnderWay_ += std::holds_alternative<Command>(action) ? 1 : 0;
@@ -89,7 +90,7 @@
                   {{"upstream", order.upstream_.text()}, {"group", order.group_.text()}}});
     const auto lock = std::scoped_lock(mutex_);
     if (term == term_)
-        planner_.orderEnded(order.upstream_, accepted, hooks_.now_());
+        planning_.orderEnded_(order.upstream_, accepted, hooks_.now_());
 }
 
 } // namespace lycheereach
--- a/packages/serving/PlannerService.h
+++ b/packages/serving/PlannerService.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/RankedMutex.h"
-#include "groups/GroupPlanner.h"
+#include "serving/GroupPlanning.h"
 #include "serving/PlannerServiceHooks.h"
 
 #include <memory>
@@ -17,7 +17,7 @@
 class PlannerService : public std::enable_shared_from_this<PlannerService>
 {
 public:
-    PlannerService(ControlService &control, PlannerServiceHooks hooks);
+    PlannerService(ControlService &control, GroupPlanning planning, PlannerServiceHooks hooks);
 
     /// Plans once, unless commands of the last plan are still under way.
     auto tick() -> void;
@@ -33,7 +33,7 @@
     ControlService &control_;
     PlannerServiceHooks hooks_;
     RankedMutex mutex_;
-    GroupPlanner planner_;
+    GroupPlanning planning_;
     std::size_t commandsUnderWay_ = 0;
     /// The term that the last plan was made in.
     Term term_ = 0;
--- a/packages/state/Announcement.h
+++ b/packages/state/Announcement.h
@@ -33,6 +33,8 @@
     /// Whether it refuses orders with an old fencing number.
     bool checksFencing_ = false;
     bool cold_ = true;
+    /// How much longer it stays cold, in milliseconds.
+    std::uint32_t coldMs_ = 0;
     /// How many requests at once it can carry now.
     std::optional<std::uint32_t> carries_;
     /// Models whose weights it holds.
@@ -62,6 +64,7 @@
                           optionalField("accelerators", &Announcement::accelerators_),
                           optionalField("checksFencing", &Announcement::checksFencing_),
                           optionalField("cold", &Announcement::cold_),
+                          optionalField("coldMs", &Announcement::coldMs_),
                           optionalField("carries", &Announcement::carries_),
                           optionalField("loaded", &Announcement::loaded_),
                           optionalField("group", &Announcement::group_),
--- a/packages/state/Command.cpp
+++ b/packages/state/Command.cpp
@@ -9,7 +9,8 @@
 /// The tags of the commands in the log, in the order of the variant; never reordered or reused.
 constexpr auto tags = std::to_array<const char *>(
     {"apply", "zone", "drain", "entry", "entryPhase", "upstream", "upstreamLost", "group",
-     "groupPhase", "leaseholder", "claim", "settle", "expire", "block"});
+     "groupPhase", "leaseholder", "claim", "settle", "expire", "block", "publish",
+     "evacuate", "confirm", "traffic"});
 static_assert(tags.size() == std::variant_size_v<Command>);
 
 template <std::size_t Index>
--- a/packages/state/Command.h
+++ b/packages/state/Command.h
@@ -6,10 +6,14 @@
 #include "state/ApplyDeclaration.h"
 #include "state/BlockRequest.h"
 #include "state/ClaimRequest.h"
+#include "state/ConfirmState.h"
 #include "state/DrainUpstream.h"
+#include "state/EvacuateZone.h"
 #include "state/ExpireClaims.h"
 #include "state/FormGroup.h"
 #include "state/LoseUpstream.h"
+#include "state/NoteTraffic.h"
+#include "state/PublishDeclaration.h"
 #include "state/PutEntry.h"
 #include "state/PutUpstream.h"
 #include "state/SetEntryPhase.h"
@@ -26,7 +30,8 @@
 /// One record of the replicated log.
 using Command = std::variant<ApplyDeclaration, SetZone, DrainUpstream, PutEntry, SetEntryPhase,
                              PutUpstream, LoseUpstream, FormGroup, SetGroupPhase, SetLeaseholder,
-                             ClaimRequest, SettleClaim, ExpireClaims, BlockRequest>;
+                             ClaimRequest, SettleClaim, ExpireClaims, BlockRequest, PublishDeclaration,
+                             EvacuateZone, ConfirmState, NoteTraffic>;
 
 /// \a command as JSON text for the log.
 auto encodeCommand(const Command &command) -> std::string;
--- a/packages/state/CommandHandlers.h
+++ b/packages/state/CommandHandlers.h
@@ -32,6 +32,10 @@
 auto handle(CommandContext &context, const SettleClaim &command) -> CommandOutcome;
 auto handle(CommandContext &context, const ExpireClaims &command) -> CommandOutcome;
 auto handle(CommandContext &context, const BlockRequest &command) -> CommandOutcome;
+auto handle(CommandContext &context, const PublishDeclaration &command) -> CommandOutcome;
+auto handle(CommandContext &context, const EvacuateZone &command) -> CommandOutcome;
+auto handle(CommandContext &context, const ConfirmState &command) -> CommandOutcome;
+auto handle(CommandContext &context, const NoteTraffic &command) -> CommandOutcome;
 
 /// Stops a serving group whose members no longer all agree.
 auto demoteIfIncomplete(CommandContext &context, const UpstreamId &member) -> void;
--- a/packages/state/Declaration.h
+++ b/packages/state/Declaration.h
@@ -5,9 +5,11 @@
 #include "base/Ids.h"
 #include "base/JsonCodec.h"
 #include "state/ExceptionRule.h"
+#include "state/HttpRoute.h"
 #include "state/Policy.h"
 #include "state/Pool.h"
 #include "state/Service.h"
+#include "state/UpstreamProfile.h"
 #include "state/Workspace.h"
 
 #include <vector>
@@ -23,6 +25,9 @@
     std::vector<Service> services_;
     std::vector<Workspace> workspaces_;
     std::vector<ExceptionRule> exceptions_;
+    /// Routes whose requests are forwarded unchanged.
+    std::vector<HttpRoute> routes_;
+    std::vector<UpstreamProfile> profiles_;
     /// The outcome under an Idempotency-Key is kept for this time, in hours.
     std::uint32_t claimRetentionHours_ = 24;
 
@@ -35,6 +40,8 @@
                           optionalField("services", &Declaration::services_),
                           optionalField("workspaces", &Declaration::workspaces_),
                           optionalField("exceptions", &Declaration::exceptions_),
+                          optionalField("routes", &Declaration::routes_),
+                          optionalField("profiles", &Declaration::profiles_),
                           optionalField("claimRetentionHours", &Declaration::claimRetentionHours_)};
     }
 };
--- a/packages/state/FleetState.cpp
+++ b/packages/state/FleetState.cpp
@@ -58,7 +58,7 @@
     if (announced.kind_ == UpstreamKind::Service)
         return true;
     return announced.group_ == group.id_ && announced.epoch_ == group.epoch_
-        && announced.phase_ == MemberPhase::Ready;
+        && (announced.phase_ == MemberPhase::Ready || announced.phase_ == MemberPhase::Open);
 }
 
 auto allMembersAgree(const FleetState &state, const Group &group) -> bool
@@ -70,6 +70,16 @@
     return std::all_of(group.members_.begin(), group.members_.end(), agrees);
 }
 
+auto enginesOf(const Pool &pool) -> const PoolName &
+{
+    return pool.engines_.empty() ? pool.name_ : pool.engines_;
+}
+
+auto findProfile(const Declaration &declaration, const PoolName &name) -> const UpstreamProfile *
+{
+    return findNamed(declaration.profiles_, name);
+}
+
 auto findPool(const Declaration &declaration, const PoolName &name) -> const Pool *
 {
     return findNamed(declaration.pools_, name);
--- a/packages/state/FleetState.h
+++ b/packages/state/FleetState.h
@@ -27,6 +27,10 @@
     /// it has applied this record.
     LogIndex requiredIndex_ = 0;
     Declaration declaration_;
+    /// The operator's revision of a published declaration; 0 when it was applied.
+    std::uint64_t revision_ = 0;
+    /// The document that a published declaration was made from.
+    std::string source_;
     std::set<ZoneName> zonesOut_;
     /// Counts the accepted changes of zonesOut_.
     Version zonesVersion_ = 0;
@@ -42,6 +46,8 @@
     /// Fingerprints of requests that kill upstreams.
     std::map<std::string, std::int64_t> blocked_;
     FencingNumber lastFencing_ = 0;
+    /// Whether a caller's request has come since the fleet was founded.
+    bool hasTraffic_ = false;
 
     auto operator==(const FleetState &) const -> bool = default;
     static constexpr auto fields()
@@ -50,6 +56,8 @@
                           field("version", &FleetState::version_),
                           field("requiredIndex", &FleetState::requiredIndex_),
                           field("declaration", &FleetState::declaration_),
+                          optionalField("revision", &FleetState::revision_),
+                          optionalField("source", &FleetState::source_),
                           field("zonesOut", &FleetState::zonesOut_),
                           field("zonesVersion", &FleetState::zonesVersion_),
                           field("entries", &FleetState::entries_),
@@ -59,7 +67,8 @@
                           field("claims", &FleetState::claims_),
                           field("operations", &FleetState::operations_),
                           field("blocked", &FleetState::blocked_),
-                          field("lastFencing", &FleetState::lastFencing_)};
+                          field("lastFencing", &FleetState::lastFencing_),
+                          optionalField("hasTraffic", &FleetState::hasTraffic_)};
     }
 };
 
@@ -67,6 +76,10 @@
 auto memberAgrees(const Group &group, const Upstream &upstream) -> bool;
 /// Whether every member of \a group is there and agrees.
 auto allMembersAgree(const FleetState &state, const Group &group) -> bool;
+/// The engines that \a pool draws from.
+auto enginesOf(const Pool &pool) -> const PoolName &;
+/// The profile of the upstreams of \a name.
+auto findProfile(const Declaration &declaration, const PoolName &name) -> const UpstreamProfile *;
 /// The pool of that name.
 auto findPool(const Declaration &declaration, const PoolName &name) -> const Pool *;
 /// The plain service of that name.
--- a/packages/state/Group.h
+++ b/packages/state/Group.h
@@ -26,6 +26,8 @@
     /// By rank; the first takes the requests.
     std::vector<UpstreamId> members_;
     GroupPhase phase_ = GroupPhase::Forming;
+    /// Whether its first member may have been told in this epoch to take requests.
+    bool mayBeOpen_ = false;
     /// The entry that grants permits; empty between two holders.
     EntryId leaseholder_;
     /// Rises with every grant of the lease.
@@ -44,6 +46,7 @@
                           field("fencing", &Group::fencing_),
                           field("members", &Group::members_),
                           field("phase", &Group::phase_),
+                          optionalField("mayBeOpen", &Group::mayBeOpen_),
                           optionalField("leaseholder", &Group::leaseholder_),
                           optionalField("leaseNumber", &Group::leaseNumber_),
                           optionalField("leaseChangedAt", &Group::leaseChangedAt_)};
--- a/packages/state/GroupCommands.cpp
+++ b/packages/state/GroupCommands.cpp
@@ -23,7 +23,8 @@
     const auto &announced = found->second.announced_;
     if (found->second.lost_)
         return "is lost";
-    if (announced.pool_ != command.pool_)
+    const auto *pool = findPool(state.declaration_, command.pool_);
+    if (announced.pool_ != (pool == nullptr ? command.pool_ : enginesOf(*pool)))
         return "is of pool '" + announced.pool_.text() + "'";
     const auto other = state.groupOf_.find(member);
     if (other != state.groupOf_.end() && other->second != command.id_)
@@ -133,8 +134,9 @@
     group.id_ = command.id_;
     group.pool_ = command.pool_;
     group.zone_ = command.zone_;
-    group.epoch_ = command.previousEpoch_ + 1;
     group.fencing_ = ++state.lastFencing_;
+    group.epoch_ = command.fleetEpoch_ ? group.fencing_ : command.previousEpoch_ + 1;
+    group.mayBeOpen_ = false;
     group.members_ = command.members_;
     group.phase_ = GroupPhase::Forming;
     for (const auto &member : group.members_)
@@ -157,6 +159,7 @@
     if (command.phase_ == GroupPhase::Serving && !allMembersAgree(state, group))
         return refused("group '" + command.id_.text() + "' has members that do not agree");
     group.phase_ = command.phase_;
+    group.mayBeOpen_ = group.mayBeOpen_ || command.phase_ == GroupPhase::Serving;
     emitGroup(context, eventOf(command.phase_), group);
     if (command.phase_ == GroupPhase::Dissolved) {
         release(state, group);
--- a/packages/state/MemberPhase.h
+++ b/packages/state/MemberPhase.h
@@ -16,6 +16,12 @@
     Loading,
     /// Ready to serve with its group.
     Ready,
+    /// Takes requests for its group; said by the first member of engines that keep the gate.
+    Open,
+    /// Finishes its requests and takes no new ones.
+    Closing,
+    /// Its group stood still for too long and takes no requests.
+    Broken,
 };
 
 template <>
@@ -25,7 +31,9 @@
     {
         using Pair = std::pair<MemberPhase, const char *>;
         return std::array{Pair{MemberPhase::Idle, "idle"}, Pair{MemberPhase::Loading, "loading"},
-                          Pair{MemberPhase::Ready, "ready"}};
+                          Pair{MemberPhase::Ready, "ready"}, Pair{MemberPhase::Open, "open"},
+                          Pair{MemberPhase::Closing, "closing"},
+                          Pair{MemberPhase::Broken, "broken"}};
     }
 };
 
--- a/packages/state/OperatorCommands.cpp
+++ b/packages/state/OperatorCommands.cpp
@@ -105,6 +105,52 @@
     return keep(context, std::move(outcome));
 }
 
+auto handle(CommandContext &context, const PublishDeclaration &command) -> CommandOutcome
+{
+    auto &state = context.state_;
+    if (command.revision_ <= state.revision_)
+        return accepted();
+    const auto problems = checkDeclaration(command.declaration_);
+    if (!problems.empty())
+        return refused(joined(problems));
+    state.declaration_ = command.declaration_;
+    state.revision_ = command.revision_;
+    state.source_ = command.source_;
+    ++state.version_;
+    state.requiredIndex_ = context.index_;
+    context.sink_(Event{EventNumber::ConfigurationAccepted,
+                        {{"version", std::to_string(state.version_)},
+                         {"revision", std::to_string(state.revision_)}}});
+    return accepted();
+}
+
+auto handle(CommandContext &context, const EvacuateZone &command) -> CommandOutcome
+{
+    auto &state = context.state_;
+    if (state.zonesOut_.contains(command.zone_) == command.out_)
+        return accepted();
+    if (command.out_)
+        state.zonesOut_.insert(command.zone_);
+    else
+        state.zonesOut_.erase(command.zone_);
+    ++state.zonesVersion_;
+    state.requiredIndex_ = context.index_;
+    const auto number = command.out_ ? EventNumber::ZoneTakenOut : EventNumber::ZoneBroughtIn;
+    context.sink_(Event{number, {{"zone", command.zone_.text()}}});
+    return accepted();
+}
+
+auto handle(CommandContext & /*context*/, const ConfirmState & /*command*/) -> CommandOutcome
+{
+    return accepted();
+}
+
+auto handle(CommandContext &context, const NoteTraffic & /*command*/) -> CommandOutcome
+{
+    context.state_.hasTraffic_ = true;
+    return accepted();
+}
+
 auto handle(CommandContext &context, const SetZone &command) -> CommandOutcome
 {
     auto &state = context.state_;
--- a/packages/state/Pool.h
+++ b/packages/state/Pool.h
@@ -22,6 +22,12 @@
     std::uint32_t groups_ = 0;
     /// Where groups may be; empty means everywhere.
     std::vector<ZoneName> zones_;
+    /// The engines that the pool draws from, which other pools may share; its own name when empty.
+    PoolName engines_;
+    /// The part of all work on the shared engines that is expected for this pool; 0 when unknown.
+    double share_ = 0;
+    /// A factor on the times of an engine that serves this model.
+    double pace_ = 1;
 
     auto operator==(const Pool &) const -> bool = default;
     static constexpr auto fields()
@@ -29,7 +35,10 @@
         return std::tuple{field("name", &Pool::name_), field("model", &Pool::model_),
                           field("instancesPerGroup", &Pool::instancesPerGroup_),
                           optionalField("groups", &Pool::groups_),
-                          optionalField("zones", &Pool::zones_)};
+                          optionalField("zones", &Pool::zones_),
+                          optionalField("engines", &Pool::engines_),
+                          optionalField("share", &Pool::share_),
+                          optionalField("pace", &Pool::pace_)};
     }
 };
 
--- a/packages/state/Workspace.h
+++ b/packages/state/Workspace.h
@@ -24,6 +24,8 @@
     std::optional<double> burst_;
     /// SHA-256 of each key in hexadecimal; a caller who shows the key is of this workspace.
     std::vector<std::string> keyDigests_;
+    /// Goes before the priority of a route; 0 is the most urgent.
+    std::optional<std::uint32_t> priority_;
 
     auto operator==(const Workspace &) const -> bool = default;
     static constexpr auto fields()
@@ -32,7 +34,8 @@
                           optionalField("weight", &Workspace::weight_),
                           optionalField("requestsPerSecond", &Workspace::requestsPerSecond_),
                           optionalField("burst", &Workspace::burst_),
-                          optionalField("keyDigests", &Workspace::keyDigests_)};
+                          optionalField("keyDigests", &Workspace::keyDigests_),
+                          optionalField("priority", &Workspace::priority_)};
     }
 };
 
--- a/packages/transport/HttpReply.h
+++ b/packages/transport/HttpReply.h
@@ -30,6 +30,9 @@
     virtual auto finish() -> void = 0;
     /// Closes the connection without ending the answer.
     virtual auto abort() -> void = 0;
+    /// Has \a closed called once when the connection is closed before the answer is whole; at once
+    /// when it is closed already.
+    virtual auto onClosed(std::function<void()> closed) -> void = 0;
     /// The `IP:port` of the caller.
     [[nodiscard]] virtual auto remoteAddress() const -> std::string = 0;
 };
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -29,8 +30,6 @@
 constexpr std::size_t headerCountLimit = 128;
 constexpr auto timeoutCheckPeriod = std::chrono::milliseconds(250);
 
-using ServerTraits = restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>;
-
 auto reasonPhrase(std::uint16_t status) -> std::string
 {
     using Phrase = std::pair<std::uint16_t, const char *>;
@@ -166,7 +165,30 @@
 
     [[nodiscard]] auto remoteAddress() const -> const std::string & { return remote_; }
 
+    auto onClosed(std::function<void()> closed) -> void
+    {
+        if (done_)
+            return;
+        closed_ = std::move(closed);
+        if (isClosed_)
+            tellClosed();
+    }
+
+    /// The connection is closed.
+    auto noteClosed() -> void
+    {
+        isClosed_ = true;
+        if (!done_)
+            tellClosed();
+    }
+
 private:
+    auto tellClosed() -> void
+    {
+        if (const auto closed = std::exchange(closed_, nullptr))
+            gate_->run(closed);
+    }
+
     auto tell(const HttpReply::Written &written, const std::error_code &error) -> void
     {
         if (written)
@@ -176,6 +198,7 @@
     auto release() -> void
     {
         done_ = true;
+        closed_ = nullptr;
         connection_.reset();
     }
 
@@ -185,6 +208,8 @@
     std::shared_ptr<HookGate> gate_;
     std::string remote_;
     std::optional<ChunkedBuilder> stream_;
+    std::function<void()> closed_;
+    bool isClosed_ = false;
     bool done_ = false;
 };
 
@@ -231,6 +256,13 @@
         core_->queue([](ReplyCore &core) { core.abort(); });
     }
 
+    auto onClosed(std::function<void()> closed) -> void override
+    {
+        core_->queue([closed = std::move(closed)](ReplyCore &core) mutable {
+            core.onClosed(std::move(closed));
+        });
+    }
+
     [[nodiscard]] auto remoteAddress() const -> std::string override
     {
         return core_->remoteAddress();
@@ -277,7 +309,7 @@
             core->send(bodyTooLarge(bodyLimit_), true);
             return restinio::request_accepted();
         }
-        remember(core);
+        remember(request->connection_id(), core);
         const auto handled = gate_->run(
             [&] { handler_(toRequest(*request), std::make_shared<Reply>(std::move(core))); });
         if (!handled)
@@ -291,33 +323,77 @@
         gate_->close();
         handler_ = nullptr;
         const auto lock = std::scoped_lock(mutex_);
-        for (const auto &weak : replies_) {
-            if (const auto reply = weak.lock())
-                reply->queue([](ReplyCore &core) { core.abort(); });
-        }
+        for (const auto &[connection, replies] : replies_)
+            queueAll(replies, [](ReplyCore &core) { core.abort(); });
         replies_.clear();
     }
 
-private:
-    auto remember(const std::shared_ptr<ReplyCore> &reply) -> void
+    /// The connection is closed.
+    auto noteClosed(restinio::connection_id_t connection) -> void
     {
         const auto lock = std::scoped_lock(mutex_);
-        if (replies_.size() >= nextSweep_) {
-            std::erase_if(replies_, [](const auto &weak) { return weak.expired(); });
-            nextSweep_ = std::max(minimumSweep, 2 * replies_.size());
+        const auto found = replies_.find(connection);
+        if (found == replies_.end())
+            return;
+        queueAll(found->second, [](ReplyCore &core) { core.noteClosed(); });
+        replies_.erase(found);
+    }
+
+private:
+    using Replies = std::vector<std::weak_ptr<ReplyCore>>;
+
+    template <typename Operation>
+    static auto queueAll(const Replies &replies, Operation operation) -> void
+    {
+        for (const auto &weak : replies) {
+            if (const auto reply = weak.lock())
+                reply->queue(operation);
         }
-        replies_.push_back(reply);
     }
 
-    static constexpr std::size_t minimumSweep = 64;
+    auto remember(restinio::connection_id_t connection, const std::shared_ptr<ReplyCore> &reply)
+        -> void
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        auto &replies = replies_[connection];
+        std::erase_if(replies, [](const auto &weak) { return weak.expired(); });
+        replies.push_back(reply);
+    }
 
     asio::io_context &context_;
     std::size_t bodyLimit_;
     HttpHandler handler_;
     std::shared_ptr<HookGate> gate_ = std::make_shared<HookGate>();
     std::mutex mutex_;
-    std::vector<std::weak_ptr<ReplyCore>> replies_;
-    std::size_t nextSweep_ = minimumSweep;
+    /// The answers in progress on each open connection.
+    std::map<restinio::connection_id_t, Replies> replies_;
+};
+
+/// Tells a ServerCore of closed connections.
+class ClosedListener
+{
+public:
+    explicit ClosedListener(std::weak_ptr<ServerCore> core)
+        : core_(std::move(core))
+    { }
+
+    /// Called by RESTinio.
+    auto state_changed( // NOLINT(readability-identifier-naming)
+        const restinio::connection_state::notice_t &notice) noexcept -> void
+    {
+        if (!std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+            return;
+        if (const auto core = core_.lock())
+            core->noteClosed(notice.connection_id());
+    }
+
+private:
+    std::weak_ptr<ServerCore> core_;
+};
+
+struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>
+{
+    using connection_state_listener_t = ClosedListener; // NOLINT(readability-identifier-naming)
 };
 
 } // namespace
@@ -394,6 +470,7 @@
             .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
                 port_ = acceptor.local_endpoint().port();
             })
+            .connection_state_listener(std::make_shared<ClosedListener>(core_))
             .request_handler([core = core_](const restinio::request_handle_t &request) {
                 return core->handle(request);
             });
