groups: Form groups of a starting fleet when all engines have come

Cause: engines announce themselves one by one, and groups of three took every domain before six engines of it were known, so that the larger model had none. Ruled out: refused orders (their engines joined).

--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -17,6 +17,10 @@
 /// Added to the time that a group stands still before its members are used again.
 constexpr auto stallMargin = std::chrono::milliseconds(1500);
 
+/// A fleet that has just started counts as complete when no engine has come for this part of the time
+/// between announcements.
+constexpr auto settlePart = 0.6;
+
 auto findUpstream(const FleetState &state, const UpstreamId &id) -> const Upstream *
 {
     const auto found = state.upstreams_.find(id);
@@ -137,7 +141,8 @@
     for (const auto &[id, group] : state.groups_)
         planGroup(pass, group);
     planStrays(pass);
-    planNewGroups(pass);
+    if (hasSettled(pass))
+        planNewGroups(pass);
     for (auto &order : orders_.take())
         pass.actions_.emplace_back(std::move(order));
     return std::move(pass.actions_);
@@ -269,6 +274,18 @@
     }
 }
 
+auto GatePlanner::hasSettled(const Pass &pass) -> bool
+{
+    const auto now = pass.inputs_.now_;
+    const auto &state = pass.state_;
+    if (known_ != state.upstreams_.size()) {
+        known_ = state.upstreams_.size();
+        knownSince_ = now;
+    }
+    const auto period = std::chrono::milliseconds(state.declaration_.defaults_.announceEveryMs_);
+    return state.hasTraffic_ || now - knownSince_ >= settlePart * period;
+}
+
 auto GatePlanner::planNewGroups(Pass &pass) -> void
 {
     const auto &state = pass.state_;
--- a/packages/groups/GatePlanner.h
+++ b/packages/groups/GatePlanner.h
@@ -55,6 +55,8 @@
     auto planOpening(Pass &pass, const Group &group) -> void;
     auto planEnd(Pass &pass, const Group &group) -> void;
     auto isGateClosed(const Pass &pass, const Group &group) -> bool;
+    /// Whether all engines of a fleet that has just started have probably announced themselves.
+    auto hasSettled(const Pass &pass) -> bool;
     auto planNewGroups(Pass &pass) -> void;
     auto planStrays(Pass &pass) -> void;
     auto planSpares(Pass &pass, const PoolName &engines, std::vector<FreeInstance> spares) -> void;
@@ -62,6 +64,9 @@
 
     GateOrders orders_;
     std::map<PoolName, LoadRate> loads_;
+    /// How many engines were known, and since when.
+    std::size_t known_ = 0;
+    MonotonicTime knownSince_;
     /// Since when a member of a group whose first member is lost has been out of it.
     std::map<GroupId, MonotonicTime> brokenSince_;
 };
