control, log, state: Replace lost and wiped voters; check forwarded routes

Cause: a wiped voter stayed in the voter set, holders that were behind got the same records at each renewal, and declarations with invalid routes were accepted. Change: the leader removes wiped voters and replaces lost ones; records on their way are not sent again; routes are checked.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -4,6 +4,7 @@
 #include "control/Proposal.h"
 #include "control/ProposalAnswer.h"
 #include "control/Renewal.h"
+#include "control/VoterKeeper.h"
 #include "log/Replica.h"
 
 #include <algorithm>
@@ -17,6 +18,8 @@
 constexpr auto recordLimitBytes = std::size_t{256} * 1024;
 /// A grantor that has not answered for so many renewal intervals is given up for another one.
 constexpr auto unansweredRenewals = 3;
+/// Records sent to a holder count as on their way for so long.
+constexpr auto recordsUnderWay = std::chrono::milliseconds(1500);
 /// An entry is lost when no relay has named it for so many leases.
 constexpr auto leasesUntilLost = 2;
 /// The lease of the leader's own grants is not limited by another lease.
@@ -178,8 +181,18 @@
             relayed_.grant(renewal.entry_.id_, renewal.applied_, lease_.remaining(now), now));
     else if (relaying_)
         heardOf_[renewal.entry_.id_] = now;
-    addRecords(grant, renewal.applied_);
-    sentTo_[renewal.entry_.id_] = renewal.applied_;
+    // Records on their way are not sent again, or a holder that is behind would get them many times.
+    auto &sent = sentTo_[renewal.entry_.id_];
+    const auto isSameRun = sent.incarnation_ == renewal.entry_.incarnation_;
+    const auto isStuck = sent.applied_ == renewal.applied_ && sent.index_ > renewal.applied_
+        && now - sent.appliedAt_ >= recordsUnderWay;
+    if (!isSameRun || isStuck || sent.index_ < renewal.applied_)
+        sent.index_ = renewal.applied_;
+    if (!isSameRun || isStuck || sent.applied_ != renewal.applied_)
+        sent.appliedAt_ = now;
+    sent.incarnation_ = renewal.entry_.incarnation_;
+    sent.applied_ = renewal.applied_;
+    addRecords(grant, sent.index_);
     noteSent(renewal.entry_.id_, grant);
     return grant;
 }
@@ -188,9 +201,9 @@
 {
     auto &sent = sentTo_[holder];
     if (grant.snapshot_)
-        sent = std::max(sent, replica_->latestSnapshot().position_.index_);
+        sent.index_ = std::max(sent.index_, replica_->latestSnapshot().position_.index_);
     if (!grant.records_.empty())
-        sent = std::max(sent, grant.records_.back().index_);
+        sent.index_ = std::max(sent.index_, grant.records_.back().index_);
 }
 
 auto ControlService::pushRecords(MonotonicTime now) -> void
@@ -198,15 +211,12 @@
     if (replica_ == nullptr || !relaying_)
         return;
     const auto holders = relayed_.holders(now);
-    std::erase_if(sentTo_, [&](const auto &item) {
-        return std::find(holders.begin(), holders.end(), item.first) == holders.end();
-    });
     for (const auto &holder : holders) {
         const auto sent = sentTo_.find(holder);
-        if (sent == sentTo_.end() || sent->second >= machine_.state().applied_)
+        if (sent == sentTo_.end() || sent->second.index_ >= machine_.state().applied_)
             continue;
         auto grant = LeaseGrant{.inForceIndex_ = inForceIndex_, .leader_ = leader_};
-        addRecords(grant, sent->second);
+        addRecords(grant, sent->second.index_);
         noteSent(holder, grant);
         hooks_.send_(holder, "control.grant", encode(grant));
     }
@@ -330,6 +340,33 @@
     forward(remote, number, now);
 }
 
+auto ControlService::keepVoters(MonotonicTime now) -> void
+{
+    const auto isDue = now - votersCheckedAt_ >= settings_.renewEvery_;
+    if (settings_.voterTarget_ == 0 || !isDue || !isLeaderNow(now))
+        return;
+    votersCheckedAt_ = now;
+    auto view = VoterView{.wiped_ = replica_->wipedVoters(), .target_ = settings_.voterTarget_};
+    for (const auto &voter : replica_->voters().voters_)
+        view.voters_.insert(voter.name_);
+    for (const auto &[id, entry] : machine_.state().entries_) {
+        if (entry.control_ && entry.phase_ == EntryPhase::Live)
+            view.live_.insert(id);
+        if (entry.control_ && entry.phase_ == EntryPhase::Lost)
+            view.lost_.insert(id);
+    }
+    const auto change = nextVoterChange(view);
+    if (!change)
+        return;
+    const auto position = replica_->changeVoters(change->add_, change->remove_, now);
+    // A refusal is repeated at the next check: the last change is not committed yet, or the instance
+    // to add has not caught up.
+    if (!position)
+        return;
+    overtake(position->index_);
+    scheduleFlush();
+}
+
 auto ControlService::leave() -> void
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -95,6 +95,7 @@
     updateInForce(now);
     loseSilentEntries(now);
     registerWhenNeeded(now);
+    keepVoters(now);
     resendProposals(now);
     giveUpProposals(now);
     noteLeaseChange(now);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -108,6 +108,16 @@
         bool sent_ = false;
     };
 
+    struct Sent
+    {
+        Incarnation incarnation_ = 0;
+        /// The last record sent to this incarnation.
+        LogIndex index_ = 0;
+        /// What the holder had applied at its last renewal, and since when.
+        LogIndex applied_ = 0;
+        MonotonicTime appliedAt_;
+    };
+
     // The state and the log.
     auto applyRecord(const LogRecord &record) -> void;
     auto applyCommand(LogIndex index, const std::string &text) -> std::optional<CommandOutcome>;
@@ -155,6 +165,7 @@
     auto updateInForce(MonotonicTime now) -> void;
     auto loseSilentEntries(MonotonicTime now) -> void;
     auto registerWhenNeeded(MonotonicTime now) -> void;
+    auto keepVoters(MonotonicTime now) -> void;
     auto noteLeaseChange(MonotonicTime now) -> void;
     [[nodiscard]] auto confirmedHere(MonotonicTime now) const -> LogIndex;
 
@@ -174,8 +185,8 @@
     StateLease lease_;
     /// Leases granted as a relay, to entries.
     LeaseGrantor relayed_;
-    /// The last record sent to each holder of a lease granted as a relay.
-    std::map<EntryId, LogIndex> sentTo_;
+    /// What each holder of a lease granted as a relay was sent.
+    std::map<EntryId, Sent> sentTo_;
     /// Leases granted as the leader, to relays.
     LeaseGrantor granted_;
     EntryId leader_;
@@ -189,6 +200,7 @@
     bool leading_ = false;
     bool mayWork_ = false;
     MonotonicTime leadingSince_;
+    MonotonicTime votersCheckedAt_;
     LogIndex inForceIndex_ = 0;
     Version versionInForce_ = 0;
     /// On the leader: when a relay last named the entry as a holder.
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -21,6 +21,8 @@
     Duration renewEvery_ = std::chrono::milliseconds(500);
     Duration logHeartbeat_ = std::chrono::milliseconds(100);
     Duration logElection_ = std::chrono::milliseconds(600);
+    /// How many voters the leader keeps, replacing those that are lost; 0 leaves the voters alone.
+    std::size_t voterTarget_ = 0;
     /// Whether an entry without a log also connects to other entries without one.
     bool connectsEntries_ = true;
     /// The log takes a snapshot after this many applied records.
--- /dev/null
+++ b/packages/control/VoterKeeper.cpp
@@ -0,0 +1,39 @@
+#include "control/VoterKeeper.h"
+
+namespace lycheereach {
+
+namespace {
+
+/// A live instance that is no voter.
+auto candidate(const VoterView &view) -> std::optional<EntryId>
+{
+    for (const auto &id : view.live_) {
+        if (!view.voters_.contains(id))
+            return id;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto nextVoterChange(const VoterView &view) -> std::optional<VoterChange>
+{
+    if (view.voters_.size() > 1) {
+        for (const auto &id : view.wiped_) {
+            if (view.voters_.contains(id))
+                return VoterChange{std::nullopt, id};
+        }
+    }
+    const auto next = candidate(view);
+    if (!next)
+        return std::nullopt;
+    if (view.voters_.size() < view.target_)
+        return VoterChange{next, std::nullopt};
+    for (const auto &id : view.lost_) {
+        if (view.voters_.contains(id))
+            return VoterChange{std::nullopt, id};
+    }
+    return std::nullopt;
+}
+
+} // namespace lycheereach
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -57,6 +57,7 @@
     [[nodiscard]] auto state() const -> LogState { return state_; }
     [[nodiscard]] auto log() const -> const RecordSequence & { return log_; }
     [[nodiscard]] auto appliedIndex() const -> LogIndex { return appliedIndex_; }
+    [[nodiscard]] auto wipedVoters() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> const VoterIdentity & { return self_; }
     /// Whether no other replica can be leader at \a now and everything committed before is applied.
     [[nodiscard]] auto holdsLeaderLease(MonotonicTime now) const -> bool;
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -287,6 +287,18 @@
     return appendOwn(RecordKind::StateCommand, std::move(payload));
 }
 
+auto LogCore::wipedVoters() const -> std::set<EntryId>
+{
+    auto wiped = std::set<EntryId>{};
+    for (const auto &voter : log_.voters().voters_) {
+        const auto peer = peers_.find(voter.name_);
+        const auto wasHeard = peer != peers_.end() && peer->second.generation_ != 0;
+        if (wasHeard && peer->second.generation_ != voter.generation_)
+            wiped.insert(voter.name_);
+    }
+    return wiped;
+}
+
 auto LogCore::checkVoterChange(const std::optional<EntryId> &add,
                                const std::optional<EntryId> &remove) const -> Result<Nothing>
 {
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -136,6 +136,11 @@
     return core_->log().voters();
 }
 
+auto Replica::wipedVoters() const -> std::set<EntryId>
+{
+    return core_->wipedVoters();
+}
+
 auto Replica::identity() const -> VoterIdentity
 {
     return core_->identity();
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -13,6 +13,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
     [[nodiscard]] auto commitIndex() const -> LogIndex;
     [[nodiscard]] auto lastIndex() const -> LogIndex;
     [[nodiscard]] auto voters() const -> VoterSet;
+    /// While this replica leads: voters that were heard under another identity, because their disk was
+    /// lost.
+    [[nodiscard]] auto wipedVoters() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> VoterIdentity;
     /// Whether this replica leads at \a now, no other can, and everything committed is applied.
     [[nodiscard]] auto holdsLeaderLease(MonotonicTime now) const -> bool;
--- a/packages/state/DeclarationCheck.cpp
+++ b/packages/state/DeclarationCheck.cpp
@@ -170,6 +170,43 @@
     }
 }
 
+auto hasTargets(const Declaration &declaration, const PoolName &name) -> bool
+{
+    const auto draws = [&](const Pool &pool) { return enginesOf(pool) == name; };
+    return findService(declaration, name) != nullptr
+        || std::any_of(declaration.pools_.begin(), declaration.pools_.end(), draws);
+}
+
+auto checkShares(const Declaration &declaration, const HttpRoute &route, const std::string &path,
+                 Problems &problems) -> void
+{
+    auto total = std::uint64_t{0};
+    for (const auto &share : route.shares_) {
+        total += share.weight_;
+        if (!hasTargets(declaration, share.service_))
+            problems.push_back(path + "/shares: unknown service '" + share.service_.text() + "'");
+    }
+    if (total == 0)
+        problems.push_back(path + "/shares: the weights add up to 0; give one share a weight");
+}
+
+auto checkRoutes(const Declaration &declaration, Problems &problems) -> void
+{
+    auto seen = std::set<std::pair<std::string, std::string>>{};
+    for (auto position = std::size_t{0}; position < declaration.routes_.size(); ++position) {
+        const auto &route = declaration.routes_[position];
+        const auto path = at("routes", position);
+        if (!seen.emplace(route.host_, route.pathPrefix_).second)
+            problems.push_back(path + ": host '" + route.host_ + "' and prefix '"
+                               + route.pathPrefix_ + "' stand twice; remove one");
+        if (!route.pathPrefix_.starts_with("/") || !route.pathPrefix_.ends_with("/"))
+            problems.push_back(path + "/pathPrefix: must begin and end with '/'");
+        if (route.timeoutMs_ == 0)
+            problems.push_back(path + "/timeoutMs: must be at least 1");
+        checkShares(declaration, route, path, problems);
+    }
+}
+
 } // namespace
 
 auto checkDeclaration(const Declaration &declaration) -> std::vector<std::string>
@@ -187,6 +224,7 @@
     checkPools(declaration, problems);
     checkServices(declaration, problems);
     checkWorkspaces(declaration, problems);
+    checkRoutes(declaration, problems);
     for (auto position = std::size_t{0}; position < declaration.exceptions_.size(); ++position)
         checkException(declaration, position, problems);
     checkResolvedPolicies(declaration, problems);
