serving, forward, groups: Find groups that stand still and repair them at once

Cause: a group with a dead member went on being used until its silence of four seconds was noticed, its members waited for the head's stall, and spares held the wrong model, so that the model of six ran out of groups. Ruled out: processor time (edges used 0.04 of 0.25 cores). Change: an entry that gets nothing on any stream of a group moves its streams and tells the leader, which probes the members; new groups take only engines that hold their weights while enough groups serve; spares are loaded for the pool with the most members.

--- a/packages/forward/ForwardContext.h
+++ b/packages/forward/ForwardContext.h
@@ -25,6 +25,8 @@
     WorkerPool &workers_;
     /// Takes one repeated send to a service from the budget that entries share.
     std::function<bool(const PoolName &service)> takeRetry_;
+    /// Told of a group that stands still, by its first member.
+    std::function<void(const UpstreamId &)> groupStalled_;
     EventSink event_;
     MonotonicClock now_;
 };
--- a/packages/forward/ForwardMachine.cpp
+++ b/packages/forward/ForwardMachine.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint16_t serviceUnavailable = 503;
 constexpr std::uint16_t gatewayTimeout = 504;
 
+/// When to come back after upstreams had no place.
+constexpr auto refusedRetryAfter = std::chrono::milliseconds(1500);
+
 auto isStream(RouteKind kind) -> bool
 {
     return kind == RouteKind::Stream || kind == RouteKind::ResumableStream;
@@ -191,7 +194,8 @@
         return;
     }
     const auto status = verdict_ == Verdict::NotRun ? serviceUnavailable : badGateway;
-    refuse(status, failure, std::nullopt);
+    refuse(status, failure,
+           status == serviceUnavailable ? std::optional<Duration>(refusedRetryAfter) : std::nullopt);
 }
 
 auto ForwardMachine::mayRepeat(Verdict verdict) const -> bool
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -79,6 +79,24 @@
     indexVersion_ = version;
 }
 
+auto ForwardService::tick() -> void
+{
+    for (const auto &target : context_.targets_.stalled(context_.now_())) {
+        context_.event_(Event{
+            EventNumber::GroupStalled,
+            {{"upstream", target.upstream_.text()}, {"reason", "no stream of it moved"}}});
+        context_.groupStalled_(target.upstream_);
+        auto requests = std::vector<std::shared_ptr<ForwardedRequest>>{};
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            for (const auto &[key, request] : active_)
+                requests.push_back(request);
+        }
+        for (const auto &request : requests)
+            request->targetStalled(target);
+    }
+}
+
 auto ForwardService::handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void
 {
     auto read = context_.dialect_.readRequest_(std::move(request));
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -34,6 +34,9 @@
 
     /// Takes in the replicated state.
     auto stateChanged() -> void;
+    /// Looks for groups that stand still and moves their streams. Call it several times in the shortest
+    /// silence that a stream may have.
+    auto tick() -> void;
     /// Takes one request.
     auto handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void;
     /// Requests that have no whole answer yet.
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// When to come back while no upstream takes requests.
-constexpr auto noTargetRetryAfter = std::chrono::milliseconds(300);
+constexpr auto noTargetRetryAfter = std::chrono::milliseconds(2000);
 
 auto isStreaming(RouteKind kind) -> bool
 {
@@ -93,6 +93,15 @@
     finished_(this);
 }
 
+auto ForwardedRequest::targetStalled(const ForwardTarget &target) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto isAffected
+        = !isDone_ && call_ && target_ == target && route_.kind_ == RouteKind::ResumableStream;
+    if (isAffected)
+        context_.client_.cancel(*call_);
+}
+
 auto ForwardedRequest::handle(const ForwardEvent &event) -> void
 {
     for (const auto &action : machine_.handle(event, context_.now_()))
@@ -143,6 +152,7 @@
             self->post(forward_event::AttemptHead{attempt, std::move(head)});
         },
         [self, attempt](std::string_view part) {
+            self->context_.targets_.progressed(self->target_, self->context_.now_());
             self->post(forward_event::AttemptPart{attempt, std::string(part)});
         },
         [self, attempt](const HttpOutcome &outcome) {
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -38,6 +38,8 @@
 
     /// Begins.
     auto start() -> void;
+    /// \a target stands still: a stream that it runs goes on elsewhere.
+    auto targetStalled(const ForwardTarget &target) -> void;
     /// Takes an event.
     auto post(const ForwardEvent &event) -> void;
 
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -12,6 +12,14 @@
 
 /// An upstream that failed a request is left out for so long while there are others.
 constexpr auto failureHoldOff = std::chrono::milliseconds(500);
+/// Streams in progress give something in every pass of their engine; none for so long means that the
+/// group stands still.
+constexpr auto streamSilence = std::chrono::milliseconds(300);
+/// As streamSilence, while no stream has begun and all may wait for a place.
+constexpr auto firstEventSilence = std::chrono::milliseconds(900);
+/// A group that stands still is left out for so long while there are others, and then tried again.
+constexpr auto stallHoldOff = std::chrono::milliseconds(1000);
+constexpr auto stallPause = std::chrono::milliseconds(300);
 /// What an upstream said of its load counts for so long.
 constexpr auto reportLifetime = std::chrono::milliseconds(400);
 /// What the way to another zone counts in requests in progress.
@@ -70,6 +78,7 @@
             added = known->second;
     }
     const auto *profile = findProfile(state.declaration_, announced.pool_);
+    added.isEngine_ = announced.kind_ == UpstreamKind::Engine;
     added.slots_ = profile == nullptr ? 0 : profile->slots_;
     const auto isCold = announced.cold_ && profile != nullptr;
     added.coldPerSecond_
@@ -118,7 +127,10 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    ++best->inFlight_;
+    if (best->inFlight_++ == 0) {
+        best->progressAt_ = now;
+        best->hasProgressed_ = false;
+    }
     if (best->coldPerSecond_ > 0)
         best->coldStarts_.push_back(now);
     return best->target_;
@@ -127,31 +139,63 @@
 auto TargetTable::release(const ForwardTarget &target, bool failed, MonotonicTime now) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
+    auto *known = find(target);
+    if (known == nullptr)
+        return;
+    if (known->inFlight_ > 0)
+        --known->inFlight_;
+    if (failed)
+        known->leftOutUntil_ = std::max(known->leftOutUntil_, now + failureHoldOff);
+}
+
+auto TargetTable::find(const ForwardTarget &target) -> Target *
+{
     const auto pool = targets_.find(target.pool_);
     if (pool == targets_.end())
-        return;
+        return nullptr;
     const auto found = pool->second.find(target.upstream_);
-    if (found == pool->second.end() || found->second.target_ != target)
+    const auto isSame = found != pool->second.end() && found->second.target_ == target;
+    return isSame ? &found->second : nullptr;
+}
+
+auto TargetTable::progressed(const ForwardTarget &target, MonotonicTime now) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto *known = find(target);
+    if (known == nullptr)
         return;
-    auto &known = found->second;
-    if (known.inFlight_ > 0)
-        --known.inFlight_;
-    if (failed)
-        known.leftOutUntil_ = now + failureHoldOff;
+    known->progressAt_ = now;
+    known->hasProgressed_ = true;
+}
+
+auto TargetTable::stalled(MonotonicTime now) -> std::vector<ForwardTarget>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto stalled = std::vector<ForwardTarget>{};
+    for (auto &[pool, targets] : targets_) {
+        for (auto &[id, target] : targets) {
+            const auto allowed = target.hasProgressed_ ? streamSilence : firstEventSilence;
+            const auto isQuiet = target.isEngine_ && target.inFlight_ > 0
+                && now - target.progressAt_ >= allowed;
+            if (!isQuiet || now - target.stalledAt_ < stallPause)
+                continue;
+            target.stalledAt_ = now;
+            target.leftOutUntil_ = now + stallHoldOff;
+            stalled.push_back(target.target_);
+        }
+    }
+    return stalled;
 }
 
 auto TargetTable::report(const ForwardTarget &target, const ReportedLoad &load, MonotonicTime now)
     -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    const auto pool = targets_.find(target.pool_);
-    if (pool == targets_.end())
-        return;
-    const auto found = pool->second.find(target.upstream_);
-    if (found == pool->second.end())
+    auto *known = find(target);
+    if (known == nullptr)
         return;
-    found->second.load_ = load;
-    found->second.loadAt_ = now;
+    known->load_ = load;
+    known->loadAt_ = now;
 }
 
 auto TargetTable::entries() const -> std::size_t
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace lycheereach {
 
@@ -36,6 +37,11 @@
     auto release(const ForwardTarget &target, bool failed, MonotonicTime now) -> void;
     /// Takes in what an upstream said in an answer.
     auto report(const ForwardTarget &target, const ReportedLoad &load, MonotonicTime now) -> void;
+    /// A stream of \a target has begun or made progress.
+    auto progressed(const ForwardTarget &target, MonotonicTime now) -> void;
+    /// Upstreams that gave nothing on any stream for too long; each is left out of choices, and named
+    /// again after a pause.
+    auto stalled(MonotonicTime now) -> std::vector<ForwardTarget>;
     /// Entries that share the upstreams.
     [[nodiscard]] auto entries() const -> std::size_t;
     /// Whether \a pool has any upstream, full or not.
@@ -46,6 +52,7 @@
     {
         ForwardTarget target_;
         std::uint32_t inFlight_ = 0;
+        bool isEngine_ = false;
         std::uint32_t slots_ = 0;
         /// Requests a second that this entry may send while the upstream is cold; 0 when it is warm.
         double coldPerSecond_ = 0;
@@ -53,9 +60,15 @@
         std::optional<ReportedLoad> load_;
         MonotonicTime loadAt_;
         MonotonicTime leftOutUntil_;
+        /// When a stream last gave something, or the first of those in flight was sent.
+        MonotonicTime progressAt_;
+        /// Whether a stream has given something since then.
+        bool hasProgressed_ = false;
+        MonotonicTime stalledAt_;
     };
 
     [[nodiscard]] auto costOf(const Target &target, MonotonicTime now) const -> double;
+    auto find(const ForwardTarget &target) -> Target *;
     static auto mayStart(Target &target, MonotonicTime now) -> bool;
     auto add(const FleetState &state, const PoolName &pool, const UpstreamId &upstream,
              std::map<PoolName, std::map<UpstreamId, Target>> &targets) const -> void;
--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -130,6 +130,31 @@
     return free;
 }
 
+/// As unused(), and only those with the weights unless \a mayNeedLoads.
+auto usable(const FleetState &state, const Pool &pool, const std::set<UpstreamId> &used,
+            bool mayNeedLoads) -> std::vector<FreeInstance>
+{
+    auto free = unused(state, pool, used);
+    if (!mayNeedLoads)
+        std::erase_if(free, [](const FreeInstance &item) { return !item.hasWeights_; });
+    return free;
+}
+
+/// Members that groups of each pool have in each fabric domain.
+auto membersByDomain(const FleetState &state)
+    -> std::map<std::pair<FabricDomain, PoolName>, std::size_t>
+{
+    auto members = std::map<std::pair<FabricDomain, PoolName>, std::size_t>{};
+    for (const auto &[id, group] : state.groups_) {
+        for (const auto &member : group.members_) {
+            const auto *upstream = findUpstream(state, member);
+            if (upstream != nullptr)
+                ++members[{upstream->announced_.fabricDomain_, group.pool_}];
+        }
+    }
+    return members;
+}
+
 } // namespace
 
 auto GatePlanner::plan(const FleetState &state, const GatePlannerInputs &inputs)
@@ -294,9 +319,12 @@
     while (auto *next = neediest(pools)) {
         const auto &pool = *next->pool_;
         const auto isFull = pool.groups_ != 0 && next->groups_ >= pool.groups_;
+        auto &most = mostGroups_[pool.name_];
+        most = std::max(most, next->groups_);
+        const auto mayNeedLoads = !state.hasTraffic_ || 2 * next->groups_ < most;
         const auto placed = isFull
             ? std::nullopt
-            : placeGroup(unused(state, pool, used), pool.instancesPerGroup_);
+            : placeGroup(usable(state, pool, used, mayNeedLoads), pool.instancesPerGroup_);
         if (!placed) {
             pools.erase(pools.begin() + (next - pools.data()));
             continue;
@@ -323,18 +351,36 @@
         if (enginesOf(pool) == engines)
             models.push_back(&pool);
     }
-    auto countIn = std::map<FabricDomain, std::size_t>{};
+    const auto members = membersByDomain(pass.state_);
+    auto staged = std::map<std::pair<FabricDomain, PoolName>, std::size_t>{};
+    const auto heldBy = [&](const FreeInstance &spare) -> const Pool * {
+        const auto &announced = findUpstream(pass.state_, spare.upstream_)->announced_;
+        const auto found = std::find_if(models.begin(), models.end(), [&](const Pool *candidate) {
+            return hasWeights(announced, candidate->model_);
+        });
+        return found == models.end() ? nullptr : *found;
+    };
     for (const auto &spare : spares) {
-        const auto &pool = *models[countIn[spare.domain_]++ % models.size()];
-        const auto &upstream = *findUpstream(pass.state_, spare.upstream_);
-        const auto holdsAny
-            = std::any_of(models.begin(), models.end(), [&](const Pool *candidate) {
-                  return hasWeights(upstream.announced_, candidate->model_);
-              });
-        if (holdsAny)
+        if (const auto *pool = heldBy(spare))
+            ++staged[{spare.domain_, pool->name_}];
+    }
+    // A spare is worth most where it stands for the most members.
+    const auto worth = [&](const FabricDomain &domain, const Pool &pool) {
+        const auto key = std::pair(domain, pool.name_);
+        const auto served = members.contains(key) ? members.at(key) : 0;
+        return static_cast<double>(served) / static_cast<double>(staged[key] + 1);
+    };
+    for (const auto &spare : spares) {
+        if (heldBy(spare) != nullptr)
             continue;
+        const auto &upstream = *findUpstream(pass.state_, spare.upstream_);
+        const auto best = std::max_element(
+            models.begin(), models.end(), [&](const Pool *left, const Pool *right) {
+                return worth(spare.domain_, *left) < worth(spare.domain_, *right);
+            });
+        ++staged[{spare.domain_, (*best)->name_}];
         auto order = orderFor(upstream, OrderKind::Load, {}, 0);
-        order.model_ = pool.model_;
+        order.model_ = (*best)->model_;
         if (orders_.maySend(upstream, order, pass.inputs_.now_) && mayLoad(pass, engines))
             orders_.send(upstream, order, pass.inputs_.now_);
     }
--- a/packages/groups/GatePlanner.h
+++ b/packages/groups/GatePlanner.h
@@ -64,6 +64,8 @@
 
     GateOrders orders_;
     std::map<PoolName, LoadRate> loads_;
+    /// The most groups that each pool has had.
+    std::map<PoolName, std::size_t> mostGroups_;
     /// How many engines were known, and since when.
     std::size_t known_ = 0;
     MonotonicTime knownSince_;
--- /dev/null
+++ b/packages/serving/MemberProbe.cpp
@@ -0,0 +1,99 @@
+#include "serving/MemberProbe.h"
+
+#include "control/ControlService.h"
+
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace lycheereach {
+
+namespace {
+
+/// An upstream is not probed again within this time.
+constexpr auto probePause = std::chrono::milliseconds(300);
+/// So many probes without an answer make an upstream lost.
+constexpr auto silentProbes = 2;
+
+} // namespace
+
+MemberProbe::MemberProbe(ControlService &control, MemberProbeHooks hooks)
+    : control_(control)
+    , hooks_(std::move(hooks))
+    , mutex_(LockRank::Leaseholder)
+{ }
+
+auto MemberProbe::groupStalled(const UpstreamId &head) -> void
+{
+    const auto members = control_.read([&](const FleetState &state) {
+        auto upstreams = std::vector<Upstream>{};
+        const auto membership = state.groupOf_.find(head);
+        if (membership == state.groupOf_.end())
+            return upstreams;
+        for (const auto &id : state.groups_.at(membership->second).members_) {
+            const auto found = state.upstreams_.find(id);
+            if (found != state.upstreams_.end() && !found->second.lost_)
+                upstreams.push_back(found->second);
+        }
+        return upstreams;
+    });
+    for (const auto &member : members)
+        probe(member);
+}
+
+auto MemberProbe::probe(const Upstream &upstream) -> void
+{
+    const auto now = hooks_.now_();
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        auto &probed = probed_[upstream.announced_.upstream_];
+        if (probed.incarnation_ != upstream.announced_.incarnation_)
+            probed = Probed{upstream.announced_.incarnation_, {}, 0, false};
+        if (probed.ended_ || now - probed.at_ < probePause)
+            return;
+        probed.at_ = now;
+    }
+    hooks_.probe_(upstream, [weak = weak_from_this(), upstream](ProbeOutcome outcome) {
+        if (const auto self = weak.lock())
+            self->probed(upstream, outcome);
+    });
+}
+
+auto MemberProbe::probed(const Upstream &upstream, ProbeOutcome outcome) -> void
+{
+    const auto &announced = upstream.announced_;
+    auto isLost = false;
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        auto &probed = probed_[announced.upstream_];
+        if (probed.incarnation_ != announced.incarnation_)
+            return;
+        probed.silent_ = outcome == ProbeOutcome::Silent ? probed.silent_ + 1 : 0;
+        probed.ended_ = outcome == ProbeOutcome::Ended;
+        isLost = probed.ended_ || probed.silent_ >= silentProbes;
+        if (outcome == ProbeOutcome::Silent)
+            probed.at_ = MonotonicTime{};
+    }
+    if (isLost) {
+        hooks_.event_(
+            Event{EventNumber::ProbeFailed,
+                  {{"upstream", announced.upstream_.text()},
+                   {"reason", outcome == ProbeOutcome::Ended ? "its process has ended"
+                                                             : "it did not answer two probes"}}});
+        control_.propose(
+            Command(LoseUpstream{announced.upstream_, announced.incarnation_, EntryId{}}),
+            nullptr);
+    } else if (outcome == ProbeOutcome::Silent) {
+        probe(upstream);
+    }
+}
+
+auto MemberProbe::hasEnded(const Upstream &upstream) const -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = probed_.find(upstream.announced_.upstream_);
+    return found != probed_.end() && found->second.ended_
+        && found->second.incarnation_ == upstream.announced_.incarnation_;
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/serving/MemberProbe.h
@@ -0,0 +1,61 @@
+/// \file
+/// \brief Probes upstreams that may be dead, so that they are not waited for.
+#pragma once
+
+#include "base/Event.h"
+#include "base/Ids.h"
+#include "base/RankedMutex.h"
+#include "base/Time.h"
+#include "serving/ProbeOutcome.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lycheereach {
+
+class ControlService;
+struct Upstream;
+
+/// What a MemberProbe needs from its process.
+struct MemberProbeHooks
+{
+    /// Asks an upstream over a new connection whether it lives.
+    std::function<void(const Upstream &, std::function<void(ProbeOutcome)> done)> probe_;
+    EventSink event_;
+    MonotonicClock now_;
+};
+
+/// Probes upstreams that may be dead: all members of a group that an entry found standing still. One
+/// whose process has ended, or that twice says nothing, is proposed as lost. Thread-safe; guarded by
+/// one lock of rank LockRank::Leaseholder.
+class MemberProbe : public std::enable_shared_from_this<MemberProbe>
+{
+public:
+    MemberProbe(ControlService &control, MemberProbeHooks hooks);
+
+    /// An entry says that the group whose first member is \a head stands still.
+    auto groupStalled(const UpstreamId &head) -> void;
+    /// Whether the process that announced itself as \a upstream is known to have ended.
+    [[nodiscard]] auto hasEnded(const Upstream &upstream) const -> bool;
+
+private:
+    struct Probed
+    {
+        Incarnation incarnation_ = 0;
+        MonotonicTime at_;
+        int silent_ = 0;
+        bool ended_ = false;
+    };
+
+    auto probe(const Upstream &upstream) -> void;
+    auto probed(const Upstream &upstream, ProbeOutcome outcome) -> void;
+
+    ControlService &control_;
+    MemberProbeHooks hooks_;
+    mutable RankedMutex mutex_;
+    std::map<UpstreamId, Probed> probed_;
+};
+
+} // namespace lycheereach
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -39,6 +39,8 @@
     /// NotRun when no byte of the request left, Ran when the whole answer arrived.
     Verdict verdict_ = Verdict::NotRun;
     std::string message_;
+    /// Whether the other side refused the connection, so that nothing listens there.
+    bool isRefused_ = false;
 };
 
 /// Called from the client's thread, one at a time for a call, the last always ended_.
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ErrorCode.h"
 
+#include <cerrno>
 #include <charconv>
 #include <utility>
 
@@ -161,7 +162,10 @@
 
 auto HttpTransfer::endWith(std::error_code error, const std::string &message) -> void
 {
-    hooks_.ended_(HttpOutcome{error, verdict(), message});
+    auto osError = 0L;
+    curl_easy_getinfo(easy_.get(), CURLINFO_OS_ERRNO, &osError);
+    const auto isRefused = !connected_ && osError == ECONNREFUSED;
+    hooks_.ended_(HttpOutcome{error, verdict(), message, isRefused});
 }
 
 auto HttpTransfer::takeHeaderLine(std::string_view line) -> void
