--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -181,7 +181,8 @@
             relayed_.grant(renewal.entry_.id_, renewal.applied_, lease_.remaining(now), now));
     else if (relaying_)
         heardOf_[renewal.entry_.id_] = now;
-    // Records on their way are not sent again, or a holder that is behind would get them many times.
+    // Records on their way are not sent again, or a holder that is behind would get them many
+    // times.
     auto &sent = sentTo_[renewal.entry_.id_];
     const auto isSameRun = sent.incarnation_ == renewal.entry_.incarnation_;
     const auto isStuck = sent.applied_ == renewal.applied_ && sent.index_ > renewal.applied_
@@ -321,7 +322,7 @@
 
 auto ControlService::registerWhenNeeded(MonotonicTime now) -> void
 {
-    if (now - registeredAt_ < settings_.renewEvery_)
+    if (now - registeredAt_ < settings_.registerEvery_)
         return;
     registeredAt_ = now;
     const auto &entries = machine_.state().entries_;
@@ -331,7 +332,7 @@
     if (found != entries.end() && barsIncarnation(found->second, settings_.self_))
         settings_.self_.incarnation_ = found->second.incarnation_ + 1;
     const auto command = Command(PutEntry{settings_.self_});
-    const auto giveUpAt = now + settings_.renewEvery_;
+    const auto giveUpAt = now + settings_.registerEvery_;
     if (appendHere(command, nullptr, giveUpAt))
         return;
     const auto number = ++lastNumber_;
@@ -359,8 +360,8 @@
     if (!change)
         return;
     const auto position = replica_->changeVoters(change->add_, change->remove_, now);
-    // A refusal is repeated at the next check: the last change is not committed yet, or the instance
-    // to add has not caught up.
+    // A refusal is repeated at the next check: the last change is not committed yet, or the
+    // instance to add has not caught up.
     if (!position)
         return;
     overtake(position->index_);
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -19,6 +19,8 @@
     std::vector<EntryId> voters_;
     Duration stateLease_ = std::chrono::seconds(3);
     Duration renewEvery_ = std::chrono::milliseconds(500);
+    /// The pause between tries to register.
+    Duration registerEvery_ = std::chrono::milliseconds(500);
     Duration logHeartbeat_ = std::chrono::milliseconds(100);
     Duration logElection_ = std::chrono::milliseconds(600);
     /// How many voters the leader keeps, replacing those that are lost; 0 leaves the voters alone.
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -158,7 +158,8 @@
     , leaseholder_(
           std::make_shared<LeaseholderService>(settings_.id_, control_, leaseholderHooks()))
     , broker_(settings_.id_, settings_.zone_, control_, brokerHooks())
-    , planner_(std::make_shared<PlannerService>(control_, leasedGroupPlanning(event_), plannerHooks()))
+    , planner_(
+          std::make_shared<PlannerService>(control_, leasedGroupPlanning(event_), plannerHooks()))
     , requests_(requestContext(), settings_.zone_,
                 std::chrono::milliseconds(settings_.addressKeepMs_), budgets_)
     , callers_(control_, requests_, broker_, metrics_, network_,
--- a/packages/forward/EventStreamReader.h
+++ b/packages/forward/EventStreamReader.h
@@ -24,7 +24,8 @@
     /// Whether the run ended between two events.
     [[nodiscard]] auto isBetweenEvents() const -> bool { return pending_.empty(); }
     [[nodiscard]] auto lastEventId() const -> std::optional<std::uint64_t> { return last_; }
-    /// Whether an event was left out or handed on without an id, so that the stream can't be resumed.
+    /// Whether an event was left out or handed on without an id, so that the stream can't be
+    /// resumed.
     [[nodiscard]] auto hasUnnumbered() const -> bool { return hasUnnumbered_; }
 
 private:
--- a/packages/forward/ForwardAction.h
+++ b/packages/forward/ForwardAction.h
@@ -89,11 +89,10 @@
 namespace lycheereach {
 
 /// One output of ForwardMachine.
-using ForwardAction
-    = std::variant<forward_action::ChooseTarget, forward_action::StartAttempt,
-                   forward_action::CancelAttempt, forward_action::ReleaseTarget,
-                   forward_action::SendHead, forward_action::SendPart, forward_action::SendEnd,
-                   forward_action::SendAnswer, forward_action::SendRefusal,
-                   forward_action::BreakOff>;
+using ForwardAction = std::variant<forward_action::ChooseTarget, forward_action::StartAttempt,
+                                   forward_action::CancelAttempt, forward_action::ReleaseTarget,
+                                   forward_action::SendHead, forward_action::SendPart,
+                                   forward_action::SendEnd, forward_action::SendAnswer,
+                                   forward_action::SendRefusal, forward_action::BreakOff>;
 
 } // namespace lycheereach
--- a/packages/forward/ForwardEvent.h
+++ b/packages/forward/ForwardEvent.h
@@ -68,10 +68,9 @@
 namespace lycheereach {
 
 /// One input of ForwardMachine.
-using ForwardEvent
-    = std::variant<forward_event::Start, forward_event::TargetChosen, forward_event::NoTarget,
-                   forward_event::AttemptHead, forward_event::AttemptPart,
-                   forward_event::AttemptEnded, forward_event::CallerGone,
-                   forward_event::DeadlinePassed>;
+using ForwardEvent = std::variant<forward_event::Start, forward_event::TargetChosen,
+                                  forward_event::NoTarget, forward_event::AttemptHead,
+                                  forward_event::AttemptPart, forward_event::AttemptEnded,
+                                  forward_event::CallerGone, forward_event::DeadlinePassed>;
 
 } // namespace lycheereach
--- a/packages/forward/ForwardMachine.cpp
+++ b/packages/forward/ForwardMachine.cpp
@@ -186,8 +186,8 @@
         emit(forward_action::BreakOff{failure});
         return;
     }
-    const auto hasAnswer = head_ && spoiled_.empty() && !head_->notRun_
-        && head_->status_ >= firstServerError;
+    const auto hasAnswer
+        = head_ && spoiled_.empty() && !head_->notRun_ && head_->status_ >= firstServerError;
     if (hasAnswer) {
         replied_ = true;
         emit(forward_action::SendAnswer{*head_, std::move(body_)});
@@ -195,7 +195,8 @@
     }
     const auto status = verdict_ == Verdict::NotRun ? serviceUnavailable : badGateway;
     refuse(status, failure,
-           status == serviceUnavailable ? std::optional<Duration>(refusedRetryAfter) : std::nullopt);
+           status == serviceUnavailable ? std::optional<Duration>(refusedRetryAfter)
+                                        : std::nullopt);
 }
 
 auto ForwardMachine::mayRepeat(Verdict verdict) const -> bool
--- a/packages/forward/ForwardMachine.h
+++ b/packages/forward/ForwardMachine.h
@@ -17,8 +17,8 @@
 
 namespace lycheereach {
 
-/// Decides the attempts at one forwarded request and what the caller gets. Pure: events go in, actions
-/// come out. Not thread-safe.
+/// Decides the attempts at one forwarded request and what the caller gets. Pure: events go in,
+/// actions come out. Not thread-safe.
 ///
 /// A request that may not be repeated is sent again only when no attempt at it can have run. Of a
 /// stream the caller gets whole events only; a resumable one goes on at another upstream behind the
--- a/packages/forward/ForwardRefusal.h
+++ b/packages/forward/ForwardRefusal.h
@@ -10,8 +10,8 @@
 
 namespace lycheereach {
 
-/// What the caller of a forwarded request is told when there is no answer of an upstream. Statuses 429
-/// and 503 say that the request has not run and never will.
+/// What the caller of a forwarded request is told when there is no answer of an upstream. Statuses
+/// 429 and 503 say that the request has not run and never will.
 struct ForwardRefusal
 {
     std::uint16_t status_ = 503;
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -39,8 +39,7 @@
 
 } // namespace
 
-ForwardService::ForwardService(ControlService &control, ForwardContext context,
-                               RandomSource random)
+ForwardService::ForwardService(ControlService &control, ForwardContext context, RandomSource random)
     : control_(control)
     , context_(std::move(context))
     , random_(std::move(random))
@@ -82,9 +81,9 @@
 auto ForwardService::tick() -> void
 {
     for (const auto &target : context_.targets_.stalled(context_.now_())) {
-        context_.event_(Event{
-            EventNumber::GroupStalled,
-            {{"upstream", target.upstream_.text()}, {"reason", "no stream of it moved"}}});
+        context_.event_(
+            Event{EventNumber::GroupStalled,
+                  {{"upstream", target.upstream_.text()}, {"reason", "no stream of it moved"}}});
         context_.groupStalled_(target.upstream_);
         auto requests = std::vector<std::shared_ptr<ForwardedRequest>>{};
         {
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -34,8 +34,8 @@
 
     /// Takes in the replicated state.
     auto stateChanged() -> void;
-    /// Looks for groups that stand still and moves their streams. Call it several times in the shortest
-    /// silence that a stream may have.
+    /// Looks for groups that stand still and moves their streams. Call it several times in the
+    /// shortest silence that a stream may have.
     auto tick() -> void;
     /// Takes one request.
     auto handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void;
--- a/packages/forward/ForwardSettings.h
+++ b/packages/forward/ForwardSettings.h
@@ -16,8 +16,8 @@
     Duration connectTimeout_ = std::chrono::milliseconds(400);
     /// Silence allowed in a stream between two events.
     Duration streamIdleTimeout_ = std::chrono::milliseconds(1200);
-    /// Silence allowed before the first event of a stream; callers give up a stream that pauses for two
-    /// seconds.
+    /// Silence allowed before the first event of a stream; callers give up a stream that pauses for
+    /// two seconds.
     Duration firstEventTimeout_ = std::chrono::milliseconds(1800);
     RetryLimits retries_;
 
--- a/packages/forward/ForwardTarget.h
+++ b/packages/forward/ForwardTarget.h
@@ -8,8 +8,8 @@
 
 namespace lycheereach {
 
-/// The upstream that a forwarded request goes to: an instance of a plain service, or the first member
-/// of a group of engines.
+/// The upstream that a forwarded request goes to: an instance of a plain service, or the first
+/// member of a group of engines.
 struct ForwardTarget
 {
     UpstreamId upstream_;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -33,9 +33,9 @@
 
 } // namespace
 
-ForwardedRequest::ForwardedRequest(ForwardContext &context, ForwardRequest request,
-                                   HttpRoute route, WorkspaceName workspace,
-                                   std::uint32_t priority, PoolName service, PoolName pool,
+ForwardedRequest::ForwardedRequest(ForwardContext &context, ForwardRequest request, HttpRoute route,
+                                   WorkspaceName workspace, std::uint32_t priority,
+                                   PoolName service, PoolName pool,
                                    std::shared_ptr<HttpReply> reply, Finished finished)
     : context_(context)
     , request_(std::move(request))
@@ -137,7 +137,8 @@
                          .connectTimeout_ = std::min<Duration>(settings.connectTimeout_, left),
                          .firstByteTimeout_ = streams ? settings.firstEventTimeout_ : left,
                          .idleTimeout_ = streams ? settings.streamIdleTimeout_ : left,
-                         .freshConnection_ = route_.kind_ == RouteKind::Unsafe};
+                         .freshConnection_
+                         = route_.kind_ == RouteKind::Unsafe || route_.kind_ == RouteKind::Stream};
     call_ = context_.client_.start(std::move(http), hooksFor(action.attempt_));
 }
 
@@ -172,9 +173,10 @@
     const auto failed = !action.failure_.empty();
     context_.targets_.release(action.target_, failed, context_.now_());
     if (failed)
-        emit(EventNumber::AttemptEnded, {{"upstream", action.target_.upstream_.text()},
-                                         {"verdict", std::string(toString(action.verdict_))},
-                                         {"reason", action.failure_}});
+        emit(EventNumber::AttemptEnded,
+             {{"upstream", action.target_.upstream_.text()},
+              {"verdict", std::string(toString(action.verdict_))},
+              {"reason", action.failure_}});
 }
 
 auto ForwardedRequest::perform(const forward_action::SendHead &action) -> void
@@ -199,9 +201,10 @@
 
 auto ForwardedRequest::perform(const forward_action::SendRefusal &action) -> void
 {
-    emit(EventNumber::RequestRefused, {{"status", std::to_string(action.refusal_.status_)},
-                                       {"verdict", std::string(toString(action.verdict_))},
-                                       {"reason", action.refusal_.reason_}});
+    emit(EventNumber::RequestRefused,
+         {{"status", std::to_string(action.refusal_.status_)},
+          {"verdict", std::string(toString(action.verdict_))},
+          {"reason", action.refusal_.reason_}});
     reply_->send(context_.dialect_.writeRefusal_(action.refusal_));
 }
 
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -19,16 +19,17 @@
 class HttpReply;
 class Timer;
 
-/// One forwarded request in progress. Events come from any thread and are handled one at a time under
-/// a lock of rank LockRank::Requests; what an action answers at once is handled in the same turn.
+/// One forwarded request in progress. Events come from any thread and are handled one at a time
+/// under a lock of rank LockRank::Requests; what an action answers at once is handled in the same
+/// turn.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
     /// Told when the caller has its answer and no attempt is open.
     using Finished = std::function<void(const ForwardedRequest *)>;
 
-    /// \a service is the share of the route that the request fell to, and \a pool the one that serves
-    /// its model.
+    /// \a service is the share of the route that the request fell to, and \a pool the one that
+    /// serves its model.
     ForwardedRequest(ForwardContext &context, ForwardRequest request, HttpRoute route,
                      WorkspaceName workspace, std::uint32_t priority, PoolName service,
                      PoolName pool, std::shared_ptr<HttpReply> reply, Finished finished);
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -12,8 +12,8 @@
 
 /// An upstream that failed a request is left out for so long while there are others.
 constexpr auto failureHoldOff = std::chrono::milliseconds(500);
-/// Streams in progress give something in every pass of their engine; none for so long means that the
-/// group stands still.
+/// Streams in progress give something in every pass of their engine; none for so long means that
+/// the group stands still.
 constexpr auto streamSilence = std::chrono::milliseconds(300);
 /// As streamSilence, while no stream has begun and all may wait for a place.
 constexpr auto firstEventSilence = std::chrono::milliseconds(900);
@@ -30,8 +30,7 @@
     if (group.phase_ != GroupPhase::Serving || group.members_.empty())
         return false;
     const auto head = state.upstreams_.find(group.members_.front());
-    return head != state.upstreams_.end()
-        && head->second.announced_.phase_ == MemberPhase::Open
+    return head != state.upstreams_.end() && head->second.announced_.phase_ == MemberPhase::Open
         && memberAgrees(group, head->second);
 }
 
@@ -70,8 +69,8 @@
     if (isZoneOut(state, announced.zone_))
         return;
     auto added = Target{};
-    added.target_
-        = ForwardTarget{upstream, announced.incarnation_, announced.address_, pool, announced.zone_};
+    added.target_ = ForwardTarget{upstream, announced.incarnation_, announced.address_, pool,
+                                  announced.zone_};
     if (const auto pools = targets_.find(pool); pools != targets_.end()) {
         const auto known = pools->second.find(upstream);
         if (known != pools->second.end() && known->second.target_ == added.target_)
@@ -81,8 +80,7 @@
     added.isEngine_ = announced.kind_ == UpstreamKind::Engine;
     added.slots_ = profile == nullptr ? 0 : profile->slots_;
     const auto isCold = announced.cold_ && profile != nullptr;
-    added.coldPerSecond_
-        = isCold ? profile->coldPerSecond_ / static_cast<double>(entries_) : 0;
+    added.coldPerSecond_ = isCold ? profile->coldPerSecond_ / static_cast<double>(entries_) : 0;
     targets[pool].emplace(upstream, std::move(added));
 }
 
@@ -106,8 +104,8 @@
     return static_cast<double>(starts.size()) + 1 <= std::max(1.0, target.coldPerSecond_);
 }
 
-auto TargetTable::choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
-                         MonotonicTime now) -> std::optional<ForwardTarget>
+auto TargetTable::choose(const PoolName &pool, const std::set<UpstreamId> &avoid, MonotonicTime now)
+    -> std::optional<ForwardTarget>
 {
     const auto lock = std::scoped_lock(mutex_);
     const auto found = targets_.find(pool);
@@ -175,8 +173,8 @@
     for (auto &[pool, targets] : targets_) {
         for (auto &[id, target] : targets) {
             const auto allowed = target.hasProgressed_ ? streamSilence : firstEventSilence;
-            const auto isQuiet = target.isEngine_ && target.inFlight_ > 0
-                && now - target.progressAt_ >= allowed;
+            const auto isQuiet
+                = target.isEngine_ && target.inFlight_ > 0 && now - target.progressAt_ >= allowed;
             if (!isQuiet || now - target.stalledAt_ < stallPause)
                 continue;
             target.stalledAt_ = now;
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -19,10 +19,10 @@
 
 struct FleetState;
 
-/// The upstreams that forwarded requests may go to, with their load: first members of serving groups
-/// whose gate is open, and instances of plain services. Chooses by the requests of this entry and by
-/// what upstreams say in their answers. A cold upstream gets this entry's part of what it carries.
-/// Thread-safe; guarded by one lock of rank LockRank::Targets.
+/// The upstreams that forwarded requests may go to, with their load: first members of serving
+/// groups whose gate is open, and instances of plain services. Chooses by the requests of this
+/// entry and by what upstreams say in their answers. A cold upstream gets this entry's part of what
+/// it carries. Thread-safe; guarded by one lock of rank LockRank::Targets.
 class TargetTable
 {
 public:
@@ -39,8 +39,8 @@
     auto report(const ForwardTarget &target, const ReportedLoad &load, MonotonicTime now) -> void;
     /// A stream of \a target has begun or made progress.
     auto progressed(const ForwardTarget &target, MonotonicTime now) -> void;
-    /// Upstreams that gave nothing on any stream for too long; each is left out of choices, and named
-    /// again after a pause.
+    /// Upstreams that gave nothing on any stream for too long; each is left out of choices, and
+    /// named again after a pause.
     auto stalled(MonotonicTime now) -> std::vector<ForwardTarget>;
     /// Entries that share the upstreams.
     [[nodiscard]] auto entries() const -> std::size_t;
@@ -54,7 +54,8 @@
         std::uint32_t inFlight_ = 0;
         bool isEngine_ = false;
         std::uint32_t slots_ = 0;
-        /// Requests a second that this entry may send while the upstream is cold; 0 when it is warm.
+        /// Requests a second that this entry may send while the upstream is cold; 0 when it is
+        /// warm.
         double coldPerSecond_ = 0;
         std::deque<MonotonicTime> coldStarts_;
         std::optional<ReportedLoad> load_;
--- a/packages/groups/GateOrders.h
+++ b/packages/groups/GateOrders.h
@@ -13,14 +13,14 @@
 
 struct Upstream;
 
-/// Keeps one order in flight for each engine: the next one waits until the first was answered or its
-/// connection is closed, and a repetition also until the engine had time to announce the effect.
-/// Not thread-safe.
+/// Keeps one order in flight for each engine: the next one waits until the first was answered or
+/// its connection is closed, and a repetition also until the engine had time to announce the
+/// effect. Not thread-safe.
 class GateOrders
 {
 public:
-    /// Sends \a order unless one is in flight or the same one was sent a short time ago; says whether
-    /// it did.
+    /// Sends \a order unless one is in flight or the same one was sent a short time ago; says
+    /// whether it did.
     auto send(const Upstream &upstream, const MemberOrder &order, MonotonicTime now) -> bool;
     /// Whether \a order could be sent now.
     [[nodiscard]] auto maySend(const Upstream &upstream, const MemberOrder &order,
--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -17,8 +17,8 @@
 /// Added to the time that a group stands still before its members are used again.
 constexpr auto stallMargin = std::chrono::milliseconds(1500);
 
-/// A fleet that has just started counts as complete when no engine has come for this part of the time
-/// between announcements.
+/// A fleet that has just started counts as complete when no engine has come for this part of the
+/// time between announcements.
 constexpr auto settlePart = 0.6;
 
 auto findUpstream(const FleetState &state, const UpstreamId &id) -> const Upstream *
@@ -97,11 +97,12 @@
     const Pool *pool_ = nullptr;
     std::size_t groups_ = 0;
 
-    /// How much of the expected work one group would have after one more was formed.
-    [[nodiscard]] auto need() const -> double
+    /// Whether the pool has no group, and how much of the expected work one group would have after
+    /// one more was formed.
+    [[nodiscard]] auto need() const -> std::pair<bool, double>
     {
         const auto share = pool_->share_ > 0 ? pool_->share_ : 1.0;
-        return share * pool_->pace_ / static_cast<double>(groups_ + 1);
+        return {groups_ == 0, share * pool_->pace_ / static_cast<double>(groups_ + 1)};
     }
 };
 
@@ -278,8 +279,8 @@
     const auto *pool = findPool(state.declaration_, group.pool_);
     const auto *profile
         = pool == nullptr ? nullptr : findProfile(state.declaration_, enginesOf(*pool));
-    const auto stall = std::chrono::milliseconds(
-        profile == nullptr ? UpstreamProfile{}.stallMs_ : profile->stallMs_);
+    const auto stall = std::chrono::milliseconds(profile == nullptr ? UpstreamProfile{}.stallMs_
+                                                                    : profile->stallMs_);
     return pass.inputs_.now_ - since >= stall + stallMargin;
 }
 
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -59,8 +59,8 @@
     [[nodiscard]] auto commitIndex() const -> LogIndex;
     [[nodiscard]] auto lastIndex() const -> LogIndex;
     [[nodiscard]] auto voters() const -> VoterSet;
-    /// While this replica leads: voters that were heard under another identity, because their disk was
-    /// lost.
+    /// While this replica leads: voters that were heard under another identity, because their disk
+    /// was lost.
     [[nodiscard]] auto wipedVoters() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> VoterIdentity;
     /// Whether this replica leads at \a now, no other can, and everything committed is applied.
--- a/packages/serving/GroupPlanning.h
+++ b/packages/serving/GroupPlanning.h
@@ -27,8 +27,8 @@
 
 /// The planner of engines whose members follow leaseholders.
 auto leasedGroupPlanning(const EventSink &sink) -> GroupPlanning;
-/// The planner of engines that keep the gate of their group. \a hasEnded says whether the process of
-/// an upstream is known to have ended.
+/// The planner of engines that keep the gate of their group. \a hasEnded says whether the process
+/// of an upstream is known to have ended.
 auto gatedGroupPlanning(std::function<bool(const Upstream &)> hasEnded) -> GroupPlanning;
 
 } // namespace lycheereach
--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -75,14 +75,13 @@
             probed.at_ = MonotonicTime{};
     }
     if (isLost) {
-        hooks_.event_(
-            Event{EventNumber::ProbeFailed,
-                  {{"upstream", announced.upstream_.text()},
-                   {"reason", outcome == ProbeOutcome::Ended ? "its process has ended"
+        hooks_.event_(Event{EventNumber::ProbeFailed,
+                            {{"upstream", announced.upstream_.text()},
+                             {"reason",
+                              outcome == ProbeOutcome::Ended ? "its process has ended"
                                                              : "it did not answer two probes"}}});
         control_.propose(
-            Command(LoseUpstream{announced.upstream_, announced.incarnation_, EntryId{}}),
-            nullptr);
+            Command(LoseUpstream{announced.upstream_, announced.incarnation_, EntryId{}}), nullptr);
     } else if (outcome == ProbeOutcome::Silent) {
         probe(upstream);
     }
--- a/packages/serving/MemberProbe.h
+++ b/packages/serving/MemberProbe.h
@@ -27,9 +27,9 @@
     MonotonicClock now_;
 };
 
-/// Probes upstreams that may be dead: all members of a group that an entry found standing still. One
-/// whose process has ended, or that twice says nothing, is proposed as lost. Thread-safe; guarded by
-/// one lock of rank LockRank::Leaseholder.
+/// Probes upstreams that may be dead: all members of a group that an entry found standing still.
+/// One whose process has ended, or that twice says nothing, is proposed as lost. Thread-safe;
+/// guarded by one lock of rank LockRank::Leaseholder.
 class MemberProbe : public std::enable_shared_from_this<MemberProbe>
 {
 public:
--- a/packages/serving/PlannerService.cpp
+++ b/packages/serving/PlannerService.cpp
@@ -7,6 +7,13 @@
 
 namespace lycheereach {
 
+namespace {
+
+/// While nothing changes a plan is made at this pace, for what is due by time alone.
+constexpr auto quietPlanEvery = std::chrono::milliseconds(250);
+
+} // namespace
+
 PlannerService::PlannerService(ControlService &control, GroupPlanning planning,
                                PlannerServiceHooks hooks)
     : control_(control)
@@ -33,12 +40,27 @@
     planning_.reset_();
 }
 
+auto PlannerService::isDue() -> bool
+{
+    const auto now = hooks_.now_();
+    const auto applied = control_.read([](const FleetState &state) { return state.applied_; });
+    const auto isNews = applied != plannedIndex_ || orderHasEnded_;
+    if (!isNews && now - plannedAt_ < quietPlanEvery)
+        return false;
+    plannedIndex_ = applied;
+    plannedAt_ = now;
+    orderHasEnded_ = false;
+    return true;
+}
+
 auto PlannerService::plan(Term term) -> std::vector<PlannerAction>
 {
     const auto lock = std::scoped_lock(mutex_);
     beginTerm(term);
     if (!control_.leads() || commandsUnderWay_ > 0)
         return {};
+    if (!isDue())
+        return {};
     const auto inForce = control_.inForceIndex();
     auto inputs = PlannerInputs{.now_ = hooks_.now_(), .liveEntries_ = control_.liveEntries()};
     auto actions = control_.read([&](const FleetState &state) {
@@ -89,6 +111,7 @@
             Event{EventNumber::OrderRefused,
                   {{"upstream", order.upstream_.text()}, {"group", order.group_.text()}}});
     const auto lock = std::scoped_lock(mutex_);
+    orderHasEnded_ = true;
     if (term == term_)
         planning_.orderEnded_(order.upstream_, accepted, hooks_.now_());
 }
--- a/packages/serving/PlannerService.h
+++ b/packages/serving/PlannerService.h
@@ -23,6 +23,8 @@
     auto tick() -> void;
 
 private:
+    /// Whether there is anything to plan for.
+    auto isDue() -> bool;
     auto plan(Term term) -> std::vector<PlannerAction>;
     auto perform(Term term, const Command &command) -> void;
     auto perform(Term term, const MemberOrder &order) -> void;
@@ -35,6 +37,11 @@
     RankedMutex mutex_;
     GroupPlanning planning_;
     std::size_t commandsUnderWay_ = 0;
+    /// What the last plan was made from, and when.
+    LogIndex plannedIndex_ = 0;
+    MonotonicTime plannedAt_;
+    /// Whether an order has ended since the last plan.
+    bool orderHasEnded_ = false;
     /// The term that the last plan was made in.
     Term term_ = 0;
 };
--- a/packages/state/Command.cpp
+++ b/packages/state/Command.cpp
@@ -1,5 +1,7 @@
 #include "state/Command.h"
 
+#include "base/Compression.h"
+
 #include <array>
 
 namespace lycheereach {
@@ -9,8 +11,8 @@
 /// The tags of the commands in the log, in the order of the variant; never reordered or reused.
 constexpr auto tags = std::to_array<const char *>(
     {"apply", "zone", "drain", "entry", "entryPhase", "upstream", "upstreamLost", "group",
-     "groupPhase", "leaseholder", "claim", "settle", "expire", "block", "publish",
-     "evacuate", "confirm", "traffic"});
+     "groupPhase", "leaseholder", "claim", "settle", "expire", "block", "publish", "evacuate",
+     "confirm", "traffic"});
 static_assert(tags.size() == std::variant_size_v<Command>);
 
 template <std::size_t Index>
@@ -35,12 +37,15 @@
     auto json = Json::object();
     json[tags.at(command.index())]
         = std::visit([](const auto &body) { return encode(body); }, command);
-    return json.dump();
+    return packText(json.dump());
 }
 
 auto decodeCommand(const std::string &text) -> Result<Command>
 {
-    const auto json = Json::parse(text, nullptr, false);
+    const auto unpacked = unpackText(text);
+    if (!unpacked)
+        return unpacked.failure();
+    const auto json = Json::parse(*unpacked, nullptr, false);
     if (!json.is_object() || json.size() != 1)
         return Failure{Error::InvalidJson, "a log record is not a command"};
     const auto item = json.begin();
--- a/packages/state/Command.h
+++ b/packages/state/Command.h
@@ -30,8 +30,8 @@
 /// One record of the replicated log.
 using Command = std::variant<ApplyDeclaration, SetZone, DrainUpstream, PutEntry, SetEntryPhase,
                              PutUpstream, LoseUpstream, FormGroup, SetGroupPhase, SetLeaseholder,
-                             ClaimRequest, SettleClaim, ExpireClaims, BlockRequest, PublishDeclaration,
-                             EvacuateZone, ConfirmState, NoteTraffic>;
+                             ClaimRequest, SettleClaim, ExpireClaims, BlockRequest,
+                             PublishDeclaration, EvacuateZone, ConfirmState, NoteTraffic>;
 
 /// \a command as JSON text for the log.
 auto encodeCommand(const Command &command) -> std::string;
--- a/packages/state/MemberPhase.h
+++ b/packages/state/MemberPhase.h
@@ -30,10 +30,10 @@
     static constexpr auto names()
     {
         using Pair = std::pair<MemberPhase, const char *>;
-        return std::array{Pair{MemberPhase::Idle, "idle"}, Pair{MemberPhase::Loading, "loading"},
-                          Pair{MemberPhase::Ready, "ready"}, Pair{MemberPhase::Open, "open"},
-                          Pair{MemberPhase::Closing, "closing"},
-                          Pair{MemberPhase::Broken, "broken"}};
+        return std::array{
+            Pair{MemberPhase::Idle, "idle"},       Pair{MemberPhase::Loading, "loading"},
+            Pair{MemberPhase::Ready, "ready"},     Pair{MemberPhase::Open, "open"},
+            Pair{MemberPhase::Closing, "closing"}, Pair{MemberPhase::Broken, "broken"}};
     }
 };
 
--- a/packages/state/Pool.h
+++ b/packages/state/Pool.h
@@ -32,7 +32,8 @@
     auto operator==(const Pool &) const -> bool = default;
     static constexpr auto fields()
     {
-        return std::tuple{field("name", &Pool::name_), field("model", &Pool::model_),
+        return std::tuple{field("name", &Pool::name_),
+                          field("model", &Pool::model_),
                           field("instancesPerGroup", &Pool::instancesPerGroup_),
                           optionalField("groups", &Pool::groups_),
                           optionalField("zones", &Pool::zones_),
--- a/packages/state/StateMachine.cpp
+++ b/packages/state/StateMachine.cpp
@@ -1,5 +1,6 @@
 #include "state/StateMachine.h"
 
+#include "base/Compression.h"
 #include "state/CommandHandlers.h"
 
 #include <algorithm>
@@ -37,12 +38,13 @@
 
 auto StateMachine::snapshot() const -> std::string
 {
-    return encode(state_).dump();
+    return packText(encode(state_).dump());
 }
 
 auto StateMachine::restore(const std::string &snapshot) -> Result<Nothing>
 {
-    const auto json = Json::parse(snapshot, nullptr, false);
+    const auto text = unpackText(snapshot);
+    const auto json = text ? Json::parse(*text, nullptr, false) : Json(Json::value_t::discarded);
     if (json.is_discarded())
         return Failure{Error::CorruptLog, "the snapshot of the control state is not readable"};
     auto restored = decode<FleetState>(json);
--- a/packages/state/StateMachine.h
+++ b/packages/state/StateMachine.h
@@ -25,7 +25,7 @@
     auto advance(LogIndex index) -> void;
 
     [[nodiscard]] auto state() const -> const FleetState & { return state_; }
-    /// The whole state as JSON text.
+    /// The whole state as packed JSON text.
     [[nodiscard]] auto snapshot() const -> std::string;
     /// Takes over a snapshot; one older than the present state is refused with Error::Conflict.
     auto restore(const std::string &snapshot) -> Result<Nothing>;
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -216,6 +216,10 @@
 auto HttpTransfer::onConnected(void *self, char *, char *, int, int) -> int
 {
     auto *transfer = static_cast<HttpTransfer *>(self);
+    // libcurl sends a request anew when a pooled connection breaks before the answer; whether to
+    // repeat it is for the caller to say.
+    if (transfer->connected_)
+        return CURL_PREREQFUNC_ABORT;
     const auto &mayStart = transfer->call_.mayStart_;
     transfer->forbidden_ = mayStart && !mayStart();
     if (transfer->forbidden_)
--- /dev/null
+++ b/tests/control/VoterKeeperTest.cpp
@@ -0,0 +1,48 @@
+#include "control/VoterKeeper.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+TEST_GROUP(VoterKeeper)
+{
+    EntryId a_{"a"};
+    EntryId b_{"b"};
+    EntryId c_{"c"};
+    EntryId d_{"d"};
+    VoterView view_{
+        .voters_ = {EntryId("a"), EntryId("b"), EntryId("c")},
+        .live_ = {EntryId("a"), EntryId("b"), EntryId("c")},
+        .target_ = 3,
+    };
+};
+
+TEST(VoterKeeper, allVotersLive_next_changesNothing)
+{
+    CHECK_FALSE(nextVoterChange(view_).has_value());
+}
+
+TEST(VoterKeeper, aVoterWithAnEmptyDisk_next_isRemovedAndThenAdded)
+{
+    view_.wiped_ = {b_};
+    CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, b_}));
+    view_.voters_.erase(b_);
+    view_.wiped_.clear();
+    CHECK(nextVoterChange(view_) == (VoterChange{b_, std::nullopt}));
+}
+
+TEST(VoterKeeper, aLostVoterWithoutSuccessor_next_isKept)
+{
+    view_.live_.erase(c_);
+    view_.lost_ = {c_};
+    CHECK_FALSE(nextVoterChange(view_).has_value());
+}
+
+TEST(VoterKeeper, aLostVoterWithASuccessor_next_isReplaced)
+{
+    view_.live_ = {a_, b_, d_};
+    view_.lost_ = {c_};
+    CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, c_}));
+    view_.voters_.erase(c_);
+    CHECK(nextVoterChange(view_) == (VoterChange{d_, std::nullopt}));
+}
--- a/tests/docs/SettingsPageTest.cpp
+++ b/tests/docs/SettingsPageTest.cpp
@@ -48,6 +48,9 @@
     checkRows<Service>("services[].");
     checkRows<ServiceRoute>("services[].routes[].");
     checkRows<Workspace>("workspaces[].");
+    checkRows<HttpRoute>("routes[].");
+    checkRows<RouteShare>("routes[].shares[].");
+    checkRows<UpstreamProfile>("profiles[].");
     checkRows<ExceptionRule>("exceptions[].");
     checkRows<ExceptionMatch>("exceptions[].match.");
 }
--- /dev/null
+++ b/tests/forward/TargetTableTest.cpp
@@ -0,0 +1,119 @@
+#include "forward/TargetTable.h"
+
+#include "state/FleetState.h"
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(TargetTable)
+{
+    MonotonicTime now_{seconds(100)};
+    FleetState state_;
+    PoolName pool_{"e/m"};
+    TargetTable table_{ZoneName("a"), [] { return std::uint64_t{0}; }};
+
+    auto setup()->void override
+    {
+        state_.declaration_.pools_ = {Pool{
+            .name_ = pool_, .model_ = "m", .instancesPerGroup_ = 1, .engines_ = PoolName("e")}};
+        state_.declaration_.profiles_
+            = {UpstreamProfile{.name_ = PoolName("e"), .coldPerSecond_ = 4, .slots_ = 8}};
+        addGroup("u1", "a");
+        addGroup("u2", "a");
+        table_.update(state_);
+    }
+
+    auto addGroup(const std::string &id, const std::string &zone)->void
+    {
+        const auto group = GroupId("g-" + id);
+        const auto upstream = UpstreamId(id);
+        auto announced = Announcement{.upstream_ = upstream,
+                                      .incarnation_ = 1,
+                                      .address_ = id + ":1",
+                                      .zone_ = ZoneName(zone),
+                                      .pool_ = PoolName("e"),
+                                      .cold_ = false,
+                                      .group_ = group,
+                                      .epoch_ = 1,
+                                      .phase_ = MemberPhase::Open};
+        state_.upstreams_[upstream] = Upstream{announced, EntryId("c"), false, false};
+        state_.groups_[group] = Group{.id_ = group,
+                                      .pool_ = pool_,
+                                      .zone_ = ZoneName(zone),
+                                      .epoch_ = 1,
+                                      .members_ = {upstream},
+                                      .phase_ = GroupPhase::Serving};
+        state_.groupOf_[upstream] = group;
+    }
+
+    auto choose(const std::set<UpstreamId> &avoid = {})->std::string
+    {
+        const auto target = table_.choose(pool_, avoid, now_);
+        return target ? target->upstream_.text() : "";
+    }
+};
+
+TEST(TargetTable, requestsInProgress_choose_spreadsThem)
+{
+    CHECK(choose() != choose());
+}
+
+TEST(TargetTable, anUpstreamThatFailedTheRequest_choose_takesAnother)
+{
+    CHECK(choose({UpstreamId("u1")}) == "u2");
+    CHECK(choose({UpstreamId("u1")}) == "u2");
+}
+
+TEST(TargetTable, aClosedGate_choose_leavesTheGroupOut)
+{
+    state_.upstreams_.at(UpstreamId("u1")).announced_.phase_ = MemberPhase::Ready;
+    table_.update(state_);
+    CHECK(choose() == "u2");
+    CHECK(choose() == "u2");
+}
+
+TEST(TargetTable, aZoneTakenOut_choose_findsNothingThere)
+{
+    state_.zonesOut_.insert(ZoneName("a"));
+    table_.update(state_);
+    CHECK(choose().empty());
+}
+
+TEST(TargetTable, aColdUpstream_choose_takesNoMoreThanItCarriesInASecond)
+{
+    for (auto &[id, upstream] : state_.upstreams_)
+        upstream.announced_.cold_ = true;
+    table_.update(state_);
+    for (auto i = 0; i < 8; ++i)
+        CHECK_FALSE(choose().empty());
+    CHECK(choose().empty());
+    now_ += milliseconds(1001);
+    CHECK_FALSE(choose().empty());
+}
+
+TEST(TargetTable, aStreamThatGivesNothing_stalled_namesItsTargetAndLeavesItOut)
+{
+    const auto target = table_.choose(pool_, {}, now_);
+    table_.progressed(*target, now_);
+    now_ += milliseconds(299);
+    CHECK(table_.stalled(now_).empty());
+    now_ += milliseconds(1);
+    CHECK(table_.stalled(now_).front() == *target);
+    CHECK(choose() != target->upstream_.text());
+    CHECK(table_.stalled(now_).empty());
+}
+
+TEST(TargetTable, oneStreamMovesWhileOthersWait_stalled_namesNothing)
+{
+    const auto target = table_.choose(pool_, {}, now_);
+    for (auto i = 0; i < 20; ++i) {
+        now_ += milliseconds(200);
+        table_.progressed(*target, now_);
+        CHECK(table_.stalled(now_).empty());
+    }
+}
--- /dev/null
+++ b/tests/groups/GatePlannerTest.cpp
@@ -0,0 +1,281 @@
+#include "groups/GatePlanner.h"
+
+#include "groups/GatePlannerInputs.h"
+#include "groups/MemberAddress.h"
+#include "state/StateMachine.h"
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A fleet of engines that carry out every order at once, driven through the real state machine.
+TEST_GROUP(GatePlanner)
+{
+    MonotonicTime now_{seconds(100)};
+    StateMachine machine_{[](const Event &) {}};
+    GatePlanner planner_;
+    LogIndex index_ = 0;
+    std::map<UpstreamId, Announcement> engines_;
+    std::set<UpstreamId> ended_;
+    std::vector<MemberOrder> orders_;
+    /// Engines whose orders are lost.
+    std::set<UpstreamId> deaf_;
+
+    auto setup()->void override
+    {
+        auto declaration = Declaration{};
+        declaration.zones_ = {ZoneName("a")};
+        declaration.defaults_.announceEveryMs_ = 1000;
+        declaration.defaults_.silenceTimeoutMs_ = 4000;
+        declaration.pools_ = {pool("large", 3, 0.7), pool("small", 2, 0.3)};
+        declaration.profiles_ = {UpstreamProfile{.name_ = PoolName("e"), .loadsPerSecond_ = 2}};
+        CHECK(run(PublishDeclaration{1, declaration, "{}"}).accepted_);
+    }
+
+    static auto pool(const std::string &model, std::uint32_t size, double share)->Pool
+    {
+        return Pool{.name_ = PoolName("e/" + model),
+                    .model_ = model,
+                    .instancesPerGroup_ = size,
+                    .engines_ = PoolName("e"),
+                    .share_ = share};
+    }
+
+    auto run(const Command &command)->CommandOutcome
+    {
+        return machine_.apply(++index_, command);
+    }
+
+    auto announce(Announcement & engine)->void
+    {
+        ++engine.sequence_;
+        run(PutUpstream{engine, EntryId("c")});
+    }
+
+    auto addEngine(const std::string &id, const std::string &domain)->void
+    {
+        auto &engine = engines_[UpstreamId(id)];
+        engine = Announcement{.upstream_ = UpstreamId(id),
+                              .incarnation_ = 1,
+                              .address_ = id + ":1",
+                              .zone_ = ZoneName("a"),
+                              .fabricDomain_ = FabricDomain(domain),
+                              .pool_ = PoolName("e"),
+                              .cold_ = false};
+        announce(engine);
+    }
+
+    auto addEngines(int count)->void
+    {
+        for (auto i = 0; i < count; ++i)
+            addEngine("u" + std::to_string(i), "d");
+    }
+
+    auto carryOut(const MemberOrder &order)->void
+    {
+        auto &engine = engines_.at(order.upstream_);
+        if (order.kind_ == OrderKind::Join) {
+            engine.group_ = order.group_;
+            engine.epoch_ = order.epoch_;
+            engine.rank_ = order.rank_;
+            engine.phase_ = MemberPhase::Ready;
+            engine.loaded_ = {order.model_};
+        } else if (order.kind_ == OrderKind::Load) {
+            engine.loaded_ = {order.model_};
+        } else if (engine.group_ != order.group_) {
+            return;
+        } else if (order.kind_ == OrderKind::Leave) {
+            engine.group_ = GroupId();
+            engine.phase_ = MemberPhase::Idle;
+        } else {
+            const auto opens = order.kind_ == OrderKind::Open;
+            engine.phase_ = opens ? MemberPhase::Open : MemberPhase::Ready;
+        }
+        announce(engine);
+    }
+
+    /// One planning pass whose commands are applied and whose orders are carried out.
+    auto step()->void
+    {
+        now_ += milliseconds(100);
+        const auto inputs
+            = GatePlannerInputs{now_, [this](const Upstream &upstream) {
+                                    return ended_.contains(upstream.announced_.upstream_);
+                                }};
+        const auto actions = planner_.plan(machine_.state(), inputs);
+        for (const auto &item : actions) {
+            if (const auto *command = std::get_if<Command>(&item))
+                run(*command);
+        }
+        for (const auto &item : actions) {
+            if (const auto *order = std::get_if<MemberOrder>(&item)) {
+                orders_.push_back(*order);
+                const auto isHeard = !deaf_.contains(order->upstream_);
+                if (isHeard)
+                    carryOut(*order);
+                planner_.orderEnded(order->upstream_, isHeard, now_);
+            }
+        }
+    }
+
+    auto steps(int count)->void
+    {
+        for (auto i = 0; i < count; ++i)
+            step();
+    }
+
+    auto openGroups(const std::string &model)->int
+    {
+        auto count = 0;
+        for (const auto &[id, group] : machine_.state().groups_) {
+            const auto &head = engines_.at(group.members_.front());
+            count += group.pool_ == PoolName("e/" + model) && head.phase_ == MemberPhase::Open
+                    && group.phase_ == GroupPhase::Serving
+                ? 1
+                : 0;
+        }
+        return count;
+    }
+
+    auto groupOf(const std::string &model)->const Group &
+    {
+        for (const auto &[id, group] : machine_.state().groups_) {
+            if (group.pool_ == PoolName("e/" + model))
+                return group;
+        }
+        FAIL("no group of that model");
+        return machine_.state().groups_.begin()->second;
+    }
+
+    auto lose(const UpstreamId &id)->void
+    {
+        run(LoseUpstream{id, engines_.at(id).incarnation_, EntryId()});
+        deaf_.insert(id);
+    }
+
+    auto joinsSince(std::size_t first)->int
+    {
+        auto count = 0;
+        for (auto i = first; i < orders_.size(); ++i)
+            count += orders_[i].kind_ == OrderKind::Join ? 1 : 0;
+        return count;
+    }
+};
+
+TEST(GatePlanner, enginesThatComeOneByOne_plan_waitsUntilAllHaveCome)
+{
+    for (auto i = 0; i < 6; ++i) {
+        addEngine("u" + std::to_string(i), "d");
+        step();
+    }
+    CHECK(machine_.state().groups_.empty());
+    steps(12);
+    LONGS_EQUAL(1, openGroups("large"));
+    LONGS_EQUAL(1, openGroups("small"));
+}
+
+TEST(GatePlanner, aGroupThatIsNotReady_plan_isNotOpened)
+{
+    addEngines(5);
+    deaf_ = {UpstreamId("u1")};
+    steps(20);
+    for (const auto &order : orders_) {
+        const auto &group
+            = machine_.state().groups_.at(machine_.state().groupOf_.at(UpstreamId("u1")));
+        CHECK_FALSE(order.kind_ == OrderKind::Open && order.group_ == group.id_);
+    }
+}
+
+TEST(GatePlanner, epochsOfNewGroups_plan_riseOverAllGroups)
+{
+    addEngines(5);
+    steps(20);
+    CHECK(groupOf("large").epoch_ != groupOf("small").epoch_);
+}
+
+TEST(GatePlanner, aMemberIsLost_plan_closesTheHeadBeforeAnyOtherMemberJoinsAnew)
+{
+    addEngines(6);
+    steps(20);
+    run(NoteTraffic{});
+    const auto members = groupOf("large").members_;
+    const auto old = groupOf("large").id_;
+    lose(members[1]);
+    const auto first = orders_.size();
+    while (machine_.state().groups_.contains(old) && engines_.at(members[0]).group_ == old) {
+        LONGS_EQUAL(0, joinsSince(first));
+        step();
+    }
+    steps(20);
+    LONGS_EQUAL(1, openGroups("large"));
+}
+
+TEST(GatePlanner, theHeadIsSilent_plan_waitsUntilItsGroupHasBroken)
+{
+    addEngines(6);
+    steps(20);
+    const auto members = groupOf("large").members_;
+    lose(members[0]);
+    const auto lostAt = now_;
+    const auto first = orders_.size();
+    while (joinsSince(first) == 0 && now_ - lostAt < seconds(20))
+        step();
+    CHECK(now_ - lostAt >= seconds(5));
+    CHECK(now_ - lostAt < seconds(9));
+}
+
+TEST(GatePlanner, theHeadsProcessHasEnded_plan_usesItsMembersAtOnce)
+{
+    addEngines(6);
+    steps(20);
+    const auto members = groupOf("large").members_;
+    ended_.insert(members[0]);
+    lose(members[0]);
+    steps(15);
+    LONGS_EQUAL(1, openGroups("large"));
+}
+
+TEST(GatePlanner, aMemberLeaves_plan_letsTheHeadFinishBeforeTheGroupEnds)
+{
+    addEngines(6);
+    steps(20);
+    const auto members = groupOf("large").members_;
+    auto &leaving = engines_.at(members[1]);
+    leaving.leaving_ = true;
+    announce(leaving);
+    const auto first = orders_.size();
+    steps(3);
+    CHECK(orders_.at(first).kind_ == OrderKind::Close);
+    CHECK(orders_.at(first).upstream_ == members[0]);
+}
+
+TEST(GatePlanner, spares_plan_holdTheModelWithTheMostMembers)
+{
+    addEngines(6);
+    steps(20);
+    auto spares = 0;
+    for (const auto &[id, engine] : engines_) {
+        if (engine.group_.empty()) {
+            ++spares;
+            CHECK(engine.loaded_ == std::vector<std::string>{"large"});
+        }
+    }
+    LONGS_EQUAL(1, spares);
+}
+
+TEST(GatePlanner, trafficHasBegun_plan_holdsLoadsToTheRateOfTheStore)
+{
+    run(NoteTraffic{});
+    for (auto i = 0; i < 30; ++i)
+        addEngine("u" + std::to_string(i), "d" + std::to_string(i));
+    auto loads = std::size_t{0};
+    for (auto second = 0; second < 5; ++second)
+        steps(10);
+    for (const auto &order : orders_)
+        loads += order.kind_ == OrderKind::Load || order.kind_ == OrderKind::Join ? 1 : 0;
+    CHECK(loads <= 2 * 5 * 11 / 10 + 3);
+}
--- /dev/null
+++ b/tests/platform/ManifestReaderTest.cpp
@@ -0,0 +1,104 @@
+#include "platform/ManifestReader.h"
+
+#include "base/JsonCodec.h"
+#include "requests/Fingerprint.h"
+
+#include <functional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace lycheereach::platform;
+
+TEST_GROUP(ManifestReader)
+{
+    PlatformSettings settings_;
+    Json manifest_;
+
+    auto setup()->void override
+    {
+        settings_.zones_ = {ZoneName("north")};
+        manifest_ = Json::parse(R"({"version": 7,
+          "routes": [
+            {"name": "s", "host": "h", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 8000,
+             "sloMs": 400, "priority": 1, "maxAttempts": 2, "resumable": true, "gapTargetMs": 250,
+             "split": [{"service": "pool", "weight": 90}, {"service": "app", "weight": 10}]},
+            {"name": "u", "host": "h", "pathPrefix": "/b/", "kind": "unsafe", "timeoutMs": 800,
+             "service": "app", "public": true}],
+          "services": [
+            {"name": "pool", "healthPath": "/health", "maxConnections": 474, "coldPerS": 38.0,
+             "engine": {"slots": 26, "loadsPerS": 5.5, "loads_at_once": 8, "models": [
+               {"name": "m1", "size": 6, "share": 0.67, "pace": 1.0},
+               {"name": "m2", "size": 3, "share": 0.33, "pace": 0.6}]}},
+            {"name": "app"}],
+          "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}]})");
+    }
+
+    auto read()->Result<PublishDeclaration>
+    {
+        return readManifest(manifest_.dump(), settings_);
+    }
+};
+
+TEST(ManifestReader, aWholeManifest_read_becomesADeclarationUnderItsRevision)
+{
+    const auto command = read();
+    CHECK(command.ok());
+    UNSIGNED_LONGS_EQUAL(7, command->revision_);
+    CHECK(command->source_ == manifest_.dump());
+    const auto &declaration = command->declaration_;
+    CHECK(declaration.routes_[0].kind_ == RouteKind::ResumableStream);
+    UNSIGNED_LONGS_EQUAL(90, declaration.routes_[0].shares_[0].weight_);
+    CHECK(declaration.routes_[1].kind_ == RouteKind::Unsafe);
+    CHECK(declaration.routes_[1].isPublic_);
+    UNSIGNED_LONGS_EQUAL(2, declaration.pools_.size());
+    UNSIGNED_LONGS_EQUAL(6, declaration.pools_[0].instancesPerGroup_);
+    CHECK(declaration.pools_[1].engines_ == PoolName("pool"));
+    CHECK(declaration.services_[0].name_ == PoolName("app"));
+    CHECK(declaration.workspaces_[0].keyDigests_[1] == sha256("k2"));
+}
+
+TEST(ManifestReader, aKindThatIsNotKnown_read_runsOnceAtMost)
+{
+    manifest_["routes"][0]["kind"] = "novel";
+    CHECK(read()->declaration_.routes_[0].kind_ == RouteKind::Unsafe);
+}
+
+TEST(ManifestReader, aStreamThatMayNotBeResumed_read_runsOnceAtMost)
+{
+    manifest_["routes"][0].erase("resumable");
+    CHECK(read()->declaration_.routes_[0].kind_ == RouteKind::Stream);
+}
+
+TEST(ManifestReader, invalidManifests_read_areRefusedWithTheReason)
+{
+    const auto breaks = std::vector<std::function<void(Json &)>>{
+        [](Json &json) { json.erase("version"); },
+        [](Json &json) { json["version"] = 1.5; },
+        [](Json &json) { json.erase("routes"); },
+        [](Json &json) { json["routes"] = "none"; },
+        [](Json &json) { json["routes"][0]["timeoutMs"] = 0; },
+        [](Json &json) { json["routes"][0].erase("host"); },
+        [](Json &json) { json["routes"][1]["service"] = "nobody"; },
+        [](Json &json) { json["routes"][1]["pathPrefix"] = "/a/"; },
+        [](Json &json) {
+            for (auto &share : json["routes"][0]["split"])
+                share["weight"] = 0;
+        },
+        [](Json &json) {
+            json["tenants"].push_back({{"name", "other"}, {"apiKeys", {"k1"}}});
+        }};
+    for (const auto &damage : breaks) {
+        setup();
+        damage(manifest_);
+        const auto command = read();
+        CHECK_FALSE(command.ok());
+        CHECK_FALSE(command.failure().message_.empty());
+    }
+}
+
+TEST(ManifestReader, textThatIsCutOff_read_isRefused)
+{
+    const auto text = manifest_.dump();
+    CHECK_FALSE(readManifest(text.substr(0, text.size() / 2), settings_).ok());
+}
--- /dev/null
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -0,0 +1,74 @@
+#include "platform/PlatformSettings.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace lycheereach::platform;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const auto entrySettings = std::string(R"(
+nodeName = "edge-1"
+zone = "north"
+ip = "10.1.0.40"
+internalPorts = [7340, 7355]
+seeds = ["10.1.0.43:8229", "10.2.0.32:8229"]
+bootstrap = true
+unknown = 1
+[zones]
+north = "r"
+south = "r"
+[listen]
+front = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+[faultTolerance]
+machines = 2
+[bounds]
+graceS = 8
+drainMs = 2000
+retryBudgetRatio = 0.2
+retryBudgetExtra = 134
+budgetWindowS = 10
+)");
+
+} // namespace
+
+TEST_GROUP(PlatformSettings){};
+
+TEST(PlatformSettings, theSettingsOfAnEntry_read_nameAddressesAndBounds)
+{
+    const auto settings = readPlatformSettings(entrySettings, "node.toml");
+    CHECK(settings.ok());
+    CHECK(settings->peerAddress_ == "10.1.0.40:7340");
+    CHECK(settings->seedPeers_ == (std::vector<std::string>{"10.1.0.43:7340", "10.2.0.32:7340"}));
+    CHECK(settings->requestAddress_ == "10.1.0.40:8227");
+    CHECK(settings->controlAddress_.empty());
+    CHECK_FALSE(settings->dataFolder_.has_value());
+    UNSIGNED_LONGS_EQUAL(2, settings->zones_.size());
+    CHECK(settings->stopGrace_ == seconds(8));
+    CHECK(settings->drainTime_ == milliseconds(2000));
+    UNSIGNED_LONGS_EQUAL(2, settings->toleratedMachines_);
+    DOUBLES_EQUAL(134, settings->retryExtra_, 0.001);
+}
+
+TEST(PlatformSettings, aMissingKey_read_namesFileAndKey)
+{
+    const auto settings = readPlatformSettings("nodeName = \"n\"\n", "node.toml");
+    CHECK_FALSE(settings.ok());
+    STRCMP_CONTAINS("node.toml", settings.failure().message_.c_str());
+    STRCMP_CONTAINS("'zone'", settings.failure().message_.c_str());
+}
+
+TEST(PlatformSettings, textThatIsNoToml_read_namesTheLine)
+{
+    const auto settings = readPlatformSettings("a = \n", "node.toml");
+    CHECK_FALSE(settings.ok());
+    STRCMP_CONTAINS("line 1", settings.failure().message_.c_str());
+}
+
+TEST(PlatformSettings, aFileThatIsMissing_load_saysSo)
+{
+    CHECK_FALSE(loadPlatformSettings("/nonexistent/node.toml").ok());
+}
