--- a/packages/forward/ForwardContext.h
+++ b/packages/forward/ForwardContext.h
@@ -23,6 +23,8 @@
     TargetTable &targets_;
     HttpClient &client_;
     WorkerPool &workers_;
+    /// Whether the entry is leaving: connections of callers are closed behind their answers.
+    std::function<bool()> isLeaving_;
     /// Takes one repeated send to a service from the budget that entries share.
     std::function<bool(const PoolName &service)> takeRetry_;
     /// Told of a group that stands still, by its first member.
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -47,6 +47,7 @@
     , retryMutex_(LockRank::Targets)
     , retries_(context_.settings_.retries_)
 {
+    context_.isLeaving_ = [this] { return isLeaving_.load(); };
     context_.takeRetry_ = [this](const PoolName &service) { return takeRetry(service); };
 }
 
@@ -104,6 +105,12 @@
         const auto lock = std::scoped_lock(mutex_);
         index = index_;
     }
+    const auto isLate
+        = isLeaving_ && context_.now_() - leavingSince_ > context_.settings_.takesWhileLeaving_;
+    if (isLate) {
+        refuse(read, unavailable, "this entry is stopping; send to another entry", reply);
+        return;
+    }
     if (!index) {
         refuse(read, unavailable, "no declaration is known yet", reply);
         return;
@@ -174,7 +181,10 @@
     auto refusal = ForwardRefusal{status, reason, std::nullopt};
     if (status == unavailable)
         refusal.retryAfter_ = idleRetryAfter;
-    reply->send(context_.dialect_.writeRefusal_(refusal));
+    auto response = context_.dialect_.writeRefusal_(refusal);
+    if (isLeaving_)
+        response.headers_.add("Connection", "close");
+    reply->send(std::move(response));
 }
 
 auto ForwardService::ended(const ForwardedRequest *request) -> void
@@ -194,6 +204,12 @@
     return retries_.take(service, context_.now_());
 }
 
+auto ForwardService::leave() -> void
+{
+    leavingSince_ = context_.now_();
+    isLeaving_ = true;
+}
+
 auto ForwardService::active() const -> std::size_t
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -39,6 +39,8 @@
     auto tick() -> void;
     /// Takes one request.
     auto handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void;
+    /// Begins a planned stop.
+    auto leave() -> void;
     /// Requests that have no whole answer yet.
     [[nodiscard]] auto active() const -> std::size_t;
     /// Whether new requests can be taken.
@@ -61,6 +63,8 @@
     std::uint64_t indexVersion_ = 0;
     std::map<const ForwardedRequest *, std::shared_ptr<ForwardedRequest>> active_;
     std::atomic<bool> trafficNoted_ = false;
+    std::atomic<bool> isLeaving_ = false;
+    MonotonicTime leavingSince_;
     /// Taken while a request holds its own lock, so it has a rank of its own.
     RankedMutex retryMutex_;
     RetryAllowance retries_;
--- a/packages/forward/ForwardSettings.h
+++ b/packages/forward/ForwardSettings.h
@@ -19,6 +19,9 @@
     /// Silence allowed before the first event of a stream; callers give up a stream that pauses for
     /// two seconds.
     Duration firstEventTimeout_ = std::chrono::milliseconds(1800);
+    /// A leaving entry takes new requests for so long, since callers still hold its address; those
+    /// that come later are refused, so that all that it took can end in time.
+    Duration takesWhileLeaving_ = std::chrono::milliseconds(2800);
     RetryLimits retries_;
 
     auto operator==(const ForwardSettings &) const -> bool = default;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -115,8 +115,11 @@
         handle(forward_event::TargetChosen{*target});
         return;
     }
+    const auto isFull = context_.targets_.hasTarget(pool_);
+    const auto what = isFull ? "all upstreams of '" : "no upstream of '";
+    const auto why = isFull ? "' are full" : "' takes requests";
     auto failure = Failure{.code_ = Error::Overloaded,
-                           .message_ = "no upstream of '" + pool_.text() + "' takes requests",
+                           .message_ = what + pool_.text() + why,
                            .retryAfter_ = noTargetRetryAfter};
     handle(forward_event::NoTarget{std::move(failure)});
 }
@@ -179,9 +182,17 @@
               {"reason", action.failure_}});
 }
 
+auto ForwardedRequest::answerHeaders(const ForwardHead &head) const -> HttpHeaders
+{
+    auto headers = head.headers_;
+    if (context_.isLeaving_())
+        headers.add("Connection", "close");
+    return headers;
+}
+
 auto ForwardedRequest::perform(const forward_action::SendHead &action) -> void
 {
-    reply_->begin(HttpResponse{action.head_.status_, action.head_.headers_, action.events_});
+    reply_->begin(HttpResponse{action.head_.status_, answerHeaders(action.head_), action.events_});
 }
 
 auto ForwardedRequest::perform(const forward_action::SendPart &action) -> void
@@ -196,7 +207,7 @@
 
 auto ForwardedRequest::perform(const forward_action::SendAnswer &action) -> void
 {
-    reply_->send(HttpResponse{action.head_.status_, action.head_.headers_, action.body_});
+    reply_->send(HttpResponse{action.head_.status_, answerHeaders(action.head_), action.body_});
 }
 
 auto ForwardedRequest::perform(const forward_action::SendRefusal &action) -> void
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -57,6 +57,7 @@
     auto perform(const forward_action::SendRefusal &action) -> void;
     auto perform(const forward_action::BreakOff &action) -> void;
     [[nodiscard]] auto hooksFor(std::uint32_t attempt) -> HttpCallHooks;
+    [[nodiscard]] auto answerHeaders(const ForwardHead &head) const -> HttpHeaders;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
     ForwardContext &context_;
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -20,10 +20,14 @@
 /// A group that stands still is left out for so long while there are others, and then tried again.
 constexpr auto stallHoldOff = std::chrono::milliseconds(1000);
 constexpr auto stallPause = std::chrono::milliseconds(300);
-/// What an upstream said of its load counts for so long.
+/// What an upstream said of its load counts in the choice for so long.
 constexpr auto reportLifetime = std::chrono::milliseconds(400);
+/// As reportLifetime, in the judgement whether it is full.
+constexpr auto fullnessLifetime = std::chrono::milliseconds(1000);
 /// What the way to another zone counts in requests in progress.
-constexpr auto otherZoneCost = 0.3;
+constexpr auto otherZoneCost = 0.5;
+/// Requests that may wait at an engine for a place; more would all be late.
+constexpr auto waitingAllowed = 8.0;
 
 auto isOpen(const FleetState &state, const Group &group) -> bool
 {
@@ -84,6 +88,15 @@
     targets[pool].emplace(upstream, std::move(added));
 }
 
+auto TargetTable::loadOf(const Target &target, MonotonicTime now) const -> double
+{
+    const auto own = static_cast<double>(target.inFlight_);
+    if (!target.load_ || now - target.loadAt_ >= fullnessLifetime)
+        return own * static_cast<double>(entries_);
+    const auto reported = static_cast<double>(target.load_->running_ + target.load_->waiting_);
+    return std::max(own, reported + target.sinceLoad_);
+}
+
 auto TargetTable::costOf(const Target &target, MonotonicTime now) const -> double
 {
     auto load = static_cast<double>(target.inFlight_);
@@ -94,6 +107,12 @@
     return load + (target.target_.zone_ == zone_ ? 0 : otherZoneCost);
 }
 
+auto TargetTable::hasRoom(const Target &target, MonotonicTime now) const -> bool
+{
+    const auto isKnown = target.isEngine_ && target.slots_ != 0;
+    return !isKnown || loadOf(target, now) < target.slots_ + waitingAllowed;
+}
+
 auto TargetTable::mayStart(Target &target, MonotonicTime now) -> bool
 {
     if (target.coldPerSecond_ <= 0)
@@ -114,7 +133,7 @@
     Target *best = nullptr;
     auto bestRank = std::tuple<bool, bool, double, std::uint64_t>{};
     for (auto &[id, target] : found->second) {
-        if (!mayStart(target, now))
+        if (!mayStart(target, now) || !hasRoom(target, now))
             continue;
         const auto rank = std::tuple(avoid.contains(id), now < target.leftOutUntil_,
                                      costOf(target, now), random_());
@@ -125,6 +144,7 @@
     }
     if (best == nullptr)
         return std::nullopt;
+    ++best->sinceLoad_;
     if (best->inFlight_++ == 0) {
         best->progressAt_ = now;
         best->hasProgressed_ = false;
@@ -140,6 +160,7 @@
     auto *known = find(target);
     if (known == nullptr)
         return;
+    --known->sinceLoad_;
     if (known->inFlight_ > 0)
         --known->inFlight_;
     if (failed)
@@ -193,6 +214,7 @@
     if (known == nullptr)
         return;
     known->load_ = load;
+    known->sinceLoad_ = 0;
     known->loadAt_ = now;
 }
 
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -30,7 +30,9 @@
 
     /// Takes in the replicated state. Call it after every change.
     auto update(const FleetState &state) -> void;
-    /// The best upstream of \a pool for one more request, which counts until release().
+    /// The best upstream of \a pool for one more request, which counts until release(); nothing
+    /// when all are full, so that a request is refused at once instead of making all that follow
+    /// late.
     auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid, MonotonicTime now)
         -> std::optional<ForwardTarget>;
     /// A chosen target is no longer used; \a failed leaves it out for a while.
@@ -60,6 +62,9 @@
         std::deque<MonotonicTime> coldStarts_;
         std::optional<ReportedLoad> load_;
         MonotonicTime loadAt_;
+        /// Requests of this entry that began less those that ended since the upstream said its
+        /// load.
+        int sinceLoad_ = 0;
         MonotonicTime leftOutUntil_;
         /// When a stream last gave something, or the first of those in flight was sent.
         MonotonicTime progressAt_;
@@ -68,7 +73,11 @@
         MonotonicTime stalledAt_;
     };
 
+    /// How many requests of all entries \a target probably has.
+    [[nodiscard]] auto loadOf(const Target &target, MonotonicTime now) const -> double;
     [[nodiscard]] auto costOf(const Target &target, MonotonicTime now) const -> double;
+    /// Whether one more request would probably begin within its objective.
+    [[nodiscard]] auto hasRoom(const Target &target, MonotonicTime now) const -> bool;
     auto find(const ForwardTarget &target) -> Target *;
     static auto mayStart(Target &target, MonotonicTime now) -> bool;
     auto add(const FleetState &state, const PoolName &pool, const UpstreamId &upstream,
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -70,9 +70,12 @@
     return one.find("Content-Length") || one.find("Transfer-Encoding") || one.find("Connection");
 }
 
+/// Appends the header fields; `Connection: close` has the connection closed behind the answer.
 template <typename Builder>
 auto appendHeaders(Builder &builder, const HttpHeaders &headers) -> void
 {
+    if (headers.value("Connection") == "close")
+        builder.connection_close();
     for (const auto &header : headers.all()) {
         if (!isFramingHeader(header))
             builder.append_header(header.name_, header.value_);
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -9,6 +9,7 @@
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -165,3 +166,22 @@
     client.reset();
     CHECK(HttpFixture::outcomeOf(record).error_ == Error::ShuttingDown);
 }
+
+TEST_GROUP(HttpClientOnce){};
+
+TEST(HttpClientOnce, aPooledConnectionBreaksBeforeTheAnswer_call_isNotSentAgain)
+{
+    auto requests = std::atomic<int>(0);
+    const auto handler = [&](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        if (++requests == 1)
+            reply->send({200, {}, "first"});
+        else
+            reply->abort();
+    };
+    auto fixture = HttpFixture(handler);
+    CHECK(fixture.client_.fetch(fixture.call("GET", "/")).ok());
+    const auto second = fixture.client_.fetch(fixture.call("GET", "/"));
+    CHECK_FALSE(second.ok());
+    CHECK(second.failure().verdict_ == Verdict::MayHaveRun);
+    LONGS_EQUAL(2, requests.load());
+}
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -173,3 +173,26 @@
     CHECK(!HttpFixture::outcomeOf(record_).error_);
     CHECK(record_.get().body_ == "late");
 }
+
+TEST(HttpServer, theCallerCloses_onClosed_isTold)
+{
+    serve(keepReply());
+    auto record = Watched<CallRecord>{};
+    const auto id = http_->client_.start(http_->call("GET", "/"), HttpFixture::recordInto(record));
+    const auto reply = takeReply();
+    auto isClosed = Watched<bool>{};
+    reply->onClosed([&] { isClosed.change([](bool &closed) { closed = true; }); });
+    http_->client_.cancel(id);
+    CHECK(isClosed.waitFor([](bool closed) { return closed; }));
+    CHECK(HttpFixture::outcomeOf(record).error_ == Error::Cancelled);
+}
+
+TEST(HttpServer, anAnswerThatClosesItsConnection_send_saysSo)
+{
+    serve([](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->send({200, {{"Connection", "close"}}, "last"});
+    });
+    const auto answer = http_->client_.fetch(http_->call("GET", "/"));
+    CHECK(answer.ok());
+    CHECK(answer->headers_.value("Connection") == "close");
+}
