--- a/packages/daemon/OrderSender.cpp
+++ b/packages/daemon/OrderSender.cpp
@@ -1,9 +1,7 @@
 #include "daemon/OrderSender.h"
 
-#include "transport/HttpClient.h"
+#include "transport/StatusCall.h"
 
-#include <atomic>
-#include <memory>
 #include <utility>
 
 namespace lycheereach {
@@ -28,12 +26,10 @@
                                 {{"Content-Type", "application/json"},
                                  {"X-Fencing-Number", std::to_string(order.fencing_)}},
                                 orderBody(order).dump()};
-    auto status = std::make_shared<std::atomic<int>>(0);
-    const auto head = [status](const HttpResponse &response) { *status = response.status_; };
-    const auto done = [status, ended = std::move(ended)](const HttpOutcome &outcome) {
-        ended(!outcome.error_ && *status == accepted);
-    };
-    client.start(std::move(call), HttpCallHooks{head, nullptr, done});
+    startForStatus(client, std::move(call),
+                   [ended = std::move(ended)](std::uint16_t status, const HttpOutcome &outcome) {
+                       ended(!outcome.error_ && status == accepted);
+                   });
 }
 
 } // namespace lycheereach
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -153,9 +153,9 @@
     const auto name = workspace == nullptr ? WorkspaceName() : workspace->name_;
     const auto hasOwn = workspace != nullptr && workspace->priority_;
     const auto priority = hasOwn ? *workspace->priority_ : route->priority_;
+    auto routed = RoutedRequest{std::move(request), *route, name, priority, service, *pool};
     auto forwarded = std::make_shared<ForwardedRequest>(
-        context_, std::move(request), *route, name, priority, service, *pool, reply,
-        [this](const ForwardedRequest *done) { ended(done); });
+        context_, std::move(routed), reply, [this](const ForwardedRequest *done) { ended(done); });
     {
         const auto lock = std::scoped_lock(mutex_);
         active_.emplace(forwarded.get(), forwarded);
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -33,31 +33,24 @@
 
 } // namespace
 
-ForwardedRequest::ForwardedRequest(ForwardContext &context, ForwardRequest request, HttpRoute route,
-                                   WorkspaceName workspace, std::uint32_t priority,
-                                   PoolName service, PoolName pool,
+ForwardedRequest::ForwardedRequest(ForwardContext &context, RoutedRequest routed,
                                    std::shared_ptr<HttpReply> reply, Finished finished)
     : context_(context)
-    , request_(std::move(request))
-    , route_(std::move(route))
-    , workspace_(std::move(workspace))
-    , priority_(priority)
-    , service_(std::move(service))
-    , pool_(std::move(pool))
+    , routed_(std::move(routed))
     , reply_(std::move(reply))
     , finished_(std::move(finished))
     , arrivedAt_(context_.now_())
-    , deadline_(deadlineOf(request_, route_, arrivedAt_))
+    , deadline_(deadlineOf(routed_.request_, routed_.route_, arrivedAt_))
     , mutex_(LockRank::Requests)
     , machine_(
           ForwardPlan{
-              .request_ = request_.id_,
-              .kind_ = route_.kind_,
+              .request_ = routed_.request_.id_,
+              .kind_ = routed_.route_.kind_,
               .deadline_ = deadline_,
-              .attemptLimit_ = route_.attemptLimit_,
-              .lastEventId_ = request_.lastEventId_,
+              .attemptLimit_ = routed_.route_.attemptLimit_,
+              .lastEventId_ = routed_.request_.lastEventId_,
           },
-          [this] { return context_.takeRetry_(service_); })
+          [this] { return context_.takeRetry_(routed_.service_); })
 { }
 
 ForwardedRequest::~ForwardedRequest() = default;
@@ -96,8 +89,8 @@
 auto ForwardedRequest::targetStalled(const ForwardTarget &target) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    const auto isAffected
-        = !isDone_ && call_ && target_ == target && route_.kind_ == RouteKind::ResumableStream;
+    const auto isAffected = !isDone_ && call_ && target_ == target
+        && routed_.route_.kind_ == RouteKind::ResumableStream;
     if (isAffected)
         context_.client_.cancel(*call_);
 }
@@ -110,16 +103,16 @@
 
 auto ForwardedRequest::perform(const forward_action::ChooseTarget &action) -> void
 {
-    const auto target = context_.targets_.choose(pool_, action.avoid_, context_.now_());
+    const auto target = context_.targets_.choose(routed_.pool_, action.avoid_, context_.now_());
     if (target) {
         handle(forward_event::TargetChosen{*target});
         return;
     }
-    const auto isFull = context_.targets_.hasTarget(pool_);
+    const auto isFull = context_.targets_.hasTarget(routed_.pool_);
     const auto what = isFull ? "all upstreams of '" : "no upstream of '";
     const auto why = isFull ? "' are full" : "' takes requests";
     auto failure = Failure{.code_ = Error::Overloaded,
-                           .message_ = what + pool_.text() + why,
+                           .message_ = what + routed_.pool_.text() + why,
                            .retryAfter_ = noTargetRetryAfter};
     handle(forward_event::NoTarget{std::move(failure)});
 }
@@ -129,40 +122,41 @@
     target_ = action.target_;
     const auto left = deadline_ - context_.now_();
     const auto call = ForwardCall{.target_ = action.target_,
-                                  .workspace_ = workspace_,
+                                  .workspace_ = routed_.workspace_,
                                   .left_ = left,
                                   .lastEventId_ = action.lastEventId_,
-                                  .priority_ = priority_};
-    const auto streams = isStreaming(route_.kind_);
+                                  .priority_ = routed_.priority_};
+    const auto kind = routed_.route_.kind_;
+    const auto streams = isStreaming(kind);
     const auto &settings = context_.settings_;
-    auto http = HttpCall{.address_ = action.target_.address_,
-                         .request_ = context_.dialect_.writeRequest_(request_, call),
-                         .connectTimeout_ = std::min<Duration>(settings.connectTimeout_, left),
-                         .firstByteTimeout_ = streams ? settings.firstEventTimeout_ : left,
-                         .idleTimeout_ = streams ? settings.streamIdleTimeout_ : left,
-                         .freshConnection_
-                         = route_.kind_ == RouteKind::Unsafe || route_.kind_ == RouteKind::Stream};
-    call_ = context_.client_.start(std::move(http), hooksFor(action.attempt_));
+    auto http
+        = HttpCall{.address_ = action.target_.address_,
+                   .request_ = context_.dialect_.writeRequest_(routed_.request_, call),
+                   .connectTimeout_ = std::min<Duration>(settings.connectTimeout_, left),
+                   .firstByteTimeout_ = streams ? settings.firstEventTimeout_ : left,
+                   .idleTimeout_ = streams ? settings.streamIdleTimeout_ : left,
+                   .freshConnection_ = kind == RouteKind::Unsafe || kind == RouteKind::Stream};
+    call_ = context_.client_.start(std::move(http), hooksFor(action.attempt_, action.target_));
 }
 
-auto ForwardedRequest::hooksFor(std::uint32_t attempt) -> HttpCallHooks
+auto ForwardedRequest::hooksFor(std::uint32_t attempt, const ForwardTarget &target) -> HttpCallHooks
 {
     const auto self = shared_from_this();
-    return HttpCallHooks{
-        [self, attempt](const HttpResponse &response) {
-            auto head = self->context_.dialect_.readHead_(response);
-            if (head.load_)
-                self->context_.targets_.report(self->target_, *head.load_, self->context_.now_());
-            self->post(forward_event::AttemptHead{attempt, std::move(head)});
-        },
-        [self, attempt](std::string_view part) {
-            self->context_.targets_.progressed(self->target_, self->context_.now_());
-            self->post(forward_event::AttemptPart{attempt, std::string(part)});
-        },
-        [self, attempt](const HttpOutcome &outcome) {
-            self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
-                                                   outcome.message_});
-        }};
+    return HttpCallHooks{[self, attempt, target](const HttpResponse &response) {
+                             auto head = self->context_.dialect_.readHead_(response);
+                             if (head.load_)
+                                 self->context_.targets_.report(target, *head.load_,
+                                                                self->context_.now_());
+                             self->post(forward_event::AttemptHead{attempt, std::move(head)});
+                         },
+                         [self, attempt, target](std::string_view part) {
+                             self->context_.targets_.progressed(target, self->context_.now_());
+                             self->post(forward_event::AttemptPart{attempt, std::string(part)});
+                         },
+                         [self, attempt](const HttpOutcome &outcome) {
+                             self->post(forward_event::AttemptEnded{
+                                 attempt, outcome.error_, outcome.verdict_, outcome.message_});
+                         }};
 }
 
 auto ForwardedRequest::perform(const forward_action::CancelAttempt & /*action*/) -> void
@@ -229,7 +223,7 @@
 auto ForwardedRequest::emit(EventNumber number, std::map<std::string, std::string> attributes)
     -> void
 {
-    attributes["request"] = request_.id_.text();
+    attributes["request"] = routed_.request_.id_.text();
     attributes["ageMs"] = std::to_string(toMilliseconds(context_.now_() - arrivedAt_));
     context_.event_(Event{number, std::move(attributes)});
 }
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -6,8 +6,7 @@
 #include "base/Time.h"
 #include "forward/ForwardContext.h"
 #include "forward/ForwardMachine.h"
-#include "forward/ForwardRequest.h"
-#include "state/HttpRoute.h"
+#include "forward/RoutedRequest.h"
 #include "transport/HttpCall.h"
 
 #include <functional>
@@ -28,11 +27,8 @@
     /// Told when the caller has its answer and no attempt is open.
     using Finished = std::function<void(const ForwardedRequest *)>;
 
-    /// \a service is the share of the route that the request fell to, and \a pool the one that
-    /// serves its model.
-    ForwardedRequest(ForwardContext &context, ForwardRequest request, HttpRoute route,
-                     WorkspaceName workspace, std::uint32_t priority, PoolName service,
-                     PoolName pool, std::shared_ptr<HttpReply> reply, Finished finished);
+    ForwardedRequest(ForwardContext &context, RoutedRequest routed,
+                     std::shared_ptr<HttpReply> reply, Finished finished);
     ~ForwardedRequest();
     ForwardedRequest(const ForwardedRequest &) = delete;
     auto operator=(const ForwardedRequest &) -> ForwardedRequest & = delete;
@@ -56,17 +52,13 @@
     auto perform(const forward_action::SendAnswer &action) -> void;
     auto perform(const forward_action::SendRefusal &action) -> void;
     auto perform(const forward_action::BreakOff &action) -> void;
-    [[nodiscard]] auto hooksFor(std::uint32_t attempt) -> HttpCallHooks;
+    [[nodiscard]] auto hooksFor(std::uint32_t attempt, const ForwardTarget &target)
+        -> HttpCallHooks;
     [[nodiscard]] auto answerHeaders(const ForwardHead &head) const -> HttpHeaders;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
     ForwardContext &context_;
-    ForwardRequest request_;
-    HttpRoute route_;
-    WorkspaceName workspace_;
-    std::uint32_t priority_;
-    PoolName service_;
-    PoolName pool_;
+    RoutedRequest routed_;
     std::shared_ptr<HttpReply> reply_;
     Finished finished_;
     MonotonicTime arrivedAt_;
