--- a/tests/groups/GatePlannerTest.cpp
+++ b/tests/groups/GatePlannerTest.cpp
@@ -33,7 +33,7 @@
         declaration.defaults_.silenceTimeoutMs_ = 4000;
         declaration.pools_ = {pool("large", 3, 0.7), pool("small", 2, 0.3)};
         declaration.profiles_ = {UpstreamProfile{.name_ = PoolName("e"), .loadsPerSecond_ = 2}};
-        CHECK(run(PublishDeclaration{1, declaration, "{}"}).accepted_);
+        CHECK(commit(PublishDeclaration{1, declaration, "{}"}).accepted_);
     }
 
     static auto pool(const std::string &model, std::uint32_t size, double share)->Pool
@@ -45,7 +45,7 @@
                     .share_ = share};
     }
 
-    auto run(const Command &command)->CommandOutcome
+    auto commit(const Command &command)->CommandOutcome
     {
         return machine_.apply(++index_, command);
     }
@@ -53,7 +53,7 @@
     auto announce(Announcement & engine)->void
     {
         ++engine.sequence_;
-        run(PutUpstream{engine, EntryId("c")});
+        commit(PutUpstream{engine, EntryId("c")});
     }
 
     auto addEngine(const std::string &id, const std::string &domain)->void
@@ -109,7 +109,7 @@
         const auto actions = planner_.plan(machine_.state(), inputs);
         for (const auto &item : actions) {
             if (const auto *command = std::get_if<Command>(&item))
-                run(*command);
+                commit(*command);
         }
         for (const auto &item : actions) {
             if (const auto *order = std::get_if<MemberOrder>(&item)) {
@@ -153,7 +153,7 @@
 
     auto lose(const UpstreamId &id)->void
     {
-        run(LoseUpstream{id, engines_.at(id).incarnation_, EntryId()});
+        commit(LoseUpstream{id, engines_.at(id).incarnation_, EntryId()});
         deaf_.insert(id);
     }
 
@@ -201,7 +201,7 @@
 {
     addEngines(6);
     steps(20);
-    run(NoteTraffic{});
+    commit(NoteTraffic{});
     const auto members = groupOf("large").members_;
     const auto old = groupOf("large").id_;
     lose(members[1]);
@@ -269,7 +269,7 @@
 
 TEST(GatePlanner, trafficHasBegun_plan_holdsLoadsToTheRateOfTheStore)
 {
-    run(NoteTraffic{});
+    commit(NoteTraffic{});
     for (auto i = 0; i < 30; ++i)
         addEngine("u" + std::to_string(i), "d" + std::to_string(i));
     auto loads = std::size_t{0};
