serving, forward, platform: Ask entries before a silent upstream counts as lost; probe twice at once

Two probes one after the other took 0.7 s. Ruled out: stalls (entries got streams of these groups all the time). Change: control asks the live entries when the first member of the group last gave them something, from half of the silence timeout on and with each probe; an upstream whose group moves is not lost. No message is sent while all upstreams are heard.

--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -81,11 +81,12 @@
 
 auto ForwardService::tick() -> void
 {
+    for (const auto &target : context_.targets_.suspects(context_.now_()))
+        context_.groupStalled_(target.upstream_);
     for (const auto &target : context_.targets_.stalled(context_.now_())) {
         context_.event_(
             Event{EventNumber::GroupStalled,
                   {{"upstream", target.upstream_.text()}, {"reason", "no stream of it moved"}}});
-        context_.groupStalled_(target.upstream_);
         auto requests = std::vector<std::shared_ptr<ForwardedRequest>>{};
         {
             const auto lock = std::scoped_lock(mutex_);
@@ -210,6 +211,11 @@
     isLeaving_ = true;
 }
 
+auto ForwardService::servedAgo(const UpstreamId &upstream) const -> std::optional<Duration>
+{
+    return context_.targets_.servedAgo(upstream, context_.now_());
+}
+
 auto ForwardService::active() const -> std::size_t
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lycheereach {
@@ -41,6 +42,8 @@
     auto handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void;
     /// Begins a planned stop.
     auto leave() -> void;
+    /// How long ago \a upstream last gave a part of an answer; nothing when it never did.
+    [[nodiscard]] auto servedAgo(const UpstreamId &upstream) const -> std::optional<Duration>;
     /// Requests that have no whole answer yet.
     [[nodiscard]] auto active() const -> std::size_t;
     /// Whether new requests can be taken.
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -15,6 +15,8 @@
 /// Streams in progress give something in every pass of their engine; none for so long means that
 /// the group stands still.
 constexpr auto streamSilence = std::chrono::milliseconds(300);
+/// As streamSilence, before the members of the group are probed; a probe does no harm.
+constexpr auto suspectSilence = std::chrono::milliseconds(200);
 /// As streamSilence, while no stream has begun and all may wait for a place.
 constexpr auto firstEventSilence = std::chrono::milliseconds(900);
 /// A group that stands still is left out for so long while there are others, and then tried again.
@@ -185,6 +187,41 @@
         return;
     known->progressAt_ = now;
     known->hasProgressed_ = true;
+    known->servedAt_ = now;
+}
+
+auto TargetTable::isQuiet(const Target &target, Duration allowed, MonotonicTime now) -> bool
+{
+    const auto limit = target.hasProgressed_ ? allowed : Duration(firstEventSilence);
+    return target.isEngine_ && target.inFlight_ > 0 && now - target.progressAt_ >= limit;
+}
+
+auto TargetTable::suspects(MonotonicTime now) -> std::vector<ForwardTarget>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto suspects = std::vector<ForwardTarget>{};
+    for (auto &[pool, targets] : targets_) {
+        for (auto &[id, target] : targets) {
+            if (!isQuiet(target, suspectSilence, now) || now - target.suspectedAt_ < stallPause)
+                continue;
+            target.suspectedAt_ = now;
+            suspects.push_back(target.target_);
+        }
+    }
+    return suspects;
+}
+
+auto TargetTable::servedAgo(const UpstreamId &upstream, MonotonicTime now) const
+    -> std::optional<Duration>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    for (const auto &[pool, targets] : targets_) {
+        const auto found = targets.find(upstream);
+        if (found == targets.end() || !found->second.servedAt_)
+            continue;
+        return now - *found->second.servedAt_;
+    }
+    return std::nullopt;
 }
 
 auto TargetTable::stalled(MonotonicTime now) -> std::vector<ForwardTarget>
@@ -193,10 +230,7 @@
     auto stalled = std::vector<ForwardTarget>{};
     for (auto &[pool, targets] : targets_) {
         for (auto &[id, target] : targets) {
-            const auto allowed = target.hasProgressed_ ? streamSilence : firstEventSilence;
-            const auto isQuiet
-                = target.isEngine_ && target.inFlight_ > 0 && now - target.progressAt_ >= allowed;
-            if (!isQuiet || now - target.stalledAt_ < stallPause)
+            if (!isQuiet(target, streamSilence, now) || now - target.stalledAt_ < stallPause)
                 continue;
             target.stalledAt_ = now;
             target.leftOutUntil_ = now + stallHoldOff;
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -44,6 +44,12 @@
     /// Upstreams that gave nothing on any stream for too long; each is left out of choices, and
     /// named again after a pause.
     auto stalled(MonotonicTime now) -> std::vector<ForwardTarget>;
+    /// Engines that gave nothing on any stream for so long that a member of their group may be
+    /// lost; each is named again after a pause.
+    auto suspects(MonotonicTime now) -> std::vector<ForwardTarget>;
+    /// How long ago \a upstream last gave a part of an answer; nothing when it never did.
+    [[nodiscard]] auto servedAgo(const UpstreamId &upstream, MonotonicTime now) const
+        -> std::optional<Duration>;
     /// Entries that share the upstreams.
     [[nodiscard]] auto entries() const -> std::size_t;
     /// Whether \a pool has any upstream, full or not.
@@ -71,8 +77,14 @@
         /// Whether a stream has given something since then.
         bool hasProgressed_ = false;
         MonotonicTime stalledAt_;
+        MonotonicTime suspectedAt_;
+        /// When an answer last went on.
+        std::optional<MonotonicTime> servedAt_;
     };
 
+    /// Whether a stream of \a target should have given something since \a allowed ago.
+    static auto isQuiet(const Target &target, Duration allowed, MonotonicTime now) -> bool;
+
     /// How many requests of all entries \a target probably has.
     [[nodiscard]] auto loadOf(const Target &target, MonotonicTime now) const -> double;
     [[nodiscard]] auto costOf(const Target &target, MonotonicTime now) const -> double;
--- a/packages/groups/GroupWatch.cpp
+++ b/packages/groups/GroupWatch.cpp
@@ -142,15 +142,34 @@
         const auto upstream = state.upstreams_.find(id);
         if (upstream == state.upstreams_.end() || upstream->second.lost_)
             continue;
-        const auto heard = heard_.find(id);
-        const auto last = heard == heard_.end() ? since : std::max(since, heard->second.at_);
         const auto &announced = upstream->second.announced_;
-        if (now - last >= silenceTimeout(state, announced))
+        if (silenceOf(id, now) >= silenceTimeout(state, announced))
             commands.emplace_back(LoseUpstream{id, announced.incarnation_, self_});
     }
     return commands;
 }
 
+auto GroupWatch::silenceOf(const UpstreamId &upstream, MonotonicTime now) const -> Duration
+{
+    const auto since = watchedSince_.at(upstream);
+    const auto heard = heard_.find(upstream);
+    return now - (heard == heard_.end() ? since : std::max(since, heard->second.at_));
+}
+
+auto GroupWatch::unheard(const FleetState &state, MonotonicTime now) const
+    -> std::vector<UpstreamId>
+{
+    auto ids = std::vector<UpstreamId>{};
+    for (const auto &[id, since] : watchedSince_) {
+        const auto upstream = state.upstreams_.find(id);
+        if (upstream == state.upstreams_.end() || upstream->second.lost_)
+            continue;
+        if (2 * silenceOf(id, now) >= silenceTimeout(state, upstream->second.announced_))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 auto GroupWatch::nextStep(const FleetState &state, const Group &group, MonotonicTime now,
                           bool idle) const -> std::optional<Command>
 {
--- a/packages/groups/GroupWatch.h
+++ b/packages/groups/GroupWatch.h
@@ -41,6 +41,10 @@
     auto tick(const FleetState &state, MonotonicTime now,
               const std::function<bool(const GroupId &)> &isIdle) const -> std::vector<Command>;
 
+    /// Upstreams that this entry watches and has not heard for half of their silence timeout.
+    [[nodiscard]] auto unheard(const FleetState &state, MonotonicTime now) const
+        -> std::vector<UpstreamId>;
+
     /// Whether \a group is held here and serving, and all its members agree and live.
     [[nodiscard]] auto mayServe(const FleetState &state, const GroupId &group,
                                 MonotonicTime now) const -> bool;
@@ -70,6 +74,8 @@
                     MemberPhase least) const -> bool;
     auto isBroken(const GroupId &group) const -> bool;
     auto noteMember(const FleetState &state, const Announcement &announcement) -> void;
+    /// How long \a upstream, which this entry watches, has not been heard.
+    [[nodiscard]] auto silenceOf(const UpstreamId &upstream, MonotonicTime now) const -> Duration;
     auto losses(const FleetState &state, MonotonicTime now) const -> std::vector<Command>;
     auto nextStep(const FleetState &state, const Group &group, MonotonicTime now, bool idle) const
         -> std::optional<Command>;
--- a/packages/serving/LeaseholderService.cpp
+++ b/packages/serving/LeaseholderService.cpp
@@ -57,6 +57,7 @@
     const auto mayWork = control_.mayTakeWork();
     auto commands = std::vector<Command>{};
     auto recalls = std::vector<PermitRecall>{};
+    auto unheard = std::vector<UpstreamId>{};
     control_.read([&](const FleetState &state) {
         const auto lock = std::scoped_lock(mutex_);
         updateServing(state, mayWork, now);
@@ -66,7 +67,9 @@
         permits_.tick(now);
         const auto isIdle = [this](const GroupId &group) { return permits_.isIdle(group); };
         commands = watch_.tick(state, now, isIdle);
+        unheard = watch_.unheard(state, now);
     });
+    keepServing(unheard, commands);
     for (const auto &command : commands)
         proposeOnce(command);
     for (const auto &recall : recalls)
@@ -74,6 +77,22 @@
     reportLoads(now);
 }
 
+auto LeaseholderService::keepServing(const std::vector<UpstreamId> &unheard,
+                                     std::vector<Command> &commands) const -> void
+{
+    if (!hooks_.servesUnheard_)
+        return;
+    auto serving = std::set<UpstreamId>{};
+    for (const auto &upstream : unheard) {
+        if (hooks_.servesUnheard_(upstream))
+            serving.insert(upstream);
+    }
+    std::erase_if(commands, [&](const Command &command) {
+        const auto *loss = std::get_if<LoseUpstream>(&command);
+        return loss != nullptr && serving.contains(loss->upstream_);
+    });
+}
+
 auto LeaseholderService::reportLoads(MonotonicTime now) -> void
 {
     auto report = LoadReport{};
--- a/packages/serving/LeaseholderService.h
+++ b/packages/serving/LeaseholderService.h
@@ -65,6 +65,9 @@
     auto proposeOnce(const Command &command) -> void;
     auto proposalEnded(const std::string &key) -> void;
     auto updateServing(const FleetState &state, bool mayWork, MonotonicTime now) -> void;
+    /// Takes the losses of upstreams that serve all the same out of \a commands.
+    auto keepServing(const std::vector<UpstreamId> &unheard, std::vector<Command> &commands) const
+        -> void;
     auto reportLoads(MonotonicTime now) -> void;
     auto answerFor(const Announcement &announcement) const -> AnnouncementAnswer;
 
--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -12,8 +12,11 @@
 
 /// An upstream is not probed again within this time.
 constexpr auto probePause = std::chrono::milliseconds(300);
-/// So many probes without an answer make an upstream lost.
-constexpr auto silentProbes = 2;
+/// A group that gave something so long before its probe, or later, does not stand still. Entries
+/// wait twice as long before they say that it does.
+constexpr auto evidenceLead = std::chrono::milliseconds(100);
+/// Probes that are sent at once; one alone may be lost on a bad link.
+constexpr auto probesAtOnce = 2;
 
 } // namespace
 
@@ -37,6 +40,8 @@
         }
         return upstreams;
     });
+    if (!members.empty())
+        hooks_.askServing_(head);
     for (const auto &member : members)
         probe(member);
 }
@@ -52,39 +57,47 @@
         if (probed.ended_ || now - probed.at_ < probePause)
             return;
         probed.at_ = now;
+        probed.silent_ = 0;
     }
-    hooks_.probe_(upstream, [weak = weak_from_this(), upstream](ProbeOutcome outcome) {
+    const auto done = [weak = weak_from_this(), upstream](ProbeOutcome outcome) {
         if (const auto self = weak.lock())
             self->probed(upstream, outcome);
-    });
+    };
+    for (auto i = 0; i < probesAtOnce; ++i)
+        hooks_.probe_(upstream, done);
 }
 
 auto MemberProbe::probed(const Upstream &upstream, ProbeOutcome outcome) -> void
 {
     const auto &announced = upstream.announced_;
     auto isLost = false;
+    auto probedAt = MonotonicTime{};
     {
         const auto lock = std::scoped_lock(mutex_);
         auto &probed = probed_[announced.upstream_];
         if (probed.incarnation_ != announced.incarnation_)
             return;
-        probed.silent_ = outcome == ProbeOutcome::Silent ? probed.silent_ + 1 : 0;
+        if (probed.ended_)
+            return;
+        probed.silent_ += outcome == ProbeOutcome::Silent ? 1 : 0;
         probed.ended_ = outcome == ProbeOutcome::Ended;
-        isLost = probed.ended_ || probed.silent_ >= silentProbes;
-        if (outcome == ProbeOutcome::Silent)
-            probed.at_ = MonotonicTime{};
-    }
-    if (isLost) {
-        hooks_.event_(Event{EventNumber::ProbeFailed,
-                            {{"upstream", announced.upstream_.text()},
-                             {"reason",
-                              outcome == ProbeOutcome::Ended ? "its process has ended"
-                                                             : "it did not answer two probes"}}});
-        control_.propose(
-            Command(LoseUpstream{announced.upstream_, announced.incarnation_, EntryId{}}), nullptr);
-    } else if (outcome == ProbeOutcome::Silent) {
-        probe(upstream);
+        isLost = probed.ended_ || probed.silent_ == probesAtOnce;
+        probedAt = probed.at_;
     }
+    const auto hasEnded = outcome == ProbeOutcome::Ended;
+    if (!isLost || (!hasEnded && servesStill(announced.upstream_, probedAt)))
+        return;
+    hooks_.event_(
+        Event{EventNumber::ProbeFailed,
+              {{"upstream", announced.upstream_.text()},
+               {"reason", hasEnded ? "its process has ended" : "it did not answer two probes"}}});
+    control_.propose(Command(LoseUpstream{announced.upstream_, announced.incarnation_, EntryId{}}),
+                     nullptr);
+}
+
+auto MemberProbe::servesStill(const UpstreamId &upstream, MonotonicTime probedAt) const -> bool
+{
+    return hooks_.hasServedSince_(upstream, probedAt - evidenceLead);
 }
 
 auto MemberProbe::hasEnded(const Upstream &upstream) const -> bool
--- a/packages/serving/MemberProbe.h
+++ b/packages/serving/MemberProbe.h
@@ -23,13 +23,18 @@
 {
     /// Asks an upstream over a new connection whether it lives.
     std::function<void(const Upstream &, std::function<void(ProbeOutcome)> done)> probe_;
+    /// Finds out whether an upstream gives answers to entries, in the time that a probe takes.
+    std::function<void(const UpstreamId &)> askServing_;
+    /// Whether an entry is known to have got a part of an answer since a time.
+    std::function<bool(const UpstreamId &, MonotonicTime since)> hasServedSince_;
     EventSink event_;
     MonotonicClock now_;
 };
 
 /// Probes upstreams that may be dead: all members of a group that an entry found standing still.
-/// One whose process has ended, or that twice says nothing, is proposed as lost. Thread-safe;
-/// guarded by one lock of rank LockRank::Leaseholder.
+/// One whose process has ended is proposed as lost, and one that answers none of two probes while
+/// no entry gets anything of its group: it may be cut off from control alone.
+/// Thread-safe; guarded by one lock of rank LockRank::Leaseholder.
 class MemberProbe : public std::enable_shared_from_this<MemberProbe>
 {
 public:
@@ -45,11 +50,14 @@
     {
         Incarnation incarnation_ = 0;
         MonotonicTime at_;
+        /// Probes of the last turn that had no answer.
         int silent_ = 0;
         bool ended_ = false;
     };
 
     auto probe(const Upstream &upstream) -> void;
+    [[nodiscard]] auto servesStill(const UpstreamId &upstream, MonotonicTime probedAt) const
+        -> bool;
     auto probed(const Upstream &upstream, ProbeOutcome outcome) -> void;
 
     ControlService &control_;
--- /dev/null
+++ b/packages/serving/ServingEvidence.cpp
@@ -0,0 +1,84 @@
+#include "serving/ServingEvidence.h"
+
+#include "control/ControlService.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// The pause between two questions about one upstream.
+constexpr auto queryPause = std::chrono::milliseconds(400);
+/// An upstream that gave a part of an answer counts as serving for so long; several questions fall
+/// into it, since messages may be lost.
+constexpr auto evidenceLifetime = std::chrono::milliseconds(1500);
+
+} // namespace
+
+ServingEvidence::ServingEvidence(ControlService &control, ServingEvidenceHooks hooks)
+    : control_(control)
+    , hooks_(std::move(hooks))
+    , mutex_(LockRank::Requests)
+{ }
+
+auto ServingEvidence::receiverOf(const UpstreamId &upstream) const -> UpstreamId
+{
+    return control_.read([&](const FleetState &state) {
+        const auto membership = state.groupOf_.find(upstream);
+        if (membership == state.groupOf_.end())
+            return upstream;
+        return state.groups_.at(membership->second).members_.front();
+    });
+}
+
+auto ServingEvidence::takeTurn(const UpstreamId &receiver) -> bool
+{
+    const auto now = hooks_.now_();
+    const auto lock = std::scoped_lock(mutex_);
+    auto &askedAt = seen_[receiver].askedAt_;
+    if (askedAt && now - *askedAt < queryPause)
+        return false;
+    askedAt = now;
+    return true;
+}
+
+auto ServingEvidence::ask(const UpstreamId &upstream) -> void
+{
+    const auto query = encode(ServingQuery{receiverOf(upstream)});
+    for (const auto &entry : control_.liveEntries())
+        hooks_.send_(entry, queryMethod, query);
+}
+
+auto ServingEvidence::serves(const UpstreamId &upstream) -> bool
+{
+    if (takeTurn(receiverOf(upstream)))
+        ask(upstream);
+    return hasServedSince(upstream, hooks_.now_() - evidenceLifetime);
+}
+
+auto ServingEvidence::hasServedSince(const UpstreamId &upstream, MonotonicTime since) const -> bool
+{
+    const auto receiver = receiverOf(upstream);
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = seen_.find(receiver);
+    return found != seen_.end() && found->second.servedAt_ && *found->second.servedAt_ >= since;
+}
+
+auto ServingEvidence::receive(const std::string &method, const Json &params) -> bool
+{
+    if (method != answerMethod)
+        return false;
+    const auto answer = decode<ServingAnswer>(params);
+    if (!answer)
+        return true;
+    const auto servedAt = hooks_.now_() - std::chrono::milliseconds(answer->ageMs_);
+    const auto lock = std::scoped_lock(mutex_);
+    auto &known = seen_[answer->upstream_].servedAt_;
+    known = std::max(known.value_or(servedAt), servedAt);
+    return true;
+}
+
+} // namespace lycheereach
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -144,3 +144,30 @@
     table_.release(*first, false, now_);
     CHECK(choose({UpstreamId("u2")}) == "u1");
 }
+
+TEST(TargetTable, aStreamIsQuietForTwoTurnsOfItsEngine_suspects_namesTheGroupOnceInAWhile)
+{
+    const auto target = table_.choose(pool_, {}, now_);
+    table_.progressed(*target, now_);
+    CHECK(table_.suspects(now_ + milliseconds(150)).empty());
+    CHECK(table_.suspects(now_ + milliseconds(210)) == std::vector{*target});
+    CHECK(table_.suspects(now_ + milliseconds(300)).empty());
+    CHECK(table_.suspects(now_ + milliseconds(520)) == std::vector{*target});
+    CHECK(table_.stalled(now_ + milliseconds(210)).empty());
+}
+
+TEST(TargetTable, noStreamHasBegun_suspects_waitsForAPlaceAtTheEngine)
+{
+    const auto target = table_.choose(pool_, {}, now_);
+    CHECK(table_.suspects(now_ + milliseconds(800)).empty());
+    CHECK(table_.suspects(now_ + milliseconds(900)) == std::vector{*target});
+}
+
+TEST(TargetTable, anUpstreamGaveAPart_servedAgo_countsFromIt)
+{
+    const auto target = table_.choose(pool_, {}, now_);
+    CHECK(table_.servedAgo(target->upstream_, now_) == std::nullopt);
+    table_.progressed(*target, now_);
+    CHECK(table_.servedAgo(target->upstream_, now_ + milliseconds(70)) == milliseconds(70));
+    CHECK(table_.servedAgo(UpstreamId("other"), now_) == std::nullopt);
+}
--- /dev/null
+++ b/tests/serving/EvidenceTest.cpp
@@ -0,0 +1,193 @@
+#include "control/ControlFleet.h"
+#include "serving/MemberProbe.h"
+#include "serving/ServingEvidence.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct SentMessage
+{
+    EntryId to_;
+    std::string method_;
+    Json params_;
+};
+
+} // namespace
+
+/// A control process of a simulated fleet with a group of two engines, and what entries would
+/// answer to its questions.
+TEST_GROUP(Evidence)
+{
+    ControlFleet fleet_ = ControlFleet(1, 1, 2);
+    UpstreamId head_{"u0"};
+    UpstreamId member_{"u1"};
+    std::vector<SentMessage> sent_;
+    std::vector<std::function<void(ProbeOutcome)>> probes_;
+    std::unique_ptr<ServingEvidence> evidence_;
+    std::shared_ptr<MemberProbe> probe_;
+
+    auto setup()->void override
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index)
+            fleet_.start(index);
+        CHECK(fleet_.runUntilReady());
+        const auto now = [this] { return fleet_.now(); };
+        evidence_ = std::make_unique<ServingEvidence>(
+            control(),
+            ServingEvidenceHooks{[this](const EntryId &to, const std::string &method, Json params) {
+                                     sent_.push_back({to, method, std::move(params)});
+                                 },
+                                 now});
+        probe_ = std::make_shared<MemberProbe>(
+            control(),
+            MemberProbeHooks{.probe_ =
+                                 [this](const Upstream &, std::function<void(ProbeOutcome)> done) {
+                                     probes_.push_back(std::move(done));
+                                 },
+                             .askServing_
+                             = [this](const UpstreamId &upstream) { evidence_->ask(upstream); },
+                             .hasServedSince_ =
+                                 [this](const UpstreamId &upstream, MonotonicTime since) {
+                                     return evidence_->hasServedSince(upstream, since);
+                                 },
+                             .event_ = [](const Event &) {},
+                             .now_ = now});
+        addGroup();
+    }
+
+    auto control()->ControlService &
+    {
+        return fleet_.service(*fleet_.leader());
+    }
+
+    auto commit(const Command &command)->void
+    {
+        control().propose(command, nullptr);
+        fleet_.run(200ms);
+    }
+
+    auto addGroup()->void
+    {
+        auto declaration = Declaration{};
+        declaration.zones_ = {ZoneName("a")};
+        declaration.pools_ = {Pool{.name_ = PoolName("p"), .model_ = "m", .instancesPerGroup_ = 2}};
+        commit(PublishDeclaration{1, declaration, "{}"});
+        for (const auto &id : {head_, member_})
+            commit(PutUpstream{Announcement{.upstream_ = id,
+                                            .incarnation_ = 1,
+                                            .address_ = id.text() + ":1",
+                                            .zone_ = ZoneName("a"),
+                                            .fabricDomain_ = FabricDomain("d"),
+                                            .pool_ = PoolName("p"),
+                                            .cold_ = false},
+                               EntryId("c")});
+        commit(FormGroup{GroupId("g"), PoolName("p"), ZoneName("a"), 0, {head_, member_}, true});
+        const auto hasGroup = control().read(
+            [&](const FleetState &state) { return state.groupOf_.contains(member_); });
+        CHECK(hasGroup);
+    }
+
+    /// An entry says that the head gave it something \a age ago.
+    auto answer(Duration age)->void
+    {
+        CHECK(evidence_->receive(ServingEvidence::answerMethod,
+                                 encode(ServingAnswer{head_, toMilliseconds(age)})));
+    }
+
+    /// All probes under way have no answer.
+    auto stayUnanswered()->void
+    {
+        const auto probes = std::exchange(probes_, {});
+        for (const auto &done : probes)
+            done(ProbeOutcome::Silent);
+        fleet_.run(200ms);
+    }
+
+    auto isLost(const UpstreamId &id)->bool
+    {
+        return control().read(
+            [&](const FleetState &state) { return state.upstreams_.at(id).lost_; });
+    }
+};
+
+TEST(Evidence, aMemberIsUnheard_serves_asksEveryEntryAboutTheHeadOnceInAWhile)
+{
+    CHECK_FALSE(evidence_->serves(member_));
+    const auto asked = sent_.size();
+    CHECK(asked >= 2);
+    for (const auto &message : sent_) {
+        CHECK(message.method_ == ServingEvidence::queryMethod);
+        CHECK(decode<ServingQuery>(message.params_).value().upstream_ == head_);
+    }
+    CHECK_FALSE(evidence_->serves(member_));
+    LONGS_EQUAL(asked, sent_.size());
+    fleet_.run(500ms);
+    CHECK_FALSE(evidence_->serves(member_));
+    LONGS_EQUAL(2 * asked, sent_.size());
+}
+
+TEST(Evidence, theHeadGaveSomething_serves_holdsForItsMembersForAWhile)
+{
+    answer(100ms);
+    CHECK(evidence_->serves(member_));
+    CHECK(evidence_->serves(head_));
+    fleet_.run(2s);
+    CHECK_FALSE(evidence_->serves(member_));
+}
+
+TEST(Evidence, anOlderAnswerComesLater_hasServedSince_keepsTheNewer)
+{
+    const auto now = fleet_.now();
+    answer(50ms);
+    answer(900ms);
+    CHECK(evidence_->hasServedSince(head_, now - 60ms));
+    CHECK_FALSE(evidence_->hasServedSince(head_, now - 40ms));
+}
+
+TEST(Evidence, theGroupStandsStill_probe_losesTheMemberThatAnswersNoProbe)
+{
+    probe_->groupStalled(head_);
+    answer(250ms);
+    LONGS_EQUAL(4, probes_.size());
+    for (auto i = 0; i < 2; ++i)
+        probes_[static_cast<std::size_t>(i)](ProbeOutcome::Answered);
+    probes_.erase(probes_.begin(), probes_.begin() + 2);
+    stayUnanswered();
+    CHECK_FALSE(isLost(head_));
+    CHECK(isLost(member_));
+}
+
+TEST(Evidence, oneProbeIsLostOnItsWay_probe_losesNobody)
+{
+    probe_->groupStalled(head_);
+    for (auto i = std::size_t{0}; i < probes_.size(); ++i)
+        probes_[i](i % 2 == 0 ? ProbeOutcome::Answered : ProbeOutcome::Silent);
+    fleet_.run(200ms);
+    CHECK_FALSE(isLost(head_));
+    CHECK_FALSE(isLost(member_));
+}
+
+TEST(Evidence, entriesStillGetStreamsOfTheGroup_probe_losesNobodyThatControlCannotReach)
+{
+    probe_->groupStalled(head_);
+    answer(20ms);
+    stayUnanswered();
+    CHECK_FALSE(isLost(head_));
+    CHECK_FALSE(isLost(member_));
+}
+
+TEST(Evidence, aProcessHasEnded_probe_losesItAlsoWhileItsGroupSeemsToServe)
+{
+    probe_->groupStalled(head_);
+    answer(20ms);
+    for (const auto &done : std::exchange(probes_, {}))
+        done(ProbeOutcome::Ended);
+    fleet_.run(200ms);
+    CHECK(isLost(member_));
+}
