--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -20,8 +20,6 @@
 constexpr auto unansweredRenewals = 3;
 /// Records sent to a holder count as on their way for so long.
 constexpr auto recordsUnderWay = std::chrono::milliseconds(1500);
-/// An entry is lost when no relay has named it for so many leases.
-constexpr auto leasesUntilLost = 2;
 /// The lease of the leader's own grants is not limited by another lease.
 constexpr auto noLimit = std::chrono::hours(1);
 
@@ -64,7 +62,9 @@
 
 auto ControlService::renewWhenDue(MonotonicTime now) -> void
 {
-    if (now - renewedAt_ < settings_.renewEvery_)
+    const auto hasLease = lease_.allowsWork(machine_.state().applied_, now);
+    const auto pause = hasLease ? settings_.renewEvery_ : settings_.renewWithoutLease_;
+    if (now - renewedAt_ < pause)
         return;
     renewedAt_ = now;
     if (isLeaderNow(now)) {
@@ -303,7 +303,7 @@
 
 auto ControlService::loseSilentEntries(MonotonicTime now) -> void
 {
-    const auto patience = leasesUntilLost * settings_.stateLease_;
+    const auto patience = settings_.entryPatience_.value_or(2 * settings_.stateLease_);
     if (!leading_ || now - leadingSince_ < patience)
         return;
     for (const auto &holder : relayed_.holders(now))
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -6,6 +6,7 @@
 #include "state/EntryRecord.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace lycheereach {
@@ -19,6 +20,10 @@
     std::vector<EntryId> voters_;
     Duration stateLease_ = std::chrono::seconds(3);
     Duration renewEvery_ = std::chrono::milliseconds(500);
+    /// As renewEvery_, while this process has no live lease.
+    Duration renewWithoutLease_ = std::chrono::milliseconds(500);
+    /// An entry is lost when no relay has named it for so long; twice the state lease when not set.
+    std::optional<Duration> entryPatience_;
     /// The pause between tries to register.
     Duration registerEvery_ = std::chrono::milliseconds(500);
     Duration logHeartbeat_ = std::chrono::milliseconds(100);
--- a/tests/control/ControlFleet.cpp
+++ b/tests/control/ControlFleet.cpp
@@ -48,8 +48,11 @@
     auto &target = nodes_[node];
     ++target.self_.incarnation_;
     target.seenVersion_ = 0;
-    const auto settings = ControlSettings{
-        .self_ = target.self_, .voters_ = voters_, .snapshotAfterRecords_ = snapshotAfterRecords_};
+    const auto settings = ControlSettings{.self_ = target.self_,
+                                          .voters_ = voters_,
+                                          .renewWithoutLease_ = renewWithoutLease_,
+                                          .entryPatience_ = entryPatience_,
+                                          .snapshotAfterRecords_ = snapshotAfterRecords_};
     auto storage = std::unique_ptr<LogStorage>();
     if (target.disk_)
         storage = std::make_unique<MemoryStorage>(target.disk_);
--- a/tests/control/ControlFleet.h
+++ b/tests/control/ControlFleet.h
@@ -85,6 +85,9 @@
     /// Whether a message is dropped, by its sender, receiver and method.
     std::function<bool(std::size_t, std::size_t, const std::string &)> filter_;
     std::size_t snapshotAfterRecords_ = 2000;
+    /// As in ControlSettings.
+    Duration renewWithoutLease_ = std::chrono::milliseconds(500);
+    std::optional<Duration> entryPatience_;
     /// What callbacks told, by operation.
     std::map<OperationId, OperationOutcome> outcomes_;
     std::size_t asked_ = 0;
--- a/tests/control/MembershipTest.cpp
+++ b/tests/control/MembershipTest.cpp
@@ -95,3 +95,28 @@
     fleet_.run(10s);
     CHECK(fleet_.phaseOf(4) == EntryPhase::Leaving);
 }
+
+TEST(Membership, aShortPatience_aStoppedEntryIsLostSoonAfterItsLease)
+{
+    fleet_.entryPatience_ = 1s;
+    startAll();
+    fleet_.stop(4);
+    const auto stopped = fleet_.now();
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(4) == EntryPhase::Lost; }, 15s));
+    // The lease of three seconds, its margin, and the time between two renewals of the relay.
+    CHECK(fleet_.now() - stopped < 5s);
+}
+
+TEST(Membership, allProcessesStartAgain_entriesWithoutALeaseAskOften)
+{
+    fleet_.renewWithoutLease_ = 100ms;
+    startAll();
+    for (std::size_t index = 0; index < fleet_.size(); ++index)
+        fleet_.stop(index);
+    for (std::size_t index = 0; index < fleet_.size(); ++index)
+        fleet_.start(index);
+    CHECK(fleet_.runUntil([&] { return fleet_.leader().has_value(); }, 15s));
+    const auto led = fleet_.now();
+    CHECK(fleet_.runUntilReady());
+    CHECK(fleet_.now() - led < 400ms);
+}
