groups: Choose the models of spares when the groups of their domain stand

Ruled out: the choice itself. Change: no spare is planned in a pass that forms groups. The new test failed before the change.

--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -339,6 +339,9 @@
         pass.actions_.emplace_back(
             Command(FormGroup{id, pool.name_, placed->zone_, 0, placed->members_, true}));
     }
+    // Which model a spare stands for follows from the groups of its domain, so those come first.
+    if (pass.formed_ != 0)
+        return;
     auto planned = std::set<PoolName>{};
     for (const auto &pool : state.declaration_.pools_) {
         if (planned.insert(enginesOf(pool)).second)
--- a/tests/groups/GatePlannerTest.cpp
+++ b/tests/groups/GatePlannerTest.cpp
@@ -257,6 +257,22 @@
     CHECK(orders_.at(first).upstream_ == members[0]);
 }
 
+TEST(GatePlanner, aFleetStarts_plan_loadsASpareOfEachModelOfADomain)
+{
+    auto declaration = machine_.state().declaration_;
+    for (auto &pool : declaration.pools_)
+        pool.groups_ = 1;
+    CHECK(commit(PublishDeclaration{2, declaration, "{}"}).accepted_);
+    addEngines(7);
+    steps(20);
+    auto held = std::set<std::vector<std::string>>{};
+    for (const auto &[id, engine] : engines_) {
+        if (!machine_.state().groupOf_.contains(id))
+            held.insert(engine.loaded_);
+    }
+    CHECK(held == (std::set<std::vector<std::string>>{{"large"}, {"small"}}));
+}
+
 TEST(GatePlanner, aMemberIsLostWithoutASpareOfItsModel_plan_formsItsGroupAnewWithALoad)
 {
     addEngines(6);
