control: Leave a grantor whose grants grow short

Change: a grant for less than two renewal intervals sends the next renewal to another grantor. The new test failed before the change.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -18,6 +18,8 @@
 constexpr auto recordLimitBytes = std::size_t{256} * 1024;
 /// A grantor that has not answered for so many renewal intervals is given up for another one.
 constexpr auto unansweredRenewals = 3;
+/// A grant for fewer renewal intervals is a reason to ask another grantor.
+constexpr auto strongGrant = 2;
 /// Records sent to a holder count as on their way for so long.
 constexpr auto recordsUnderWay = std::chrono::milliseconds(1500);
 /// The lease of the leader's own grants is not limited by another lease.
@@ -245,9 +247,16 @@
     if (replica_ == nullptr)
         takeRecords(grant);
     inForceIndex_ = std::max(inForceIndex_, grant.inForceIndex_);
+    // A grantor whose own lease runs out, because it is cut off from the leader, grants less and
+    // less: the next renewal goes to another one.
+    const auto isWeak
+        = std::chrono::milliseconds(grant.durationMs_) < strongGrant * settings_.renewEvery_;
+    if (!isWeak)
+        grantor_ = from;
+    else if (grant.number_ != 0 && grantor_ == from)
+        grantor_ = EntryId();
     if (grant.durationMs_ == 0)
         return;
-    grantor_ = from;
     answeredAt_ = now;
     lease_.granted(grant.number_, std::chrono::milliseconds(grant.durationMs_),
                    grant.requiredIndex_);
--- a/tests/control/MembershipTest.cpp
+++ b/tests/control/MembershipTest.cpp
@@ -120,3 +120,20 @@
     CHECK(fleet_.runUntilReady());
     CHECK(fleet_.now() - led < 400ms);
 }
+
+TEST(Membership, theLeaderIsCutFromTheOtherVoters_entriesKeepTheirLease)
+{
+    startAll();
+    const auto leader = *fleet_.leader();
+    fleet_.filter_ = [leader](std::size_t from, std::size_t to, const std::string &) {
+        const auto isVoter = [](std::size_t node) { return node < 3; };
+        return isVoter(from) && isVoter(to) && (from == leader || to == leader);
+    };
+    const auto end = fleet_.now() + 12s;
+    while (fleet_.now() < end) {
+        fleet_.run(50ms);
+        CHECK(fleet_.service(3).mayTakeWork());
+        CHECK(fleet_.service(4).mayTakeWork());
+    }
+    STRCMP_EQUAL("", fleet_.violations().c_str());
+}
