serving, forward: Tell control the next progress that it asked for; let three requests wait at an engine

Requests that waited behind eight others all began late. Ruled out: entries without streams of the group. Change: an entry that was asked tells the next progress of the upstream too, so the quarter of a second of a probe is enough to see it; evidence counts from 50 ms before the probe. Three requests may wait at an engine.

--- a/packages/forward/ForwardContext.h
+++ b/packages/forward/ForwardContext.h
@@ -29,6 +29,8 @@
     std::function<bool(const PoolName &service)> takeRetry_;
     /// Told of a group that stands still, by its first member.
     std::function<void(const UpstreamId &)> groupStalled_;
+    /// Progress of an upstream that was asked for.
+    std::function<void(const UpstreamId &)> hasProgressed_;
     EventSink event_;
     MonotonicClock now_;
 };
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -216,6 +216,11 @@
     return context_.targets_.servedAgo(upstream, context_.now_());
 }
 
+auto ForwardService::awaitProgress(const UpstreamId &upstream) -> void
+{
+    context_.targets_.awaitProgress(upstream, context_.now_());
+}
+
 auto ForwardService::active() const -> std::size_t
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -44,6 +44,8 @@
     auto leave() -> void;
     /// How long ago \a upstream last gave a part of an answer; nothing when it never did.
     [[nodiscard]] auto servedAgo(const UpstreamId &upstream) const -> std::optional<Duration>;
+    /// The next progress of \a upstream is asked for.
+    auto awaitProgress(const UpstreamId &upstream) -> void;
     /// Requests that have no whole answer yet.
     [[nodiscard]] auto active() const -> std::size_t;
     /// Whether new requests can be taken.
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -150,7 +150,7 @@
                              self->post(forward_event::AttemptHead{attempt, std::move(head)});
                          },
                          [self, attempt, target](std::string_view part) {
-                             self->context_.targets_.progressed(target, self->context_.now_());
+                             self->noteProgress(target);
                              self->post(forward_event::AttemptPart{attempt, std::string(part)});
                          },
                          [self, attempt](const HttpOutcome &outcome) {
@@ -159,6 +159,12 @@
                          }};
 }
 
+auto ForwardedRequest::noteProgress(const ForwardTarget &target) -> void
+{
+    if (context_.targets_.progressed(target, context_.now_()))
+        context_.hasProgressed_(target.upstream_);
+}
+
 auto ForwardedRequest::perform(const forward_action::CancelAttempt & /*action*/) -> void
 {
     if (call_)
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -54,6 +54,7 @@
     auto perform(const forward_action::BreakOff &action) -> void;
     [[nodiscard]] auto hooksFor(std::uint32_t attempt, const ForwardTarget &target)
         -> HttpCallHooks;
+    auto noteProgress(const ForwardTarget &target) -> void;
     [[nodiscard]] auto answerHeaders(const ForwardHead &head) const -> HttpHeaders;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -17,6 +17,8 @@
 constexpr auto streamSilence = std::chrono::milliseconds(300);
 /// As streamSilence, before the members of the group are probed; a probe does no harm.
 constexpr auto suspectSilence = std::chrono::milliseconds(200);
+/// Progress that was asked for is told within this time.
+constexpr auto progressAwaited = std::chrono::milliseconds(600);
 /// As streamSilence, while no stream has begun and all may wait for a place.
 constexpr auto firstEventSilence = std::chrono::milliseconds(900);
 /// A group that stands still is left out for so long while there are others, and then tried again.
@@ -29,7 +31,7 @@
 /// What the way to another zone counts in requests in progress.
 constexpr auto otherZoneCost = 0.5;
 /// Requests that may wait at an engine for a place; more would all be late.
-constexpr auto waitingAllowed = 8.0;
+constexpr auto waitingAllowed = 3.0;
 
 auto isOpen(const FleetState &state, const Group &group) -> bool
 {
@@ -179,15 +181,25 @@
     return isSame ? &found->second : nullptr;
 }
 
-auto TargetTable::progressed(const ForwardTarget &target, MonotonicTime now) -> void
+auto TargetTable::progressed(const ForwardTarget &target, MonotonicTime now) -> bool
 {
     const auto lock = std::scoped_lock(mutex_);
     auto *known = find(target);
     if (known == nullptr)
-        return;
+        return false;
     known->progressAt_ = now;
     known->hasProgressed_ = true;
     known->servedAt_ = now;
+    return now < std::exchange(known->awaitedUntil_, MonotonicTime{});
+}
+
+auto TargetTable::awaitProgress(const UpstreamId &upstream, MonotonicTime now) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    for (auto &[pool, targets] : targets_) {
+        if (const auto found = targets.find(upstream); found != targets.end())
+            found->second.awaitedUntil_ = now + progressAwaited;
+    }
 }
 
 auto TargetTable::isQuiet(const Target &target, Duration allowed, MonotonicTime now) -> bool
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -39,8 +39,10 @@
     auto release(const ForwardTarget &target, bool failed, MonotonicTime now) -> void;
     /// Takes in what an upstream said in an answer.
     auto report(const ForwardTarget &target, const ReportedLoad &load, MonotonicTime now) -> void;
-    /// A stream of \a target has begun or made progress.
-    auto progressed(const ForwardTarget &target, MonotonicTime now) -> void;
+    /// A stream of \a target has begun or made progress; says whether awaitProgress() asked for it.
+    auto progressed(const ForwardTarget &target, MonotonicTime now) -> bool;
+    /// The next progress of \a upstream is asked for.
+    auto awaitProgress(const UpstreamId &upstream, MonotonicTime now) -> void;
     /// Upstreams that gave nothing on any stream for too long; each is left out of choices, and
     /// named again after a pause.
     auto stalled(MonotonicTime now) -> std::vector<ForwardTarget>;
@@ -80,6 +82,8 @@
         MonotonicTime suspectedAt_;
         /// When an answer last went on.
         std::optional<MonotonicTime> servedAt_;
+        /// Until then the next progress is asked for.
+        MonotonicTime awaitedUntil_;
     };
 
     /// Whether a stream of \a target should have given something since \a allowed ago.
--- a/packages/serving/GroupPlanning.cpp
+++ b/packages/serving/GroupPlanning.cpp
@@ -39,6 +39,8 @@
 {
     const auto planner = std::make_shared<GatePlanner>();
     auto planning = hooksOf(planner);
+    planning.observe_
+        = [planner](const FleetState &state, MonotonicTime now) { planner->observe(state, now); };
     planning.plan_ = [planner, hasEnded = std::move(hasEnded)](const FleetState &state,
                                                                const PlannerInputs &inputs) {
         return planner->plan(state, GatePlannerInputs{inputs.now_, hasEnded});
--- a/packages/serving/GroupPlanning.h
+++ b/packages/serving/GroupPlanning.h
@@ -21,6 +21,8 @@
 {
     std::function<std::vector<PlannerAction>(const FleetState &, const PlannerInputs &)> plan_;
     std::function<void(const UpstreamId &, bool accepted, MonotonicTime)> orderEnded_;
+    /// Takes in the state while another process leads; may be empty.
+    std::function<void(const FleetState &, MonotonicTime)> observe_;
     /// Forgets all that is in flight.
     std::function<void()> reset_;
 };
--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -13,8 +13,8 @@
 /// An upstream is not probed again within this time.
 constexpr auto probePause = std::chrono::milliseconds(300);
 /// A group that gave something so long before its probe, or later, does not stand still. Entries
-/// wait twice as long before they say that it does.
-constexpr auto evidenceLead = std::chrono::milliseconds(100);
+/// wait four times as long before they say that it does.
+constexpr auto evidenceLead = std::chrono::milliseconds(50);
 /// Probes that are sent at once; one alone may be lost on a bad link.
 constexpr auto probesAtOnce = 2;
 
--- a/packages/serving/PlannerService.cpp
+++ b/packages/serving/PlannerService.cpp
@@ -57,7 +57,11 @@
 {
     const auto lock = std::scoped_lock(mutex_);
     beginTerm(term);
-    if (!control_.leads() || commandsUnderWay_ > 0)
+    if (!control_.leads()) {
+        observe();
+        return {};
+    }
+    if (commandsUnderWay_ > 0)
         return {};
     if (!isDue())
         return {};
@@ -74,6 +78,18 @@
     return actions;
 }
 
+auto PlannerService::observe() -> void
+{
+    if (!planning_.observe_)
+        return;
+    control_.read([&](const FleetState &state) {
+        if (state.applied_ == observedIndex_)
+            return;
+        observedIndex_ = state.applied_;
+        planning_.observe_(state, hooks_.now_());
+    });
+}
+
 auto PlannerService::perform(Term term, const Command &command) -> void
 {
     const auto done = [self = weak_from_this(), term](const Result<CommandOutcome> &) {
--- a/packages/serving/PlannerService.h
+++ b/packages/serving/PlannerService.h
@@ -26,6 +26,8 @@
     /// Whether there is anything to plan for.
     auto isDue() -> bool;
     auto plan(Term term) -> std::vector<PlannerAction>;
+    /// Takes in the state while another process leads.
+    auto observe() -> void;
     auto perform(Term term, const Command &command) -> void;
     auto perform(Term term, const MemberOrder &order) -> void;
     auto beginTerm(Term term) -> void;
@@ -40,6 +42,8 @@
     /// What the last plan was made from, and when.
     LogIndex plannedIndex_ = 0;
     MonotonicTime plannedAt_;
+    /// The state that was last taken in while another process led.
+    LogIndex observedIndex_ = 0;
     /// Whether an order has ended since the last plan.
     bool orderHasEnded_ = false;
     /// The term that the last plan was made in.
