groups: Let a spare stand for two models; place tightly before traffic; weigh pools by instance

The share of a pool is its share of the instances' work, and multiplied by its pace it favoured the larger model. Counted rightly, the smaller one took two places in domains where the larger one then did not fit. Ruled out: quicker loads (the store's rate was never reached). Change: a spare is prepared for one model and takes the weights of the other; what an engine is prepared for is followed on all control processes. Before traffic groups go where the fewest spares are left. A pool gets more groups than it had only where two spares are left and no load is needed.

--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -22,6 +22,9 @@
 /// the members of one that ended are soon free again, with their weights.
 constexpr auto domainRest = std::chrono::seconds(2);
 
+/// Instances that stay free in a fabric domain when a pool gets more groups than it had.
+constexpr auto sparesOfDomain = std::size_t{2};
+
 /// A fleet that has just started counts as complete when no engine has come for this part of the
 /// time between announcements.
 constexpr auto settlePart = 0.6;
@@ -102,12 +105,13 @@
     const Pool *pool_ = nullptr;
     std::size_t groups_ = 0;
 
-    /// Whether the pool has no group, and how much of the expected work one group would have after
-    /// one more was formed.
+    /// Whether the pool has no group, and how much of the expected work one instance would have
+    /// after one more group was formed.
     [[nodiscard]] auto need() const -> std::pair<bool, double>
     {
         const auto share = pool_->share_ > 0 ? pool_->share_ : 1.0;
-        return {groups_ == 0, share * pool_->pace_ / static_cast<double>(groups_ + 1)};
+        const auto size = static_cast<double>(pool_->instancesPerGroup_);
+        return {groups_ == 0, share / (size * static_cast<double>(groups_ + 1))};
     }
 };
 
@@ -127,23 +131,13 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
-/// The free instances of \a pool that \a used does not name.
-auto unused(const FleetState &state, const Pool &pool, const std::set<UpstreamId> &used)
-    -> std::vector<FreeInstance>
-{
-    auto free = freeInstances(state, pool);
-    std::erase_if(free, [&](const FreeInstance &item) { return used.contains(item.upstream_); });
-    return free;
-}
-
 } // namespace
 
 auto GatePlanner::plan(const FleetState &state, const GatePlannerInputs &inputs)
     -> std::vector<PlannerAction>
 {
     auto pass = Pass{state, inputs, {}, 0};
-    spares_.observe(state, inputs.now_);
-    noteChanges(pass);
+    observe(state, inputs.now_);
     std::erase_if(brokenSince_,
                   [&](const auto &item) { return !state.groups_.contains(item.first); });
     for (const auto &[id, group] : state.groups_)
@@ -193,7 +187,8 @@
         order.fencing_ = group.fencing_;
         if (!orders_.maySend(upstream, order, pass.inputs_.now_))
             continue;
-        const auto isLoad = !hasWeights(upstream.announced_, pool.model_);
+        const auto isLoad = !hasWeights(upstream.announced_, pool.model_)
+            && !spares_.isPrepared(upstream, pool.model_);
         if (isLoad && !mayLoad(pass, enginesOf(pool)))
             continue;
         orders_.send(upstream, order, pass.inputs_.now_);
@@ -294,14 +289,15 @@
     return state.hasTraffic_ || now - knownSince_ >= settlePart * period;
 }
 
-auto GatePlanner::noteChanges(const Pass &pass) -> void
+auto GatePlanner::observe(const FleetState &state, MonotonicTime now) -> void
 {
-    for (const auto &[id, group] : pass.state_.groups_) {
+    spares_.observe(state, now);
+    for (const auto &[id, group] : state.groups_) {
         if (group.phase_ == GroupPhase::Serving)
             continue;
         for (const auto &member : group.members_) {
-            if (const auto *upstream = findUpstream(pass.state_, member))
-                changedAt_[upstream->announced_.fabricDomain_] = pass.inputs_.now_;
+            if (const auto *upstream = findUpstream(state, member))
+                changedAt_[upstream->announced_.fabricDomain_] = now;
         }
     }
 }
@@ -312,6 +308,45 @@
     return changed == changedAt_.end() || pass.inputs_.now_ - changed->second >= domainRest;
 }
 
+auto GatePlanner::unused(const Pass &pass, const Pool &pool, const std::set<UpstreamId> &used) const
+    -> std::vector<FreeInstance>
+{
+    auto free = freeInstances(pass.state_, pool);
+    std::erase_if(free, [&](const FreeInstance &item) { return used.contains(item.upstream_); });
+    for (auto &item : free) {
+        const auto &upstream = *findUpstream(pass.state_, item.upstream_);
+        item.hasWeights_ = item.hasWeights_ || spares_.isPrepared(upstream, pool.model_);
+    }
+    return free;
+}
+
+auto GatePlanner::usable(const Pass &pass, const Pool &pool, const std::set<UpstreamId> &used) const
+    -> std::vector<FreeInstance>
+{
+    auto free = unused(pass, pool, used);
+    std::erase_if(free, [&](const FreeInstance &item) {
+        const auto mayLoad = !pass.state_.hasTraffic_ || isAtRest(pass, item.domain_);
+        return !item.hasWeights_ && !mayLoad;
+    });
+    return free;
+}
+
+auto GatePlanner::spareInstances(const Pass &pass, const Pool &pool,
+                                 const std::set<UpstreamId> &used) const
+    -> std::vector<FreeInstance>
+{
+    auto free = unused(pass, pool, used);
+    auto inDomain = std::map<FabricDomain, std::size_t>{};
+    for (const auto &item : free)
+        ++inDomain[item.domain_];
+    std::erase_if(free, [&](const FreeInstance &item) {
+        const auto leavesSpares
+            = inDomain.at(item.domain_) >= pool.instancesPerGroup_ + sparesOfDomain;
+        return !item.hasWeights_ || !leavesSpares || !isAtRest(pass, item.domain_);
+    });
+    return free;
+}
+
 auto GatePlanner::planNewGroups(Pass &pass) -> void
 {
     const auto &state = pass.state_;
@@ -322,12 +357,11 @@
         const auto isFull = pool.groups_ != 0 && next->groups_ >= pool.groups_;
         auto &most = mostGroups_[pool.name_];
         most = std::max(most, next->groups_);
-        auto free = unused(state, pool, used);
-        std::erase_if(free, [&](const FreeInstance &item) {
-            const auto mayLoad = next->groups_ < most && isAtRest(pass, item.domain_);
-            return state.hasTraffic_ && !item.hasWeights_ && !mayLoad;
-        });
-        const auto placed = isFull ? std::nullopt : placeGroup(free, pool.instancesPerGroup_);
+        const auto isExtra = state.hasTraffic_ && next->groups_ >= most;
+        const auto free = isExtra ? spareInstances(pass, pool, used) : usable(pass, pool, used);
+        const auto choice = state.hasTraffic_ ? DomainChoice::Widest : DomainChoice::Tightest;
+        const auto placed
+            = isFull ? std::nullopt : placeGroup(free, pool.instancesPerGroup_, choice);
         if (!placed) {
             pools.erase(pools.begin() + (next - pools.data()));
             continue;
@@ -345,14 +379,17 @@
     auto planned = std::set<PoolName>{};
     for (const auto &pool : state.declaration_.pools_) {
         if (planned.insert(enginesOf(pool)).second)
-            planSpares(pass, enginesOf(pool), unused(state, pool, used));
+            planSpares(pass, enginesOf(pool), unused(pass, pool, used));
     }
 }
 
 auto GatePlanner::planSpares(Pass &pass, const PoolName &engines,
                              const std::vector<FreeInstance> &spares) -> void
 {
-    for (const auto &step : spares_.plan(pass.state_, engines, spares)) {
+    const auto mayRestage = [&](const FabricDomain &domain) {
+        return !pass.state_.hasTraffic_ || isAtRest(pass, domain);
+    };
+    for (const auto &step : spares_.plan(pass.state_, engines, spares, mayRestage)) {
         const auto &upstream = *findUpstream(pass.state_, step.upstream_);
         const auto isLoad = step.kind_ == SpareStep::Kind::Load;
         auto order = isLoad
--- a/packages/groups/GatePlanner.h
+++ b/packages/groups/GatePlanner.h
@@ -34,6 +34,8 @@
 class GatePlanner
 {
 public:
+    /// Takes in \a state; for every change, also while another process leads.
+    auto observe(const FleetState &state, MonotonicTime now) -> void;
     /// The next steps for \a state. Every order in the result is in flight until orderEnded().
     auto plan(const FleetState &state, const GatePlannerInputs &inputs)
         -> std::vector<PlannerAction>;
@@ -59,8 +61,18 @@
     /// Whether all engines of a fleet that has just started have probably announced themselves.
     auto hasSettled(const Pass &pass) -> bool;
     auto planNewGroups(Pass &pass) -> void;
-    /// Notes in which fabric domains groups begin or end.
-    auto noteChanges(const Pass &pass) -> void;
+    /// The free instances of \a pool that \a used does not name; those that are prepared for its
+    /// model count as if they held the weights.
+    [[nodiscard]] auto unused(const Pass &pass, const Pool &pool,
+                              const std::set<UpstreamId> &used) const -> std::vector<FreeInstance>;
+    /// As unused(), for a group that the pool had before.
+    [[nodiscard]] auto usable(const Pass &pass, const Pool &pool,
+                              const std::set<UpstreamId> &used) const -> std::vector<FreeInstance>;
+    /// As unused(), for a group that the pool did not have before: where no load is needed and
+    /// spares are left.
+    [[nodiscard]] auto spareInstances(const Pass &pass, const Pool &pool,
+                                      const std::set<UpstreamId> &used) const
+        -> std::vector<FreeInstance>;
     /// Whether no group of \a domain has begun or ended for a while.
     [[nodiscard]] auto isAtRest(const Pass &pass, const FabricDomain &domain) const -> bool;
     auto planStrays(Pass &pass) -> void;
--- a/packages/groups/Placement.cpp
+++ b/packages/groups/Placement.cpp
@@ -18,7 +18,7 @@
     /// Accelerators that members have beyond the smallest member.
     std::uint32_t unused_ = 0;
     std::size_t withoutWeights_ = 0;
-    /// Counted down from the greatest number, so that more spares cost less.
+    /// Counted down from the greatest number where more spares are to cost less.
     std::size_t spares_ = 0;
 
     auto operator<=>(const PlacementCost &) const = default;
@@ -30,7 +30,8 @@
         < std::tuple(left->accelerators_, !right->hasWeights_, right->upstream_);
 }
 
-auto costOf(const Instances &sorted, std::size_t first, std::size_t size) -> PlacementCost
+auto costOf(const Instances &sorted, std::size_t first, std::size_t size, DomainChoice choice)
+    -> PlacementCost
 {
     auto cost = PlacementCost{};
     const auto smallest = sorted[first + size - 1]->accelerators_;
@@ -38,7 +39,9 @@
         cost.unused_ += sorted[index]->accelerators_ - smallest;
         cost.withoutWeights_ += sorted[index]->hasWeights_ ? 0 : 1;
     }
-    cost.spares_ = std::numeric_limits<std::size_t>::max() - (sorted.size() - size);
+    const auto spares = sorted.size() - size;
+    const auto isTight = choice == DomainChoice::Tightest;
+    cost.spares_ = isTight ? spares : std::numeric_limits<std::size_t>::max() - spares;
     return cost;
 }
 
@@ -55,15 +58,15 @@
 }
 
 /// The best run of \a size instances of one domain.
-auto placeWithin(const std::map<FabricDomain, Instances> &domains, std::size_t size)
-    -> std::optional<PlacedGroup>
+auto placeWithin(const std::map<FabricDomain, Instances> &domains, std::size_t size,
+                 DomainChoice choice) -> std::optional<PlacedGroup>
 {
     auto best = std::optional<std::pair<PlacementCost, Instances>>{};
     for (const auto &[domain, instances] : domains) {
         auto sorted = instances;
         std::sort(sorted.begin(), sorted.end(), byFit);
         for (auto first = std::size_t{0}; first + size <= sorted.size(); ++first) {
-            const auto cost = costOf(sorted, first, size);
+            const auto cost = costOf(sorted, first, size, choice);
             if (best && best->first <= cost)
                 continue;
             const auto begin = sorted.begin() + static_cast<std::ptrdiff_t>(first);
@@ -106,7 +109,7 @@
 
 } // namespace
 
-auto placeGroup(const std::vector<FreeInstance> &free, std::size_t size)
+auto placeGroup(const std::vector<FreeInstance> &free, std::size_t size, DomainChoice choice)
     -> std::optional<PlacedGroup>
 {
     if (size == 0)
@@ -114,7 +117,7 @@
     auto domains = std::map<FabricDomain, Instances>{};
     for (const auto &instance : free)
         domains[instance.domain_].push_back(&instance);
-    auto within = placeWithin(domains, size);
+    auto within = placeWithin(domains, size, choice);
     if (within)
         return within;
     return placeAcross(domains, size);
--- a/packages/groups/Placement.h
+++ b/packages/groups/Placement.h
@@ -10,12 +10,20 @@
 
 namespace lycheereach {
 
+/// Which of the fabric domains that would do gets a group.
+enum class DomainChoice {
+    /// The one that keeps the most spares.
+    Widest,
+    /// The one that keeps the fewest, so that larger groups fit into the others.
+    Tightest,
+};
+
 /// The \a size instances of \a free that make the best group. All are in one fabric domain: one
-/// where the members have equal accelerators, hold the weights, and leave the most spares, in this
-/// order. When no domain has enough, those that may cross are joined from the fewest domains of
-/// one zone.
-auto placeGroup(const std::vector<FreeInstance> &free, std::size_t size)
-    -> std::optional<PlacedGroup>;
+/// where the members have equal accelerators, hold the weights, and leave the most or the fewest
+/// spares by \a choice, in this order. When no domain has enough, those that may cross are joined
+/// from the fewest domains of one zone.
+auto placeGroup(const std::vector<FreeInstance> &free, std::size_t size,
+                DomainChoice choice = DomainChoice::Widest) -> std::optional<PlacedGroup>;
 
 /// The instance of \a free that best replaces a member in \a domain: one of the same domain, with
 /// \a accelerators and the weights loaded where there is one. Nothing when no instance of the
--- a/packages/groups/SparePlanner.cpp
+++ b/packages/groups/SparePlanner.cpp
@@ -91,46 +91,66 @@
         && found->second.isPreparing_ && now - found->second.preparingSince_ < preparationLimit;
 }
 
+auto SparePlanner::hasLastGroup(const Upstream &upstream) const -> bool
+{
+    return !isPrepared(upstream, "");
+}
+
 auto SparePlanner::isPrepared(const Upstream &upstream, const std::string &model) const -> bool
 {
-    const auto found = known_.find(upstream.announced_.upstream_);
-    return found != known_.end() && found->second.model_ == model;
+    const auto &announced = upstream.announced_;
+    const auto found = known_.find(announced.upstream_);
+    return found != known_.end() && found->second.incarnation_ == announced.incarnation_
+        && found->second.model_ == model;
 }
 
 auto SparePlanner::plan(const FleetState &state, const PoolName &engines,
-                        const std::vector<FreeInstance> &spares) -> std::vector<SpareStep>
+                        const std::vector<FreeInstance> &spares,
+                        const std::function<bool(const FabricDomain &)> &isAtRest) const
+    -> std::vector<SpareStep>
 {
     const auto pools = poolsOf(state, engines);
     const auto members = membersByDomain(state);
-    auto held = std::map<DomainPool, std::size_t>{};
+    auto covered = std::map<DomainPool, std::size_t>{};
+    const auto mayJoin = [&](const FreeInstance &spare, const Pool &pool) {
+        const auto &upstream = state.upstreams_.at(spare.upstream_);
+        return hasWeights(upstream.announced_, pool.model_) || isPrepared(upstream, pool.model_);
+    };
     for (const auto &spare : spares) {
-        if (const auto *pool = heldPool(pools, state.upstreams_.at(spare.upstream_).announced_))
-            ++held[{spare.domain_, pool->name_}];
+        for (const auto *pool : pools)
+            covered[{spare.domain_, pool->name_}] += mayJoin(spare, *pool) ? 1 : 0;
     }
+    const auto servedIn = [&](const FabricDomain &domain, const Pool &pool) {
+        const auto found = members.find({domain, pool.name_});
+        return found == members.end() ? std::size_t{0} : found->second;
+    };
     // The members that a spare stands for, less for each spare that stands for them already: the
     // loss of one member is far more likely than that of several before the next spare is ready.
     const auto worth = [&](const FabricDomain &domain, const Pool &pool) {
-        const auto key = DomainPool(domain, pool.name_);
-        const auto served = members.contains(key) ? members.at(key) : 0;
-        const auto others = static_cast<double>(held[key] + 1);
-        return static_cast<double>(served) / (others * others);
+        const auto others = static_cast<double>(covered[{domain, pool.name_}] + 1);
+        return static_cast<double>(servedIn(domain, pool)) / (others * others);
     };
     auto steps = std::vector<SpareStep>{};
     for (const auto &spare : spares) {
         const auto &upstream = state.upstreams_.at(spare.upstream_);
-        if (const auto *pool = heldPool(pools, upstream.announced_)) {
-            if (!isPrepared(upstream, pool->model_))
-                steps.push_back({spare.upstream_, SpareStep::Kind::Prepare, pool->model_});
+        const auto *held = heldPool(pools, upstream.announced_);
+        if (held != nullptr && !hasLastGroup(upstream)) {
+            steps.push_back({spare.upstream_, SpareStep::Kind::Prepare, held->model_});
             continue;
         }
-        const auto best = std::max_element(
-            pools.begin(), pools.end(), [&](const Pool *left, const Pool *right) {
-                return worth(spare.domain_, *left) < worth(spare.domain_, *right);
-            });
-        if (best == pools.end())
+        const auto isSecond = held != nullptr;
+        const Pool *best = nullptr;
+        for (const auto *pool : pools) {
+            if (mayJoin(spare, *pool) || (isSecond && servedIn(spare.domain_, *pool) == 0))
+                continue;
+            if (best == nullptr || worth(spare.domain_, *best) < worth(spare.domain_, *pool))
+                best = pool;
+        }
+        const auto hasBoth = isSecond && !isPrepared(upstream, held->model_);
+        if (best == nullptr || hasBoth || (isSecond && !isAtRest(spare.domain_)))
             continue;
-        ++held[{spare.domain_, (*best)->name_}];
-        steps.push_back({spare.upstream_, SpareStep::Kind::Load, (*best)->model_});
+        ++covered[{spare.domain_, best->name_}];
+        steps.push_back({spare.upstream_, SpareStep::Kind::Load, best->model_});
     }
     return steps;
 }
--- a/packages/groups/SparePlanner.h
+++ b/packages/groups/SparePlanner.h
@@ -7,6 +7,7 @@
 #include "groups/FreeInstance.h"
 #include "groups/SpareStep.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -21,15 +22,21 @@
 ///
 /// An engine whose last group served a model joins another group of that model in a small part of
 /// the time that one with the weights on its host needs. So a spare joins a standby group of its
-/// own, which is never opened, and leaves it once it is ready. Not thread-safe.
+/// own, which is never opened, and leaves it once it is ready. After that its host takes the
+/// weights of the other model that it may be needed for. Not thread-safe.
 class SparePlanner
 {
 public:
     /// Notes which model the group of each engine serves.
     auto observe(const FleetState &state, MonotonicTime now) -> void;
-    /// Steps for \a spares, free engines that the pools of \a engines draw from.
+    /// Steps for \a spares, free engines that the pools of \a engines draw from. Those in domains
+    /// that \a isAtRest denies take no second model: their group is perhaps about to come back.
     auto plan(const FleetState &state, const PoolName &engines,
-              const std::vector<FreeInstance> &spares) -> std::vector<SpareStep>;
+              const std::vector<FreeInstance> &spares,
+              const std::function<bool(const FabricDomain &)> &isAtRest) const
+        -> std::vector<SpareStep>;
+    /// Whether the last group that \a upstream was ready in served \a model.
+    [[nodiscard]] auto isPrepared(const Upstream &upstream, const std::string &model) const -> bool;
     /// Whether \a upstream is on its way into a standby group and is to be left there.
     [[nodiscard]] auto isPreparing(const Upstream &upstream, MonotonicTime now) const -> bool;
 
@@ -48,7 +55,8 @@
         bool isPreparing_ = false;
     };
 
-    [[nodiscard]] auto isPrepared(const Upstream &upstream, const std::string &model) const -> bool;
+    /// Whether \a upstream was ready in any group.
+    [[nodiscard]] auto hasLastGroup(const Upstream &upstream) const -> bool;
 
     std::map<UpstreamId, Known> known_;
 };
