--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -18,6 +18,8 @@
 constexpr auto recordLimitBytes = std::size_t{256} * 1024;
 /// A grantor that has not answered for so many renewal intervals is given up for another one.
 constexpr auto unansweredRenewals = 3;
+/// A relay names the entries that renewed with it within so many renewal intervals.
+constexpr auto heardRenewals = 2;
 /// A grant for fewer renewal intervals is a reason to ask another grantor.
 constexpr auto strongGrant = 2;
 /// Records sent to a holder count as on their way for so long.
@@ -95,12 +97,16 @@
     const auto silent = now - answeredAt_ > unansweredRenewals * settings_.renewEvery_;
     if (replica_ != nullptr && !leader_.empty() && leader_ != settings_.self_.id_ && !silent)
         return leader_;
-    if (replica_ == nullptr && !grantor_.empty() && !silent)
+    const auto takesTurns = settings_.grantors_ > 1;
+    if (replica_ == nullptr && !grantor_.empty() && !silent && !takesTurns)
         return grantor_;
     const auto candidates = relays();
     if (candidates.empty())
         return std::nullopt;
-    return candidates[asked_++ % candidates.size()];
+    const auto isNarrow = replica_ == nullptr && takesTurns && !silent;
+    const auto count
+        = isNarrow ? std::min(settings_.grantors_, candidates.size()) : candidates.size();
+    return candidates[asked_++ % count];
 }
 
 auto ControlService::relays() const -> std::vector<EntryId>
@@ -128,10 +134,20 @@
                            .confirmed_ = confirmedHere(now),
                            .applied_ = machine_.state().applied_};
     if (relaying_)
-        renewal.holders_ = relayed_.holders(now);
+        renewal.holders_ = heardLately(now);
     hooks_.send_(to, "control.renew", encode(renewal));
 }
 
+auto ControlService::heardLately(MonotonicTime now) const -> std::vector<EntryId>
+{
+    auto heard = std::vector<EntryId>{};
+    for (const auto &[entry, at] : heardOf_) {
+        if (now - at < heardRenewals * settings_.renewEvery_)
+            heard.push_back(entry);
+    }
+    return heard;
+}
+
 auto ControlService::confirmedHere(MonotonicTime now) const -> LogIndex
 {
     const auto applied = machine_.state().applied_;
@@ -176,13 +192,13 @@
     const auto &state = machine_.state();
     auto grant = LeaseGrant{
         .number_ = renewal.number_, .requiredIndex_ = state.applied_, .leader_ = leader_};
+    if (relaying_)
+        heardOf_[renewal.entry_.id_] = now;
     const auto mayGrant = relaying_ && lease_.allowsWork(state.applied_, now)
         && state.entries_.contains(renewal.entry_.id_);
     if (mayGrant)
         grant.durationMs_ = toMilliseconds(
             relayed_.grant(renewal.entry_.id_, renewal.applied_, lease_.remaining(now), now));
-    else if (relaying_)
-        heardOf_[renewal.entry_.id_] = now;
     // Records on their way are not sent again, or a holder that is behind would get them many
     // times.
     auto &sent = sentTo_[renewal.entry_.id_];
@@ -315,8 +331,6 @@
     const auto patience = settings_.entryPatience_.value_or(2 * settings_.stateLease_);
     if (!leading_ || now - leadingSince_ < patience)
         return;
-    for (const auto &holder : relayed_.holders(now))
-        heardOf_[holder] = now;
     for (const auto &[id, entry] : machine_.state().entries_) {
         if (entry.phase_ == EntryPhase::Lost || id == settings_.self_.id_)
             continue;
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -167,7 +167,10 @@
     auto registerWhenNeeded(MonotonicTime now) -> void;
     auto keepVoters(MonotonicTime now) -> void;
     auto noteLeaseChange(MonotonicTime now) -> void;
-    [[nodiscard]] auto confirmedHere(MonotonicTime now) const -> LogIndex;
+    [[nodiscard]] /// Entries that renewed with this process lately.
+    [[nodiscard]] auto
+    heardLately(MonotonicTime now) const -> std::vector<EntryId>;
+    auto confirmedHere(MonotonicTime now) const -> LogIndex;
 
     ControlSettings settings_;
     ControlHooks hooks_;
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -22,8 +22,12 @@
     Duration renewEvery_ = std::chrono::milliseconds(500);
     /// As renewEvery_, while this process has no live lease.
     Duration renewWithoutLease_ = std::chrono::milliseconds(500);
-    /// An entry is lost when no relay has named it for so long; twice the state lease when not set.
+    /// An entry is lost when it renewed with no process for so long, which is longer than its
+    /// lease; twice the state lease when not set.
     std::optional<Duration> entryPatience_;
+    /// How many relays an entry without a log renews with in turn. With more than one it hears of
+    /// changes from the others while one of them is cut off from the leader.
+    std::size_t grantors_ = 1;
     /// The pause between tries to register.
     Duration registerEvery_ = std::chrono::milliseconds(500);
     Duration logHeartbeat_ = std::chrono::milliseconds(100);
--- a/tests/control/ControlFleet.h
+++ b/tests/control/ControlFleet.h
@@ -88,6 +88,7 @@
     /// As in ControlSettings.
     Duration renewWithoutLease_ = std::chrono::milliseconds(500);
     std::optional<Duration> entryPatience_;
+    std::size_t grantors_ = 1;
     /// What callbacks told, by operation.
     std::map<OperationId, OperationOutcome> outcomes_;
     std::size_t asked_ = 0;
