forward: Leave gone upstreams out; count only sends that may have arrived

Change: an upstream that refuses connections, or where another instance answers, is left out for half a second also without another one. Attempts without a connection count neither as sent nor as repeated, up to four. Connections may take 0.25 s. A further attempt of a request may wait behind ten others, a new one behind three.

--- a/packages/forward/ForwardAction.h
+++ b/packages/forward/ForwardAction.h
@@ -7,6 +7,7 @@
 #include "forward/ForwardHead.h"
 #include "forward/ForwardRefusal.h"
 #include "forward/ForwardTarget.h"
+#include "forward/TargetOutcome.h"
 
 #include <cstdint>
 #include <optional>
@@ -45,6 +46,7 @@
     /// Why the attempt failed; empty when it did not.
     std::string failure_;
     Verdict verdict_ = Verdict::Ran;
+    TargetOutcome outcome_ = TargetOutcome::Answered;
 };
 
 /// Begin a stream with its first events.
--- a/packages/forward/ForwardEvent.h
+++ b/packages/forward/ForwardEvent.h
@@ -53,6 +53,8 @@
     /// NotRun when no byte of the request left.
     Verdict verdict_ = Verdict::NotRun;
     std::string message_;
+    /// Whether nothing listens at the upstream's address.
+    bool isRefused_ = false;
 };
 
 /// The caller closed its connection.
--- a/packages/forward/ForwardMachine.cpp
+++ b/packages/forward/ForwardMachine.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint16_t serviceUnavailable = 503;
 constexpr std::uint16_t gatewayTimeout = 504;
 
+/// Attempts at one request that may find no connection.
+constexpr std::uint32_t unconnectedLimit = 3;
 /// When to come back after upstreams had no place.
 constexpr auto refusedRetryAfter = std::chrono::milliseconds(1500);
 
@@ -44,7 +46,8 @@
 auto ForwardMachine::on(const forward_event::TargetChosen &event) -> void
 {
     if (replied_) {
-        emit(forward_action::ReleaseTarget{event.target_, "", Verdict::NotRun});
+        emit(forward_action::ReleaseTarget{event.target_, "", Verdict::NotRun,
+                                           TargetOutcome::Answered});
         return;
     }
     target_ = event.target_;
@@ -70,6 +73,11 @@
     refuse(status, event.failure_.message_, event.failure_.retryAfter_);
 }
 
+auto ForwardMachine::arrivals() const -> std::uint32_t
+{
+    return attempts_ - unconnected_;
+}
+
 auto ForwardMachine::isStreaming() const -> bool
 {
     return isStream(plan_.kind_) && head_ && head_->status_ < firstError;
@@ -133,6 +141,11 @@
         attemptSucceeded();
         return;
     }
+    const auto isOther = head_ && head_->isOtherInstance_;
+    outcome_ = event.isRefused_ || isOther ? TargetOutcome::Gone : TargetOutcome::Failed;
+    // An attempt that found no connection has reached no upstream.
+    if (event.verdict_ == Verdict::NotRun && !head_)
+        ++unconnected_;
     const auto notRun = event.verdict_ == Verdict::NotRun || (head_ && head_->notRun_);
     attemptFailed(failure, notRun ? Verdict::NotRun : Verdict::MayHaveRun);
 }
@@ -153,14 +166,14 @@
         return "the upstream did not go on with the stream: status "
             + std::to_string(head_->status_);
     const auto failed = head_->status_ >= firstServerError;
-    if (failed && mayRepeat(Verdict::MayHaveRun) && attempts_ < plan_.attemptLimit_)
+    if (failed && mayRepeat(Verdict::MayHaveRun) && arrivals() < plan_.attemptLimit_)
         return "the upstream answered with status " + std::to_string(head_->status_);
     return {};
 }
 
 auto ForwardMachine::attemptSucceeded() -> void
 {
-    emit(forward_action::ReleaseTarget{target_, "", Verdict::Ran});
+    emit(forward_action::ReleaseTarget{target_, "", Verdict::Ran, TargetOutcome::Answered});
     if (std::exchange(replied_, true))
         return;
     if (headSent_)
@@ -171,13 +184,15 @@
 
 auto ForwardMachine::attemptFailed(const std::string &failure, Verdict verdict) -> void
 {
-    emit(forward_action::ReleaseTarget{target_, failure, verdict});
+    emit(forward_action::ReleaseTarget{target_, failure, verdict, outcome_});
     verdict_ = combine(verdict_, verdict);
     avoid_.insert(target_.upstream_);
     if (replied_)
         return;
-    const auto mayGoOn = attempts_ < plan_.attemptLimit_ && now_ < plan_.deadline_;
-    if (mayGoOn && mayRepeat(verdict) && takeRetry_()) {
+    const auto isTried = arrivals() >= plan_.attemptLimit_ || unconnected_ > unconnectedLimit;
+    const auto mayGoOn = !isTried && now_ < plan_.deadline_ && mayRepeat(verdict);
+    // Only what may have reached an upstream counts as sent, and only a second send as repeated.
+    if (mayGoOn && (arrivals() == 0 || takeRetry_())) {
         emit(forward_action::ChooseTarget{avoid_});
         return;
     }
--- a/packages/forward/ForwardMachine.h
+++ b/packages/forward/ForwardMachine.h
@@ -46,6 +46,8 @@
     auto on(const forward_event::DeadlinePassed &event) -> void;
 
     auto emit(ForwardAction action) -> void { actions_.push_back(std::move(action)); }
+    /// Attempts that may have reached an upstream.
+    [[nodiscard]] auto arrivals() const -> std::uint32_t;
     [[nodiscard]] auto isStreaming() const -> bool;
     [[nodiscard]] auto isCurrent(std::uint32_t attempt) const -> bool;
     /// Why the ended attempt has no answer to hand on; empty when it has one.
@@ -64,6 +66,10 @@
     std::vector<ForwardAction> actions_;
 
     std::uint32_t attempts_ = 0;
+    /// Attempts that found no connection.
+    std::uint32_t unconnected_ = 0;
+    /// What the last failed attempt showed of its target.
+    TargetOutcome outcome_ = TargetOutcome::Answered;
     ForwardTarget target_;
     /// Whether the attempt's connection is open.
     bool isOpen_ = false;
--- a/packages/forward/ForwardSettings.h
+++ b/packages/forward/ForwardSettings.h
@@ -6,6 +6,7 @@
 #include "forward/RetryAllowance.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace lycheereach {
 
@@ -13,7 +14,7 @@
 struct ForwardSettings
 {
     /// The longest time to connect to an upstream.
-    Duration connectTimeout_ = std::chrono::milliseconds(400);
+    Duration connectTimeout_ = std::chrono::milliseconds(250);
     /// Silence allowed in a stream between two events.
     Duration streamIdleTimeout_ = std::chrono::milliseconds(1200);
     /// Silence allowed before the first event of a stream; callers give up a stream that pauses for
@@ -22,6 +23,11 @@
     /// A leaving entry takes new requests for so long, since callers still hold its address; those
     /// that come later are refused, so that all that it took can end in time.
     Duration takesWhileLeaving_ = std::chrono::milliseconds(2800);
+    /// Requests that may wait at an engine for a place when a new one comes; more would all begin
+    /// late.
+    std::uint32_t waitingAllowed_ = 3;
+    /// As waitingAllowed_, for a further attempt at a request, which is late anyway.
+    std::uint32_t waitingAllowedAgain_ = 10;
     RetryLimits retries_;
 
     auto operator==(const ForwardSettings &) const -> bool = default;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -103,7 +103,11 @@
 
 auto ForwardedRequest::perform(const forward_action::ChooseTarget &action) -> void
 {
-    const auto target = context_.targets_.choose(routed_.pool_, action.avoid_, context_.now_());
+    const auto &settings = context_.settings_;
+    const auto isAgain = !action.avoid_.empty();
+    const auto waiting = isAgain ? settings.waitingAllowedAgain_ : settings.waitingAllowed_;
+    const auto target
+        = context_.targets_.choose(routed_.pool_, action.avoid_, waiting, context_.now_());
     if (target) {
         handle(forward_event::TargetChosen{*target});
         return;
@@ -142,21 +146,21 @@
 auto ForwardedRequest::hooksFor(std::uint32_t attempt, const ForwardTarget &target) -> HttpCallHooks
 {
     const auto self = shared_from_this();
-    return HttpCallHooks{[self, attempt, target](const HttpResponse &response) {
-                             auto head = self->context_.dialect_.readHead_(response);
-                             if (head.load_)
-                                 self->context_.targets_.report(target, *head.load_,
-                                                                self->context_.now_());
-                             self->post(forward_event::AttemptHead{attempt, std::move(head)});
-                         },
-                         [self, attempt, target](std::string_view part) {
-                             self->noteProgress(target);
-                             self->post(forward_event::AttemptPart{attempt, std::string(part)});
-                         },
-                         [self, attempt](const HttpOutcome &outcome) {
-                             self->post(forward_event::AttemptEnded{
-                                 attempt, outcome.error_, outcome.verdict_, outcome.message_});
-                         }};
+    return HttpCallHooks{
+        [self, attempt, target](const HttpResponse &response) {
+            auto head = self->context_.dialect_.readHead_(response);
+            if (head.load_)
+                self->context_.targets_.report(target, *head.load_, self->context_.now_());
+            self->post(forward_event::AttemptHead{attempt, std::move(head)});
+        },
+        [self, attempt, target](std::string_view part) {
+            self->noteProgress(target);
+            self->post(forward_event::AttemptPart{attempt, std::string(part)});
+        },
+        [self, attempt](const HttpOutcome &outcome) {
+            self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
+                                                   outcome.message_, outcome.isRefused_});
+        }};
 }
 
 auto ForwardedRequest::noteProgress(const ForwardTarget &target) -> void
@@ -173,9 +177,8 @@
 
 auto ForwardedRequest::perform(const forward_action::ReleaseTarget &action) -> void
 {
-    const auto failed = !action.failure_.empty();
-    context_.targets_.release(action.target_, failed, context_.now_());
-    if (failed)
+    context_.targets_.release(action.target_, action.outcome_, context_.now_());
+    if (!action.failure_.empty())
         emit(EventNumber::AttemptEnded,
              {{"upstream", action.target_.upstream_.text()},
               {"verdict", std::string(toString(action.verdict_))},
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -12,6 +12,8 @@
 
 /// An upstream that failed a request is left out for so long while there are others.
 constexpr auto failureHoldOff = std::chrono::milliseconds(500);
+/// An upstream that is gone is tried again after this time; control learns of it sooner.
+constexpr auto goneHoldOff = std::chrono::milliseconds(500);
 /// Streams in progress give something in every pass of their engine; none for so long means that
 /// the group stands still.
 constexpr auto streamSilence = std::chrono::milliseconds(300);
@@ -30,8 +32,6 @@
 constexpr auto fullnessLifetime = std::chrono::milliseconds(1000);
 /// What the way to another zone counts in requests in progress.
 constexpr auto otherZoneCost = 0.5;
-/// Requests that may wait at an engine for a place; more would all be late.
-constexpr auto waitingAllowed = 3.0;
 
 auto isOpen(const FleetState &state, const Group &group) -> bool
 {
@@ -111,7 +111,8 @@
     return load + (target.target_.zone_ == zone_ ? 0 : otherZoneCost);
 }
 
-auto TargetTable::hasRoom(const Target &target, MonotonicTime now) const -> bool
+auto TargetTable::hasRoom(const Target &target, std::uint32_t waitingAllowed,
+                          MonotonicTime now) const -> bool
 {
     const auto isKnown = target.isEngine_ && target.slots_ != 0;
     return !isKnown || loadOf(target, now) < target.slots_ + waitingAllowed;
@@ -127,7 +128,8 @@
     return static_cast<double>(starts.size()) + 1 <= std::max(1.0, target.coldPerSecond_);
 }
 
-auto TargetTable::choose(const PoolName &pool, const std::set<UpstreamId> &avoid, MonotonicTime now)
+auto TargetTable::choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                         std::uint32_t waitingAllowed, MonotonicTime now)
     -> std::optional<ForwardTarget>
 {
     const auto lock = std::scoped_lock(mutex_);
@@ -137,7 +139,8 @@
     Target *best = nullptr;
     auto bestRank = std::tuple<bool, bool, double, std::uint64_t>{};
     for (auto &[id, target] : found->second) {
-        if (!mayStart(target, now) || !hasRoom(target, now))
+        if (now < target.goneUntil_ || !mayStart(target, now)
+            || !hasRoom(target, waitingAllowed, now))
             continue;
         const auto rank = std::tuple(avoid.contains(id), now < target.leftOutUntil_,
                                      costOf(target, now), random_());
@@ -158,7 +161,8 @@
     return best->target_;
 }
 
-auto TargetTable::release(const ForwardTarget &target, bool failed, MonotonicTime now) -> void
+auto TargetTable::release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now)
+    -> void
 {
     const auto lock = std::scoped_lock(mutex_);
     auto *known = find(target);
@@ -167,8 +171,10 @@
     --known->sinceLoad_;
     if (known->inFlight_ > 0)
         --known->inFlight_;
-    if (failed)
+    if (outcome == TargetOutcome::Failed)
         known->leftOutUntil_ = std::max(known->leftOutUntil_, now + failureHoldOff);
+    if (outcome == TargetOutcome::Gone)
+        known->goneUntil_ = now + goneHoldOff;
 }
 
 auto TargetTable::find(const ForwardTarget &target) -> Target *
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -7,6 +7,7 @@
 #include "base/Time.h"
 #include "forward/ForwardHead.h"
 #include "forward/ForwardTarget.h"
+#include "forward/TargetOutcome.h"
 
 #include <cstdint>
 #include <deque>
@@ -30,13 +31,14 @@
 
     /// Takes in the replicated state. Call it after every change.
     auto update(const FleetState &state) -> void;
-    /// The best upstream of \a pool for one more request, which counts until release(); nothing
-    /// when all are full, so that a request is refused at once instead of making all that follow
-    /// late.
-    auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid, MonotonicTime now)
-        -> std::optional<ForwardTarget>;
-    /// A chosen target is no longer used; \a failed leaves it out for a while.
-    auto release(const ForwardTarget &target, bool failed, MonotonicTime now) -> void;
+    /// The best upstream of \a pool for one more request, which counts until release(). An engine
+    /// where \a waitingAllowed requests wait for a place is full; nothing is chosen when all are,
+    /// so that a request is refused at once instead of making all that follow late.
+    auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                std::uint32_t waitingAllowed, MonotonicTime now) -> std::optional<ForwardTarget>;
+    /// A chosen target is no longer used. One that failed is left out for a while when there are
+    /// others, one that is gone also when there are none.
+    auto release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now) -> void;
     /// Takes in what an upstream said in an answer.
     auto report(const ForwardTarget &target, const ReportedLoad &load, MonotonicTime now) -> void;
     /// A stream of \a target has begun or made progress; says whether awaitProgress() asked for it.
@@ -74,6 +76,7 @@
         /// load.
         int sinceLoad_ = 0;
         MonotonicTime leftOutUntil_;
+        MonotonicTime goneUntil_;
         /// When a stream last gave something, or the first of those in flight was sent.
         MonotonicTime progressAt_;
         /// Whether a stream has given something since then.
@@ -92,8 +95,9 @@
     /// How many requests of all entries \a target probably has.
     [[nodiscard]] auto loadOf(const Target &target, MonotonicTime now) const -> double;
     [[nodiscard]] auto costOf(const Target &target, MonotonicTime now) const -> double;
-    /// Whether one more request would probably begin within its objective.
-    [[nodiscard]] auto hasRoom(const Target &target, MonotonicTime now) const -> bool;
+    /// Whether fewer than \a waitingAllowed requests probably wait at \a target.
+    [[nodiscard]] auto hasRoom(const Target &target, std::uint32_t waitingAllowed,
+                               MonotonicTime now) const -> bool;
     auto find(const ForwardTarget &target) -> Target *;
     static auto mayStart(Target &target, MonotonicTime now) -> bool;
     auto add(const FleetState &state, const PoolName &pool, const UpstreamId &upstream,
--- a/tests/forward/ForwardMachineTest.cpp
+++ b/tests/forward/ForwardMachineTest.cpp
@@ -251,3 +251,49 @@
     UNSIGNED_LONGS_EQUAL(503, find<action::SendRefusal>()->refusal_.status_);
     CHECK(find<action::SendRefusal>()->refusal_.retryAfter_ == seconds(2));
 }
+
+/// Pattern: the instances of a zone are down, and the others have room.
+TEST(ForwardMachine, nothingListensAtTwoUpstreams_ended_triesAThirdWithoutARetry)
+{
+    auto request = machine(RouteKind::Unsafe, 1);
+    feed(request, Start{});
+    for (auto number = std::uint32_t{1}; number <= 2; ++number) {
+        attempt(request, "u" + std::to_string(number));
+        feed(request,
+             AttemptEnded{number, make_error_code(Error::ConnectionFailed), Verdict::NotRun,
+                          "refused", true});
+        CHECK(find<action::ReleaseTarget>()->outcome_ == TargetOutcome::Gone);
+        CHECK(find<action::ChooseTarget>() != nullptr);
+    }
+    LONGS_EQUAL(0, retries_);
+    attempt(request, "u3");
+    feed(request, AttemptHead{3, head(200)});
+    feed(request, AttemptEnded{3, {}, Verdict::Ran, ""});
+    CHECK(find<action::SendAnswer>() != nullptr);
+}
+
+TEST(ForwardMachine, noUpstreamCanBeConnected_ended_isRefusedAsNotRunAfterFourTries)
+{
+    auto request = machine(RouteKind::Unsafe, 1);
+    feed(request, Start{});
+    for (auto number = std::uint32_t{1}; number <= 4; ++number) {
+        attempt(request, "u" + std::to_string(number));
+        feed(request,
+             AttemptEnded{number, make_error_code(Error::ConnectionFailed), Verdict::NotRun,
+                          "refused", true});
+    }
+    CHECK(find<action::SendRefusal>()->verdict_ == Verdict::NotRun);
+}
+
+TEST(ForwardMachine, anotherInstanceAnswers_ended_showsThatTheTargetIsGone)
+{
+    auto request = machine(RouteKind::Safe);
+    feed(request, Start{});
+    attempt(request, "u1");
+    auto misdirected = head(421, false);
+    misdirected.notRun_ = true;
+    misdirected.isOtherInstance_ = true;
+    feed(request, AttemptHead{1, misdirected});
+    feed(request, ended());
+    CHECK(find<action::ReleaseTarget>()->outcome_ == TargetOutcome::Gone);
+}
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -53,7 +53,7 @@
 
     auto choose(const std::set<UpstreamId> &avoid = {})->std::string
     {
-        const auto target = table_.choose(pool_, avoid, now_);
+        const auto target = table_.choose(pool_, avoid, 3, now_);
         return target ? target->upstream_.text() : "";
     }
 };
@@ -98,7 +98,7 @@
 
 TEST(TargetTable, aStreamThatGivesNothing_stalled_namesItsTargetAndLeavesItOut)
 {
-    const auto target = table_.choose(pool_, {}, now_);
+    const auto target = table_.choose(pool_, {}, 3, now_);
     table_.progressed(*target, now_);
     now_ += milliseconds(299);
     CHECK(table_.stalled(now_).empty());
@@ -110,7 +110,7 @@
 
 TEST(TargetTable, oneStreamMovesWhileOthersWait_stalled_namesNothing)
 {
-    const auto target = table_.choose(pool_, {}, now_);
+    const auto target = table_.choose(pool_, {}, 3, now_);
     for (auto i = 0; i < 20; ++i) {
         now_ += milliseconds(200);
         table_.progressed(*target, now_);
@@ -123,7 +123,7 @@
 {
     for (const auto *id : {"u1", "u2"}) {
         const auto target
-            = table_.choose(pool_, {UpstreamId(id == std::string("u1") ? "u2" : "u1")}, now_);
+            = table_.choose(pool_, {UpstreamId(id == std::string("u1") ? "u2" : "u1")}, 3, now_);
         table_.report(*target, ReportedLoad{8, 3, 8}, now_);
     }
     CHECK(choose().empty());
@@ -131,7 +131,7 @@
 
 TEST(TargetTable, oneGroupIsFull_choose_takesTheOther)
 {
-    const auto target = table_.choose(pool_, {UpstreamId("u2")}, now_);
+    const auto target = table_.choose(pool_, {UpstreamId("u2")}, 3, now_);
     table_.report(*target, ReportedLoad{8, 3, 8}, now_);
     for (auto i = 0; i < 5; ++i)
         CHECK(choose() == "u2");
@@ -139,15 +139,15 @@
 
 TEST(TargetTable, requestsEndSinceTheReport_choose_countsTheFreedPlaces)
 {
-    const auto first = table_.choose(pool_, {UpstreamId("u2")}, now_);
+    const auto first = table_.choose(pool_, {UpstreamId("u2")}, 3, now_);
     table_.report(*first, ReportedLoad{8, 3, 8}, now_);
-    table_.release(*first, false, now_);
+    table_.release(*first, TargetOutcome::Answered, now_);
     CHECK(choose({UpstreamId("u2")}) == "u1");
 }
 
 TEST(TargetTable, aStreamIsQuietForTwoTurnsOfItsEngine_suspects_namesTheGroupOnceInAWhile)
 {
-    const auto target = table_.choose(pool_, {}, now_);
+    const auto target = table_.choose(pool_, {}, 3, now_);
     table_.progressed(*target, now_);
     CHECK(table_.suspects(now_ + milliseconds(150)).empty());
     CHECK(table_.suspects(now_ + milliseconds(210)) == std::vector{*target});
@@ -158,14 +158,14 @@
 
 TEST(TargetTable, noStreamHasBegun_suspects_waitsForAPlaceAtTheEngine)
 {
-    const auto target = table_.choose(pool_, {}, now_);
+    const auto target = table_.choose(pool_, {}, 3, now_);
     CHECK(table_.suspects(now_ + milliseconds(800)).empty());
     CHECK(table_.suspects(now_ + milliseconds(900)) == std::vector{*target});
 }
 
 TEST(TargetTable, progressIsAskedFor_progressed_saysSoOnce)
 {
-    const auto target = table_.choose(pool_, {}, now_);
+    const auto target = table_.choose(pool_, {}, 3, now_);
     CHECK_FALSE(table_.progressed(*target, now_));
     table_.awaitProgress(target->upstream_, now_);
     CHECK(table_.progressed(*target, now_ + milliseconds(100)));
@@ -176,9 +176,40 @@
 
 TEST(TargetTable, anUpstreamGaveAPart_servedAgo_countsFromIt)
 {
-    const auto target = table_.choose(pool_, {}, now_);
+    const auto target = table_.choose(pool_, {}, 3, now_);
     CHECK(table_.servedAgo(target->upstream_, now_) == std::nullopt);
     table_.progressed(*target, now_);
     CHECK(table_.servedAgo(target->upstream_, now_ + milliseconds(70)) == milliseconds(70));
     CHECK(table_.servedAgo(UpstreamId("other"), now_) == std::nullopt);
 }
+
+/// Pattern: streams that were broken off under overload find no place to go on.
+TEST(TargetTable, allGroupsAreFullForNewRequests_choose_takesAFurtherAttempt)
+{
+    for (const auto *id : {"u1", "u2"}) {
+        const auto *other = id == std::string("u1") ? "u2" : "u1";
+        const auto target = table_.choose(pool_, {UpstreamId(other)}, 3, now_);
+        table_.report(*target, ReportedLoad{8, 3, 8}, now_);
+    }
+    CHECK(table_.choose(pool_, {}, 3, now_) == std::nullopt);
+    CHECK(table_.choose(pool_, {}, 10, now_) != std::nullopt);
+}
+
+TEST(TargetTable, nothingListensAtAnUpstream_choose_leavesItOutAlsoWithoutAnother)
+{
+    const auto target = table_.choose(pool_, {UpstreamId("u2")}, 3, now_);
+    table_.release(*target, TargetOutcome::Gone, now_);
+    CHECK(choose({UpstreamId("u2")}) == "u2");
+    CHECK(choose({UpstreamId("u2")}) == "u2");
+    now_ += milliseconds(500);
+    CHECK(choose({UpstreamId("u2")}) == "u1");
+}
+
+TEST(TargetTable, anUpstreamStartsAgain_choose_takesItAtOnce)
+{
+    const auto target = table_.choose(pool_, {UpstreamId("u2")}, 3, now_);
+    table_.release(*target, TargetOutcome::Gone, now_);
+    state_.upstreams_.at(UpstreamId("u1")).announced_.incarnation_ = 2;
+    table_.update(state_);
+    CHECK(choose({UpstreamId("u2")}) == "u1");
+}
