forward: Tell callers of a starting entry to come back when a leader is elected

Cause: after a kill of all processes every entry refused with 0.3 s to come back; callers repeat once, so most came back while nothing could serve them and were refused again (1.5 s until a leader stands). Ruled out: quicker elections (their time-out is also the promise that leader leases rest on). Change: an entry that has not taken a request since its start asks for 1.5 s; one that worked and lost its lease still says 0.3 s, for another entry may serve. The new test failed before the change.

--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -17,8 +17,11 @@
 constexpr std::uint16_t unauthorized = 401;
 constexpr std::uint16_t notFound = 404;
 constexpr std::uint16_t unavailable = 503;
-/// When to come back to an entry that takes no requests.
+/// When to come back after an entry that takes no requests; the caller may take another entry.
 constexpr auto idleRetryAfter = std::chrono::milliseconds(300);
+/// When to come back after an entry that has just started: a fleet that starts as a whole elects a
+/// leader in one to two seconds.
+constexpr auto startingRetryAfter = std::chrono::milliseconds(1500);
 
 /// The share of \a route that \a number falls to.
 auto pickShare(const HttpRoute &route, std::uint64_t number) -> PoolName
@@ -112,14 +115,13 @@
         refuse(read, unavailable, "this entry is stopping; send to another entry", reply);
         return;
     }
-    if (!index) {
-        refuse(read, unavailable, "no declaration is known yet", reply);
-        return;
-    }
-    if (!control_.mayTakeWork()) {
-        refuse(read, unavailable, "this entry has no live state lease", reply);
+    const auto mayWork = index && control_.mayTakeWork();
+    if (!mayWork) {
+        refuse(read, unavailable,
+               index ? "this entry has no live state lease" : "no declaration is known yet", reply);
         return;
     }
+    hasWorked_ = true;
     forward(std::move(read), *index, reply);
 }
 
@@ -181,7 +183,7 @@
                            {"reason", reason}}});
     auto refusal = ForwardRefusal{status, reason, std::nullopt};
     if (status == unavailable)
-        refusal.retryAfter_ = idleRetryAfter;
+        refusal.retryAfter_ = hasWorked_ || isLeaving_ ? idleRetryAfter : startingRetryAfter;
     auto response = context_.dialect_.writeRefusal_(refusal);
     if (isLeaving_)
         response.headers_.add("Connection", "close");
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -69,6 +69,8 @@
     std::map<const ForwardedRequest *, std::shared_ptr<ForwardedRequest>> active_;
     std::atomic<bool> trafficNoted_ = false;
     std::atomic<bool> isLeaving_ = false;
+    /// Whether this process has taken a request since its start.
+    std::atomic<bool> hasWorked_ = false;
     MonotonicTime leavingSince_;
     /// Taken while a request holds its own lock, so it has a rank of its own.
     RankedMutex retryMutex_;
--- /dev/null
+++ b/tests/forward/ForwardServiceTest.cpp
@@ -0,0 +1,111 @@
+#include "forward/ForwardService.h"
+#include "control/ControlFleet.h"
+#include "forward/TargetTable.h"
+#include "transport/HttpClient.h"
+#include "transport/HttpReply.h"
+#include "transport/WorkerPool.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Keeps a whole answer.
+class KeptReply : public HttpReply
+{
+public:
+    auto send(HttpResponse response) -> void override { answer_ = std::move(response); }
+    auto begin(HttpResponse) -> void override { }
+    auto write(std::string, Written) -> void override { }
+    auto finish() -> void override { }
+    auto abort() -> void override { }
+    auto onClosed(std::function<void()>) -> void override { }
+    [[nodiscard]] auto remoteAddress() const -> std::string override { return "127.0.0.1:1"; }
+
+    std::optional<HttpResponse> answer_;
+};
+
+} // namespace
+
+/// An entry of a simulated fleet whose dialect writes a refusal's pause in milliseconds.
+TEST_GROUP(ForwardService)
+{
+    ControlFleet fleet_ = ControlFleet(1, 1, 1);
+    HttpClient client_;
+    WorkerPool workers_{1};
+    TargetTable targets_{ZoneName("a"), [] { return std::uint64_t{0}; }};
+
+    auto setup()->void override
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index)
+            fleet_.start(index);
+    }
+
+    auto context()->ForwardContext
+    {
+        const auto readRequest = [](HttpRequest http) {
+            auto request = ForwardRequest{};
+            request.host_ = http.headers_.value("Host");
+            request.http_ = std::move(http);
+            return request;
+        };
+        const auto writeRefusal = [](const ForwardRefusal &refusal) {
+            auto response = HttpResponse{refusal.status_, {}, refusal.reason_};
+            if (refusal.retryAfter_)
+                response.headers_.add("Pause",
+                                      std::to_string(toMilliseconds(*refusal.retryAfter_)));
+            return response;
+        };
+        return ForwardContext{.settings_ = {},
+                              .dialect_
+                              = ForwardDialect{readRequest, nullptr, nullptr, writeRefusal},
+                              .targets_ = targets_,
+                              .client_ = client_,
+                              .workers_ = workers_,
+                              .event_ = [](const Event &) {},
+                              .now_ = [this] { return fleet_.now(); }};
+    }
+
+    /// The answer to a request for a host that no route names.
+    static auto answer(ForwardService & service)->HttpResponse
+    {
+        const auto reply = std::make_shared<KeptReply>();
+        service.handle(HttpRequest{"GET", "/x/", {{"Host", "nowhere.example"}}, ""}, reply);
+        CHECK(reply->answer_.has_value());
+        return *reply->answer_;
+    }
+
+    auto publish()->void
+    {
+        auto declaration = Declaration{};
+        declaration.zones_ = {ZoneName("a")};
+        fleet_.service(*fleet_.leader())
+            .propose(Command(PublishDeclaration{1, declaration, "{}"}), nullptr);
+        fleet_.run(1s);
+    }
+};
+
+/// Pattern: all processes start at once, and the callers of the first second come back together.
+TEST(ForwardService, theEntryHasJustStarted_handle_asksToComeBackWhenALeaderIsElected)
+{
+    auto service = ForwardService(fleet_.service(1), context(), [] { return std::uint64_t{0}; });
+    const auto refusal = answer(service);
+    LONGS_EQUAL(503, refusal.status_);
+    STRCMP_EQUAL("1500", refusal.headers_.value("Pause").c_str());
+}
+
+TEST(ForwardService, theEntryIsCutFromControl_handle_sendsCallersToAnotherEntrySoon)
+{
+    CHECK(fleet_.runUntilReady());
+    publish();
+    auto service = ForwardService(fleet_.service(1), context(), [] { return std::uint64_t{0}; });
+    service.stateChanged();
+    LONGS_EQUAL(404, answer(service).status_);
+    fleet_.cut_ = {1};
+    fleet_.run(10s);
+    const auto refusal = answer(service);
+    LONGS_EQUAL(503, refusal.status_);
+    STRCMP_EQUAL("300", refusal.headers_.value("Pause").c_str());
+}
