serving: Probe members only when no entry gets anything of their group

Ruled out: the runners (they reported in time). Change: a suspicion asks the entries first; the members are probed after 0.08 s without any progress. Both new tests failed before.

--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -11,7 +11,12 @@
 namespace {
 
 /// An upstream is not probed again within this time.
-constexpr auto probePause = std::chrono::milliseconds(300);
+constexpr auto probePause = std::chrono::milliseconds(500);
+/// Entries tell within this time whether a group that one of them suspects still serves; only then
+/// its members are probed.
+constexpr auto evidenceWait = std::chrono::milliseconds(80);
+/// A probe that ends later than this says nothing: this process had no time to read the answer.
+constexpr auto conclusiveWithin = std::chrono::milliseconds(400);
 /// A group that gave something so long before its probe, or later, does not stand still. Entries
 /// wait four times as long before they say that it does.
 constexpr auto evidenceLead = std::chrono::milliseconds(50);
@@ -27,6 +32,39 @@
 { }
 
 auto MemberProbe::groupStalled(const UpstreamId &head) -> void
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (!suspected_.try_emplace(head, hooks_.now_()).second)
+            return;
+    }
+    hooks_.askServing_(head);
+}
+
+auto MemberProbe::tick() -> void
+{
+    const auto now = hooks_.now_();
+    auto due = std::vector<UpstreamId>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        for (const auto &[head, since] : suspected_) {
+            if (now - since >= evidenceWait)
+                due.push_back(head);
+        }
+    }
+    for (const auto &head : due) {
+        auto since = MonotonicTime{};
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            since = suspected_.at(head);
+            suspected_.erase(head);
+        }
+        if (!servesStill(head, since))
+            probeMembers(head);
+    }
+}
+
+auto MemberProbe::probeMembers(const UpstreamId &head) -> void
 {
     const auto members = control_.read([&](const FleetState &state) {
         auto upstreams = std::vector<Upstream>{};
@@ -79,7 +117,8 @@
             return;
         if (probed.ended_)
             return;
-        probed.silent_ += outcome == ProbeOutcome::Silent ? 1 : 0;
+        const auto isConclusive = hooks_.now_() - probed.at_ <= conclusiveWithin;
+        probed.silent_ += outcome == ProbeOutcome::Silent && isConclusive ? 1 : 0;
         probed.ended_ = outcome == ProbeOutcome::Ended;
         isLost = probed.ended_ || probed.silent_ == probesAtOnce;
         probedAt = probed.at_;
--- a/packages/serving/MemberProbe.h
+++ b/packages/serving/MemberProbe.h
@@ -42,6 +42,9 @@
 
     /// An entry says that the group whose first member is \a head stands still.
     auto groupStalled(const UpstreamId &head) -> void;
+    /// Probes the members of groups of which no entry has got anything since. Call it several times
+    /// in a tenth of a second.
+    auto tick() -> void;
     /// Whether the process that announced itself as \a upstream is known to have ended.
     [[nodiscard]] auto hasEnded(const Upstream &upstream) const -> bool;
 
@@ -55,6 +58,7 @@
         bool ended_ = false;
     };
 
+    auto probeMembers(const UpstreamId &head) -> void;
     auto probe(const Upstream &upstream) -> void;
     [[nodiscard]] auto servesStill(const UpstreamId &upstream, MonotonicTime probedAt) const
         -> bool;
@@ -64,6 +68,8 @@
     MemberProbeHooks hooks_;
     mutable RankedMutex mutex_;
     std::map<UpstreamId, Probed> probed_;
+    /// First members of groups that are said to stand still, and since when.
+    std::map<UpstreamId, MonotonicTime> suspected_;
 };
 
 } // namespace lycheereach
--- a/tests/serving/EvidenceTest.cpp
+++ b/tests/serving/EvidenceTest.cpp
@@ -109,6 +109,14 @@
         fleet_.run(200ms);
     }
 
+    /// An entry suspects the group, and the others have had time to answer.
+    auto suspect()->void
+    {
+        probe_->groupStalled(head_);
+        fleet_.run(80ms);
+        probe_->tick();
+    }
+
     auto isLost(const UpstreamId &id)->bool
     {
         return control().read(
@@ -152,7 +160,7 @@
 
 TEST(Evidence, theGroupStandsStill_probe_losesTheMemberThatAnswersNoProbe)
 {
-    probe_->groupStalled(head_);
+    suspect();
     answer(250ms);
     LONGS_EQUAL(4, probes_.size());
     for (auto i = 0; i < 2; ++i)
@@ -165,7 +173,7 @@
 
 TEST(Evidence, oneProbeIsLostOnItsWay_probe_losesNobody)
 {
-    probe_->groupStalled(head_);
+    suspect();
     for (auto i = std::size_t{0}; i < probes_.size(); ++i)
         probes_[i](i % 2 == 0 ? ProbeOutcome::Answered : ProbeOutcome::Silent);
     fleet_.run(200ms);
@@ -175,7 +183,7 @@
 
 TEST(Evidence, entriesStillGetStreamsOfTheGroup_probe_losesNobodyThatControlCannotReach)
 {
-    probe_->groupStalled(head_);
+    suspect();
     answer(20ms);
     stayUnanswered();
     CHECK_FALSE(isLost(head_));
@@ -184,10 +192,34 @@
 
 TEST(Evidence, aProcessHasEnded_probe_losesItAlsoWhileItsGroupSeemsToServe)
 {
-    probe_->groupStalled(head_);
+    suspect();
     answer(20ms);
     for (const auto &done : std::exchange(probes_, {}))
         done(ProbeOutcome::Ended);
     fleet_.run(200ms);
     CHECK(isLost(member_));
 }
+
+/// Pattern: under overload entries suspect many groups that serve, and probing them all takes the
+/// processor time that reading the answers needs.
+TEST(Evidence, anotherEntryGetsStreamsOfTheGroup_suspicion_startsNoProbe)
+{
+    for (auto i = 0; i < 8; ++i)
+        probe_->groupStalled(head_);
+    const auto asked = sent_.size();
+    answer(20ms);
+    fleet_.run(80ms);
+    probe_->tick();
+    LONGS_EQUAL(0, probes_.size());
+    LONGS_EQUAL(asked, sent_.size());
+    CHECK(asked <= fleet_.size());
+}
+
+TEST(Evidence, thisProcessHadNoTimeForTheAnswers_probe_losesNobody)
+{
+    suspect();
+    fleet_.run(500ms);
+    stayUnanswered();
+    CHECK_FALSE(isLost(head_));
+    CHECK_FALSE(isLost(member_));
+}
