groups: Leave half of the weight store to groups while spares take a second model

Ruled out: the rate of loads, which was kept. Change: a second model is loaded only while fewer than half of the loads at once are under way, a first one while fewer than all are. The new test failed before the change (10 loads for 2).

--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -22,6 +22,9 @@
 /// the members of one that ended are soon free again, with their weights.
 constexpr auto domainRest = std::chrono::seconds(2);
 
+/// A load that has shown no effect for so long has failed; the slowest take 16 s at an idle store.
+constexpr auto longestLoad = std::chrono::seconds(30);
+
 /// Instances that stay free in a fabric domain when a pool gets more groups than it had.
 constexpr auto sparesOfDomain = std::size_t{2};
 
@@ -138,6 +141,7 @@
 {
     auto pass = Pass{state, inputs, {}, 0};
     observe(state, inputs.now_);
+    noteLoads(pass);
     std::erase_if(brokenSince_,
                   [&](const auto &item) { return !state.groups_.contains(item.first); });
     for (const auto &[id, group] : state.groups_)
@@ -192,6 +196,8 @@
         if (isLoad && !mayLoad(pass, enginesOf(pool)))
             continue;
         orders_.send(upstream, order, pass.inputs_.now_);
+        if (isLoad)
+            loading_[order.upstream_] = Loading{pool.model_, pass.inputs_.now_};
     }
 }
 
@@ -401,11 +407,33 @@
             order.members_ = {{step.upstream_, upstream.announced_.address_}};
         if (!orders_.maySend(upstream, order, pass.inputs_.now_))
             continue;
-        if (!isLoad || mayLoad(pass, engines))
-            orders_.send(upstream, order, pass.inputs_.now_);
+        const auto isSecond = !upstream.announced_.loaded_.empty();
+        if (isLoad && (!hasRoomForSpare(pass, isSecond) || !mayLoad(pass, engines)))
+            continue;
+        orders_.send(upstream, order, pass.inputs_.now_);
+        if (isLoad)
+            loading_[step.upstream_] = Loading{step.model_, pass.inputs_.now_};
     }
 }
 
+auto GatePlanner::noteLoads(const Pass &pass) -> void
+{
+    std::erase_if(loading_, [&](const auto &item) {
+        const auto *upstream = findUpstream(pass.state_, item.first);
+        return upstream == nullptr || upstream->lost_
+            || hasWeights(upstream->announced_, item.second.model_)
+            || pass.inputs_.now_ - item.second.since_ >= longestLoad;
+    });
+}
+
+auto GatePlanner::hasRoomForSpare(const Pass &pass, bool isSecond) const -> bool
+{
+    if (!pass.state_.hasTraffic_)
+        return true;
+    const auto atOnce = std::size_t{pass.state_.declaration_.defaults_.loadsAtOnce_};
+    return loading_.size() < (isSecond ? atOnce / 2 : atOnce);
+}
+
 auto GatePlanner::mayLoad(const Pass &pass, const PoolName &engines) -> bool
 {
     if (!pass.state_.hasTraffic_)
@@ -425,6 +453,7 @@
 {
     orders_.reset();
     brokenSince_.clear();
+    loading_.clear();
 }
 
 } // namespace lycheereach
--- a/packages/groups/GatePlanner.h
+++ b/packages/groups/GatePlanner.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace lycheereach {
@@ -79,8 +80,21 @@
     auto planSpares(Pass &pass, const PoolName &engines, const std::vector<FreeInstance> &spares)
         -> void;
     auto mayLoad(const Pass &pass, const PoolName &engines) -> bool;
+    /// Whether the weight store has room for a load onto a spare, and for one that \a isSecond.
+    [[nodiscard]] auto hasRoomForSpare(const Pass &pass, bool isSecond) const -> bool;
+    /// Forgets loads that have ended.
+    auto noteLoads(const Pass &pass) -> void;
+
+    /// A load that was ordered.
+    struct Loading
+    {
+        std::string model_;
+        MonotonicTime since_;
+    };
 
     GateOrders orders_;
+    /// Engines that load weights.
+    std::map<UpstreamId, Loading> loading_;
     SparePlanner spares_;
     std::map<PoolName, LoadRate> loads_;
     /// The most groups that each pool has had.
--- a/tests/groups/GatePlannerTest.cpp
+++ b/tests/groups/GatePlannerTest.cpp
@@ -24,6 +24,8 @@
     std::vector<MemberOrder> orders_;
     /// Orders that made an engine load weights that neither its host nor its last group had.
     std::size_t loads_ = 0;
+    /// Whether engines accept loads and do not finish them.
+    bool keepsLoading_ = false;
     /// The model of each engine's last group.
     std::map<UpstreamId, std::string> lastModels_;
     /// Engines whose orders are lost.
@@ -95,7 +97,8 @@
                 engine.loaded_ = {order.model_};
             last = order.model_;
         } else if (order.kind_ == OrderKind::Load) {
-            engine.loaded_ = {order.model_};
+            if (!keepsLoading_)
+                engine.loaded_ = {order.model_};
         } else if (engine.group_ != order.group_) {
             return;
         } else if (order.kind_ == OrderKind::Leave) {
@@ -364,3 +367,27 @@
     CHECK(loads_ > 0);
     CHECK(loads_ <= 2 * 5 * 11 / 10 + 3);
 }
+
+/// Pattern: instances of broken groups take second models while groups wait for their weights; more
+/// loads at once than the store serves make each of them longer.
+TEST(GatePlanner, manySparesMayTakeASecondModel_plan_leavesHalfOfTheStoreToGroups)
+{
+    auto declaration = machine_.state().declaration_;
+    for (auto &pool : declaration.pools_)
+        pool.groups_ = 1;
+    declaration.defaults_.loadsAtOnce_ = 4;
+    declaration.profiles_.front().loadsPerSecond_ = 100;
+    CHECK(commit(PublishDeclaration{2, declaration, "{}"}).accepted_);
+    addEngines(5);
+    steps(30);
+    commit(NoteTraffic{});
+    for (auto i = 5; i < 15; ++i) {
+        addEngine("u" + std::to_string(i), "d");
+        engines_.at(UpstreamId("u" + std::to_string(i))).loaded_ = {"large"};
+        announce(engines_.at(UpstreamId("u" + std::to_string(i))));
+    }
+    keepsLoading_ = true;
+    const auto before = loads_;
+    steps(60);
+    LONGS_EQUAL(2, loads_ - before);
+}
