groups, serving: Give each type its own header; split the choice of spares

Behaviour stays as it is: what spares stand for is counted by a class of its own, the messages of evidence and the choice of a domain have their own headers.

--- a/packages/groups/Placement.h
+++ b/packages/groups/Placement.h
@@ -2,6 +2,7 @@
 /// \brief Which free instances make the next group.
 #pragma once
 
+#include "groups/DomainChoice.h"
 #include "groups/FreeInstance.h"
 #include "groups/PlacedGroup.h"
 
@@ -10,14 +11,6 @@
 
 namespace lycheereach {
 
-/// Which of the fabric domains that would do gets a group.
-enum class DomainChoice {
-    /// The one that keeps the most spares.
-    Widest,
-    /// The one that keeps the fewest, so that larger groups fit into the others.
-    Tightest,
-};
-
 /// The \a size instances of \a free that make the best group. All are in one fabric domain: one
 /// where the members have equal accelerators, hold the weights, and leave the most or the fewest
 /// spares by \a choice, in this order. When no domain has enough, those that may cross are joined
--- a/packages/groups/SparePlanner.cpp
+++ b/packages/groups/SparePlanner.cpp
@@ -16,19 +16,49 @@
 
 using DomainPool = std::pair<FabricDomain, PoolName>;
 
-/// Members that groups of each pool have in each fabric domain.
-auto membersByDomain(const FleetState &state) -> std::map<DomainPool, std::size_t>
+/// Which members the spares of each fabric domain stand for.
+class SpareCoverage
 {
-    auto members = std::map<DomainPool, std::size_t>{};
-    for (const auto &[id, group] : state.groups_) {
-        for (const auto &member : group.members_) {
-            const auto upstream = state.upstreams_.find(member);
-            if (upstream != state.upstreams_.end())
-                ++members[{upstream->second.announced_.fabricDomain_, group.pool_}];
+public:
+    explicit SpareCoverage(const FleetState &state)
+    {
+        for (const auto &[id, group] : state.groups_) {
+            for (const auto &member : group.members_) {
+                const auto upstream = state.upstreams_.find(member);
+                if (upstream != state.upstreams_.end())
+                    ++members_[{upstream->second.announced_.fabricDomain_, group.pool_}];
+            }
         }
     }
-    return members;
-}
+
+    /// One more spare of \a domain may join groups of \a pool.
+    auto add(const FabricDomain &domain, const Pool &pool) -> void
+    {
+        ++spares_[{domain, pool.name_}];
+    }
+
+    [[nodiscard]] auto hasMembers(const FabricDomain &domain, const Pool &pool) const -> bool
+    {
+        return members_.contains({domain, pool.name_});
+    }
+
+    /// The members that one more spare stands for, less for each spare that stands for them
+    /// already: the loss of one member is far more likely than that of several before the next
+    /// spare is ready.
+    [[nodiscard]] auto worth(const FabricDomain &domain, const Pool &pool) const -> double
+    {
+        const auto count = [&](const std::map<DomainPool, std::size_t> &counts) {
+            const auto found = counts.find({domain, pool.name_});
+            return found == counts.end() ? 0.0 : static_cast<double>(found->second);
+        };
+        const auto others = count(spares_) + 1;
+        return count(members_) / (others * others);
+    }
+
+private:
+    std::map<DomainPool, std::size_t> members_;
+    std::map<DomainPool, std::size_t> spares_;
+};
 
 auto poolsOf(const FleetState &state, const PoolName &engines) -> std::vector<const Pool *>
 {
@@ -91,17 +121,23 @@
         && found->second.isPreparing_ && now - found->second.preparingSince_ < preparationLimit;
 }
 
-auto SparePlanner::hasLastGroup(const Upstream &upstream) const -> bool
+auto SparePlanner::lastModel(const Upstream &upstream) const -> std::string
 {
-    return !isPrepared(upstream, "");
+    const auto &announced = upstream.announced_;
+    const auto found = known_.find(announced.upstream_);
+    const auto isKnown
+        = found != known_.end() && found->second.incarnation_ == announced.incarnation_;
+    return isKnown ? found->second.model_ : std::string();
 }
 
 auto SparePlanner::isPrepared(const Upstream &upstream, const std::string &model) const -> bool
 {
-    const auto &announced = upstream.announced_;
-    const auto found = known_.find(announced.upstream_);
-    return found != known_.end() && found->second.incarnation_ == announced.incarnation_
-        && found->second.model_ == model;
+    return !model.empty() && lastModel(upstream) == model;
+}
+
+auto SparePlanner::mayJoin(const Upstream &upstream, const Pool &pool) const -> bool
+{
+    return hasWeights(upstream.announced_, pool.model_) || isPrepared(upstream, pool.model_);
 }
 
 auto SparePlanner::plan(const FleetState &state, const PoolName &engines,
@@ -110,46 +146,37 @@
     -> std::vector<SpareStep>
 {
     const auto pools = poolsOf(state, engines);
-    const auto members = membersByDomain(state);
-    auto covered = std::map<DomainPool, std::size_t>{};
-    const auto mayJoin = [&](const FreeInstance &spare, const Pool &pool) {
-        const auto &upstream = state.upstreams_.at(spare.upstream_);
-        return hasWeights(upstream.announced_, pool.model_) || isPrepared(upstream, pool.model_);
-    };
+    auto coverage = SpareCoverage(state);
     for (const auto &spare : spares) {
-        for (const auto *pool : pools)
-            covered[{spare.domain_, pool->name_}] += mayJoin(spare, *pool) ? 1 : 0;
+        for (const auto *pool : pools) {
+            if (mayJoin(state.upstreams_.at(spare.upstream_), *pool))
+                coverage.add(spare.domain_, *pool);
+        }
     }
-    const auto servedIn = [&](const FabricDomain &domain, const Pool &pool) {
-        const auto found = members.find({domain, pool.name_});
-        return found == members.end() ? std::size_t{0} : found->second;
-    };
-    // The members that a spare stands for, less for each spare that stands for them already: the
-    // loss of one member is far more likely than that of several before the next spare is ready.
-    const auto worth = [&](const FabricDomain &domain, const Pool &pool) {
-        const auto others = static_cast<double>(covered[{domain, pool.name_}] + 1);
-        return static_cast<double>(servedIn(domain, pool)) / (others * others);
-    };
     auto steps = std::vector<SpareStep>{};
     for (const auto &spare : spares) {
         const auto &upstream = state.upstreams_.at(spare.upstream_);
         const auto *held = heldPool(pools, upstream.announced_);
-        if (held != nullptr && !hasLastGroup(upstream)) {
+        if (held != nullptr && lastModel(upstream).empty()) {
             steps.push_back({spare.upstream_, SpareStep::Kind::Prepare, held->model_});
             continue;
         }
         const auto isSecond = held != nullptr;
+        const auto hasBoth = isSecond && !isPrepared(upstream, held->model_);
+        if (hasBoth || (isSecond && !isAtRest(spare.domain_)))
+            continue;
         const Pool *best = nullptr;
         for (const auto *pool : pools) {
-            if (mayJoin(spare, *pool) || (isSecond && servedIn(spare.domain_, *pool) == 0))
+            const auto isNeeded = !isSecond || coverage.hasMembers(spare.domain_, *pool);
+            if (!isNeeded || mayJoin(upstream, *pool))
                 continue;
-            if (best == nullptr || worth(spare.domain_, *best) < worth(spare.domain_, *pool))
+            if (best == nullptr
+                || coverage.worth(spare.domain_, *best) < coverage.worth(spare.domain_, *pool))
                 best = pool;
         }
-        const auto hasBoth = isSecond && !isPrepared(upstream, held->model_);
-        if (best == nullptr || hasBoth || (isSecond && !isAtRest(spare.domain_)))
+        if (best == nullptr)
             continue;
-        ++covered[{spare.domain_, best->name_}];
+        coverage.add(spare.domain_, *best);
         steps.push_back({spare.upstream_, SpareStep::Kind::Load, best->model_});
     }
     return steps;
--- a/packages/groups/SparePlanner.h
+++ b/packages/groups/SparePlanner.h
@@ -55,8 +55,10 @@
         bool isPreparing_ = false;
     };
 
-    /// Whether \a upstream was ready in any group.
-    [[nodiscard]] auto hasLastGroup(const Upstream &upstream) const -> bool;
+    /// Whether \a upstream joins a group of \a pool without a load.
+    [[nodiscard]] auto mayJoin(const Upstream &upstream, const Pool &pool) const -> bool;
+    /// The model of the last group that \a upstream was ready in; empty when there is none.
+    [[nodiscard]] auto lastModel(const Upstream &upstream) const -> std::string;
 
     std::map<UpstreamId, Known> known_;
 };
--- a/packages/serving/ServingEvidence.cpp
+++ b/packages/serving/ServingEvidence.cpp
@@ -1,6 +1,8 @@
 #include "serving/ServingEvidence.h"
 
 #include "control/ControlService.h"
+#include "serving/ServingAnswer.h"
+#include "serving/ServingQuery.h"
 
 #include <algorithm>
 #include <mutex>
--- a/packages/serving/ServingEvidence.h
+++ b/packages/serving/ServingEvidence.h
@@ -6,9 +6,8 @@
 #include "base/JsonCodec.h"
 #include "base/RankedMutex.h"
 #include "base/Time.h"
+#include "serving/ServingEvidenceHooks.h"
 
-#include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,40 +16,6 @@
 
 class ControlService;
 
-/// Asks an entry when an upstream that requests are sent to last gave it a part of an answer.
-struct ServingQuery
-{
-    UpstreamId upstream_;
-
-    auto operator==(const ServingQuery &) const -> bool = default;
-    static constexpr auto fields()
-    {
-        return std::tuple{field("upstream", &ServingQuery::upstream_)};
-    }
-};
-
-/// An entry's answer to a ServingQuery.
-struct ServingAnswer
-{
-    UpstreamId upstream_;
-    /// How long ago the upstream last gave a part of an answer, in milliseconds.
-    std::int64_t ageMs_ = 0;
-
-    auto operator==(const ServingAnswer &) const -> bool = default;
-    static constexpr auto fields()
-    {
-        return std::tuple{field("upstream", &ServingAnswer::upstream_),
-                          field("ageMs", &ServingAnswer::ageMs_)};
-    }
-};
-
-/// What a ServingEvidence needs from its process.
-struct ServingEvidenceHooks
-{
-    std::function<void(const EntryId &to, const std::string &method, Json params)> send_;
-    MonotonicClock now_;
-};
-
 /// Whether entries still get answers of upstreams that control does not hear. An upstream may be
 /// cut off from control alone; a first member whose streams move shows that all members of its
 /// group live. Costs no message while control hears all upstreams. Thread-safe; guarded by one lock
--- a/tests/serving/EvidenceTest.cpp
+++ b/tests/serving/EvidenceTest.cpp
@@ -1,6 +1,8 @@
 #include "control/ControlFleet.h"
 #include "serving/MemberProbe.h"
+#include "serving/ServingAnswer.h"
 #include "serving/ServingEvidence.h"
+#include "serving/ServingQuery.h"
 
 #include <vector>
 
