--- a/packages/groups/GroupWatch.cpp
+++ b/packages/groups/GroupWatch.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// An upstream counts as unheard after this part of its silence timeout.
+constexpr auto unheardPart = 0.75;
+
 auto isNewer(const Announcement &left, const Announcement &right) -> bool
 {
     return std::pair(left.incarnation_, left.sequence_)
@@ -164,7 +167,8 @@
         const auto upstream = state.upstreams_.find(id);
         if (upstream == state.upstreams_.end() || upstream->second.lost_)
             continue;
-        if (2 * silenceOf(id, now) >= silenceTimeout(state, upstream->second.announced_))
+        const auto timeout = silenceTimeout(state, upstream->second.announced_);
+        if (silenceOf(id, now) >= unheardPart * timeout)
             ids.push_back(id);
     }
     return ids;
--- a/packages/groups/GroupWatch.h
+++ b/packages/groups/GroupWatch.h
@@ -41,7 +41,8 @@
     auto tick(const FleetState &state, MonotonicTime now,
               const std::function<bool(const GroupId &)> &isIdle) const -> std::vector<Command>;
 
-    /// Upstreams that this entry watches and has not heard for half of their silence timeout.
+    /// Upstreams that this entry watches and has not heard for three quarters of their silence
+    /// timeout.
     [[nodiscard]] auto unheard(const FleetState &state, MonotonicTime now) const
         -> std::vector<UpstreamId>;
 
--- a/packages/serving/LeaseholderHooks.h
+++ b/packages/serving/LeaseholderHooks.h
@@ -23,8 +23,8 @@
     std::function<void(const GroupId &, const std::string &fingerprint)> suspectLeft_;
     /// The loads of the groups held here, for this process itself.
     std::function<void(const LoadReport &)> loads_;
-    /// Whether an upstream that was not heard for half of its silence timeout is known to serve all
-    /// the same, so that it does not count as lost. Without the hook it does not.
+    /// Whether an upstream that was not heard for three quarters of its silence timeout is known to
+    /// serve all the same, so that it does not count as lost. Without the hook it does not.
     std::function<bool(const UpstreamId &)> servesUnheard_;
     EventSink event_;
     MonotonicClock now_;
--- a/packages/serving/ServingEvidence.cpp
+++ b/packages/serving/ServingEvidence.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /// The pause between two questions about one upstream.
-constexpr auto queryPause = std::chrono::milliseconds(400);
+constexpr auto queryPause = std::chrono::milliseconds(600);
 /// An upstream that gave a part of an answer counts as serving for so long; several questions fall
 /// into it, since messages may be lost.
 constexpr auto evidenceLifetime = std::chrono::milliseconds(1500);
