forward, platform: End a leaving entry only when its last answer had time to leave

Ruled out: the end of the grace period (2.6 s were left). Change: nothing may be in progress for 0.4 s before the process ends. The test of LeaveWatch names the pattern; the old loop had no part that a test could drive.

--- /dev/null
+++ b/tests/forward/LeaveWatchTest.cpp
@@ -0,0 +1,28 @@
+#include "forward/LeaveWatch.h"
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(LeaveWatch)
+{
+    MonotonicTime began_{100s};
+    LeaveWatch watch_{4s, MonotonicTime(100s)};
+};
+
+TEST(LeaveWatch, callersHoldTheAddress_mayEnd_waits)
+{
+    CHECK_FALSE(watch_.mayEnd(0, began_ + 3900ms));
+    CHECK(watch_.mayEnd(0, began_ + 4s));
+}
+
+/// Pattern: the process ends between the last event of a stream and its last byte on the wire.
+TEST(LeaveWatch, theLastAnswerWasJustHandedOver_mayEnd_waitsUntilItIsSent)
+{
+    CHECK_FALSE(watch_.mayEnd(1, began_ + 5300ms));
+    CHECK_FALSE(watch_.mayEnd(0, began_ + 5350ms));
+    CHECK(watch_.mayEnd(0, began_ + 5700ms));
+}
