--- a/packages/forward/ForwardSettings.h
+++ b/packages/forward/ForwardSettings.h
@@ -26,8 +26,9 @@
     /// Requests that may wait at an engine for a place when a new one comes; more would all begin
     /// late.
     std::uint32_t waitingAllowed_ = 3;
-    /// As waitingAllowed_, for a further attempt at a request, which is late anyway.
-    std::uint32_t waitingAllowedAgain_ = 10;
+    /// As waitingAllowed_, for a further attempt at a request: a stream that was cut rather waits
+    /// than ends. Engines queue as many.
+    std::uint32_t waitingAllowedAgain_ = 50;
     RetryLimits retries_;
 
     auto operator==(const ForwardSettings &) const -> bool = default;
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -1,5 +1,7 @@
 #include "forward/TargetTable.h"
 
+#include "forward/ForwardSettings.h"
+
 #include "state/FleetState.h"
 
 #include <chrono>
@@ -213,3 +215,15 @@
     table_.update(state_);
     CHECK(choose({UpstreamId("u2")}) == "u1");
 }
+
+/// Pattern: a group loses a member beside planned work while all others are busy.
+TEST(TargetTable, allEnginesHaveLongQueues_choose_findsAPlaceForACutStream)
+{
+    for (const auto *id : {"u1", "u2"}) {
+        const auto *other = id == std::string("u1") ? "u2" : "u1";
+        const auto target = table_.choose(pool_, {UpstreamId(other)}, 3, now_);
+        table_.report(*target, ReportedLoad{8, 40, 8}, now_);
+    }
+    const auto allowed = ForwardSettings().waitingAllowedAgain_;
+    CHECK(table_.choose(pool_, {UpstreamId("u1")}, allowed, now_) != std::nullopt);
+}
