--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -44,21 +44,17 @@
 auto MemberProbe::tick() -> void
 {
     const auto now = hooks_.now_();
-    auto due = std::vector<UpstreamId>{};
+    auto due = std::map<UpstreamId, MonotonicTime>{};
     {
         const auto lock = std::scoped_lock(mutex_);
-        for (const auto &[head, since] : suspected_) {
-            if (now - since >= evidenceWait)
-                due.push_back(head);
-        }
+        std::erase_if(suspected_, [&](const auto &item) {
+            const auto isDue = now - item.second >= evidenceWait;
+            if (isDue)
+                due.insert(item);
+            return isDue;
+        });
     }
-    for (const auto &head : due) {
-        auto since = MonotonicTime{};
-        {
-            const auto lock = std::scoped_lock(mutex_);
-            since = suspected_.at(head);
-            suspected_.erase(head);
-        }
+    for (const auto &[head, since] : due) {
         if (!servesStill(head, since))
             probeMembers(head);
     }
