--- a/packages/state/GroupCommands.cpp
+++ b/packages/state/GroupCommands.cpp
@@ -9,8 +9,12 @@
 
 auto emitGroup(const CommandContext &context, EventNumber number, const Group &group) -> void
 {
-    context.sink_(
-        Event{number, {{"group", group.id_.text()}, {"epoch", std::to_string(group.epoch_)}}});
+    context.sink_(Event{number,
+                        {{"group", group.id_.text()},
+                         {"epoch", std::to_string(group.epoch_)},
+                         {"pool", group.pool_.text()},
+                         {"upstream", group.members_.empty() ? "" : group.members_.front().text()},
+                         {"members", std::to_string(group.members_.size())}}});
 }
 
 /// Why \a member can't be in the group; empty when it can.
