groups: Hold both models on members and regroup without loads

Change: members of serving groups take the weights of the other model onto their hosts, all of them before the first request, when loads take a tenth of the time; after that with half of the weight store. Groups of the better covered pool are taken apart when that raises the worst coverage. A closing first member still takes part in its group: it was told to leave at once, which cut its streams. Processes that follow note too since when a group without its first member has been broken; a new leader waited another 5 s.

--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -4,9 +4,11 @@
 #include "groups/GatePlannerInputs.h"
 #include "groups/MemberAddress.h"
 #include "groups/Placement.h"
+#include "groups/Regrouping.h"
 #include "state/FleetState.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -28,6 +30,10 @@
 /// Instances that stay free in a fabric domain when a pool gets more groups than it had.
 constexpr auto sparesOfDomain = std::size_t{2};
 
+/// After groups were taken apart for another pool, others stay for so long: their members are to
+/// form the new group first.
+constexpr auto regroupPause = std::chrono::seconds(1);
+
 /// A fleet that has just started counts as complete when no engine has come for this part of the
 /// time between announcements.
 constexpr auto settlePart = 0.6;
@@ -65,13 +71,21 @@
     return members;
 }
 
+/// Whether \a upstream takes part in \a group, also while its gate closes.
+auto takesPart(const Group &group, const Upstream &upstream) -> bool
+{
+    const auto &announced = upstream.announced_;
+    const auto isClosing = announced.phase_ == MemberPhase::Closing && isMemberOf(announced, group);
+    return memberAgrees(group, upstream) || (isClosing && !upstream.lost_);
+}
+
 /// Whether a member is gone, or in a group that was complete no longer takes part.
 auto isIncomplete(const FleetState &state, const Group &group) -> bool
 {
     const auto isMissing = [&](const UpstreamId &id) {
         const auto *upstream = findUpstream(state, id);
         return upstream == nullptr || upstream->lost_
-            || (group.mayBeOpen_ && !memberAgrees(group, *upstream));
+            || (group.mayBeOpen_ && !takesPart(group, *upstream));
     };
     return std::any_of(group.members_.begin(), group.members_.end(), isMissing);
 }
@@ -102,6 +116,12 @@
         std::count_if(state.groups_.begin(), state.groups_.end(), counts));
 }
 
+/// The part of all work that \a pool is to carry.
+auto workOf(const Pool &pool) -> double
+{
+    return pool.share_ > 0 ? pool.share_ : 1.0;
+}
+
 /// A pool that may get one more group.
 struct Wanting
 {
@@ -112,9 +132,16 @@
     /// after one more group was formed.
     [[nodiscard]] auto need() const -> std::pair<bool, double>
     {
-        const auto share = pool_->share_ > 0 ? pool_->share_ : 1.0;
-        const auto size = static_cast<double>(pool_->instancesPerGroup_);
-        return {groups_ == 0, share / (size * static_cast<double>(groups_ + 1))};
+        return {groups_ == 0, loadWith(groups_ + 1)};
+    }
+    /// The expected work of one instance.
+    [[nodiscard]] auto load() const -> double { return loadWith(groups_); }
+
+private:
+    [[nodiscard]] auto loadWith(std::size_t groups) const -> double
+    {
+        const auto instances = static_cast<double>(pool_->instancesPerGroup_ * groups);
+        return groups == 0 ? std::numeric_limits<double>::max() : workOf(*pool_) / instances;
     }
 };
 
@@ -122,7 +149,7 @@
 {
     auto pools = std::vector<Wanting>{};
     for (const auto &pool : state.declaration_.pools_)
-        pools.push_back({&pool, groupsOf(state, pool.name_)});
+        pools.push_back(Wanting{&pool, groupsOf(state, pool.name_)});
     return pools;
 }
 
@@ -134,16 +161,25 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+/// Whether \a pool has less capacity for its work than any other pool of its engines even with one
+/// more group.
+auto staysWorstCovered(const FleetState &state, const Wanting &pool) -> bool
+{
+    const auto pools = wantingPools(state);
+    return std::all_of(pools.begin(), pools.end(), [&](const Wanting &other) {
+        return other.pool_ == pool.pool_ || enginesOf(*other.pool_) != enginesOf(*pool.pool_)
+            || pool.need().second >= other.load();
+    });
+}
+
 } // namespace
 
 auto GatePlanner::plan(const FleetState &state, const GatePlannerInputs &inputs)
     -> std::vector<PlannerAction>
 {
-    auto pass = Pass{state, inputs, {}, 0};
+    auto pass = Pass{.state_ = state, .inputs_ = inputs};
     observe(state, inputs.now_);
     noteLoads(pass);
-    std::erase_if(brokenSince_,
-                  [&](const auto &item) { return !state.groups_.contains(item.first); });
     for (const auto &[id, group] : state.groups_)
         planGroup(pass, group);
     planStrays(pass);
@@ -236,7 +272,7 @@
     }
 }
 
-auto GatePlanner::isGateClosed(const Pass &pass, const Group &group) -> bool
+auto GatePlanner::isGateClosed(const Pass &pass, const Group &group) const -> bool
 {
     const auto &state = pass.state_;
     const auto *head = findUpstream(state, group.members_.front());
@@ -250,21 +286,15 @@
     if (pass.inputs_.hasEnded_ && pass.inputs_.hasEnded_(*head))
         return true;
     // A lost first member may still take requests until its group has broken.
-    const auto hasLeft = [&](const UpstreamId &id) {
-        const auto *member = findUpstream(state, id);
-        return member != nullptr && !member->lost_ && !isMemberOf(member->announced_, group);
-    };
-    if (!std::any_of(group.members_.begin(), group.members_.end(), hasLeft)) {
-        brokenSince_.erase(group.id_);
+    const auto broken = brokenSince_.find(group.id_);
+    if (broken == brokenSince_.end())
         return false;
-    }
-    const auto since = brokenSince_.try_emplace(group.id_, pass.inputs_.now_).first->second;
     const auto *pool = findPool(state.declaration_, group.pool_);
     const auto *profile
         = pool == nullptr ? nullptr : findProfile(state.declaration_, enginesOf(*pool));
     const auto stall = std::chrono::milliseconds(profile == nullptr ? UpstreamProfile{}.stallMs_
                                                                     : profile->stallMs_);
-    return pass.inputs_.now_ - since >= stall + stallMargin;
+    return pass.inputs_.now_ - broken->second >= stall + stallMargin;
 }
 
 auto GatePlanner::planStrays(Pass &pass) -> void
@@ -276,10 +306,13 @@
         const auto membership = pass.state_.groupOf_.find(id);
         const auto belongs = membership != pass.state_.groupOf_.end()
             && isMemberOf(announced, pass.state_.groups_.at(membership->second));
-        if (!belongs && !spares_.isPreparing(upstream, pass.inputs_.now_))
-            orders_.send(upstream,
-                         orderFor(upstream, OrderKind::Leave, announced.group_, announced.epoch_),
-                         pass.inputs_.now_);
+        if (belongs || spares_.isPreparing(upstream, pass.inputs_.now_))
+            continue;
+        orders_.send(upstream,
+                     orderFor(upstream, OrderKind::Leave, announced.group_, announced.epoch_),
+                     pass.inputs_.now_);
+        if (!isAtRest(pass, announced.fabricDomain_))
+            pass.unsettled_.insert(announced.fabricDomain_);
     }
 }
 
@@ -298,6 +331,7 @@
 auto GatePlanner::observe(const FleetState &state, MonotonicTime now) -> void
 {
     spares_.observe(state, now);
+    noteBroken(state, now);
     for (const auto &[id, group] : state.groups_) {
         if (group.phase_ == GroupPhase::Serving)
             continue;
@@ -308,6 +342,26 @@
     }
 }
 
+auto GatePlanner::noteBroken(const FleetState &state, MonotonicTime now) -> void
+{
+    std::erase_if(brokenSince_,
+                  [&](const auto &item) { return !state.groups_.contains(item.first); });
+    for (const auto &[id, group] : state.groups_) {
+        const auto *head = findUpstream(state, group.members_.front());
+        const auto hasLeft = [&](const UpstreamId &member) {
+            const auto *upstream = findUpstream(state, member);
+            return upstream != nullptr && !upstream->lost_
+                && !isMemberOf(upstream->announced_, group);
+        };
+        const auto isBroken = head != nullptr && head->lost_
+            && std::any_of(group.members_.begin(), group.members_.end(), hasLeft);
+        if (isBroken)
+            brokenSince_.try_emplace(id, now);
+        else
+            brokenSince_.erase(id);
+    }
+}
+
 auto GatePlanner::isAtRest(const Pass &pass, const FabricDomain &domain) const -> bool
 {
     const auto changed = changedAt_.find(domain);
@@ -318,7 +372,9 @@
     -> std::vector<FreeInstance>
 {
     auto free = freeInstances(pass.state_, pool);
-    std::erase_if(free, [&](const FreeInstance &item) { return used.contains(item.upstream_); });
+    std::erase_if(free, [&](const FreeInstance &item) {
+        return used.contains(item.upstream_) || pass.unsettled_.contains(item.domain_);
+    });
     for (auto &item : free) {
         const auto &upstream = *findUpstream(pass.state_, item.upstream_);
         item.hasWeights_ = item.hasWeights_ || spares_.isPrepared(upstream, pool.model_);
@@ -363,7 +419,8 @@
         const auto isFull = pool.groups_ != 0 && next->groups_ >= pool.groups_;
         auto &most = mostGroups_[pool.name_];
         most = std::max(most, next->groups_);
-        const auto isExtra = state.hasTraffic_ && next->groups_ >= most;
+        const auto isExtra
+            = state.hasTraffic_ && next->groups_ >= most && !staysWorstCovered(state, *next);
         const auto free = isExtra ? spareInstances(pass, pool, used) : usable(pass, pool, used);
         const auto choice = state.hasTraffic_ ? DomainChoice::Widest : DomainChoice::Tightest;
         const auto placed
@@ -384,8 +441,67 @@
         return;
     auto planned = std::set<PoolName>{};
     for (const auto &pool : state.declaration_.pools_) {
-        if (planned.insert(enginesOf(pool)).second)
-            planSpares(pass, enginesOf(pool), unused(pass, pool, used));
+        if (!planned.insert(enginesOf(pool)).second)
+            continue;
+        planRegrouping(pass, enginesOf(pool));
+        planSpares(pass, enginesOf(pool), unused(pass, pool, used));
+    }
+}
+
+auto GatePlanner::regroupCandidates(const Pass &pass, const std::vector<const Pool *> &pools) const
+    -> std::vector<RegroupCandidate>
+{
+    const auto &state = pass.state_;
+    auto candidates = std::vector<RegroupCandidate>{};
+    for (const auto &[id, upstream] : state.upstreams_) {
+        const auto &announced = upstream.announced_;
+        const auto isEngine = announced.kind_ == UpstreamKind::Engine
+            && announced.pool_ == enginesOf(*pools.front());
+        if (!isEngine || !mayTakeWork(upstream) || isZoneOut(state, announced.zone_)
+            || !isAtRest(pass, announced.fabricDomain_))
+            continue;
+        auto candidate = RegroupCandidate{.domain_ = announced.fabricDomain_};
+        const auto membership = state.groupOf_.find(id);
+        if (membership != state.groupOf_.end()) {
+            candidate.group_ = membership->second;
+            candidate.pool_ = state.groups_.at(membership->second).pool_;
+        } else if (!announced.group_.empty()) {
+            continue;
+        }
+        for (const auto *pool : pools) {
+            const auto fits
+                = hasWeights(announced, pool->model_) || spares_.isPrepared(upstream, pool->model_);
+            if (fits && mayBeIn(*pool, announced.zone_))
+                candidate.fits_.insert(pool->name_);
+        }
+        candidates.push_back(std::move(candidate));
+    }
+    return candidates;
+}
+
+auto GatePlanner::planRegrouping(Pass &pass, const PoolName &engines) -> void
+{
+    const auto &state = pass.state_;
+    const auto now = pass.inputs_.now_;
+    const auto isUnderWay = [&](const GroupId &id) { return state.groups_.contains(id); };
+    if (std::any_of(takenApart_.begin(), takenApart_.end(), isUnderWay))
+        regroupAfter_ = now + regroupPause;
+    if (!state.hasTraffic_ || now < regroupAfter_)
+        return;
+    takenApart_.clear();
+    auto pools = std::vector<const Pool *>{};
+    auto supplies = std::vector<PoolSupply>{};
+    for (const auto &pool : state.declaration_.pools_) {
+        if (enginesOf(pool) != engines)
+            continue;
+        pools.push_back(&pool);
+        supplies.push_back(
+            {pool.name_, pool.instancesPerGroup_, groupsOf(state, pool.name_), workOf(pool)});
+    }
+    for (const auto &id : groupsToTakeApart(supplies, regroupCandidates(pass, pools))) {
+        takenApart_.insert(id);
+        pass.actions_.emplace_back(
+            Command(SetGroupPhase{id, state.groups_.at(id).epoch_, GroupPhase::Draining}));
     }
 }
 
@@ -395,7 +511,10 @@
     const auto mayRestage = [&](const FabricDomain &domain) {
         return !pass.state_.hasTraffic_ || isAtRest(pass, domain);
     };
-    for (const auto &step : spares_.plan(pass.state_, engines, spares, mayRestage)) {
+    auto steps = spares_.plan(pass.state_, engines, spares, mayRestage);
+    const auto ofMembers = spares_.planMembers(pass.state_, engines);
+    steps.insert(steps.end(), ofMembers.begin(), ofMembers.end());
+    for (const auto &step : steps) {
         const auto &upstream = *findUpstream(pass.state_, step.upstream_);
         const auto isLoad = step.kind_ == SpareStep::Kind::Load;
         auto order = isLoad
@@ -407,7 +526,8 @@
             order.members_ = {{step.upstream_, upstream.announced_.address_}};
         if (!orders_.maySend(upstream, order, pass.inputs_.now_))
             continue;
-        const auto isSecond = !upstream.announced_.loaded_.empty();
+        const auto isMember = pass.state_.groupOf_.contains(step.upstream_);
+        const auto isSecond = isMember || !upstream.announced_.loaded_.empty();
         if (isLoad && (!hasRoomForSpare(pass, isSecond) || !mayLoad(pass, engines)))
             continue;
         orders_.send(upstream, order, pass.inputs_.now_);
@@ -452,7 +572,6 @@
 auto GatePlanner::reset() -> void
 {
     orders_.reset();
-    brokenSince_.clear();
     loading_.clear();
 }
 
--- a/packages/groups/GatePlanner.h
+++ b/packages/groups/GatePlanner.h
@@ -21,6 +21,7 @@
 struct GatePlannerInputs;
 struct Group;
 struct Pool;
+struct RegroupCandidate;
 struct Upstream;
 
 /// Plans the groups of engines that keep the gate of their group themselves: the first member takes
@@ -52,13 +53,15 @@
         const GatePlannerInputs &inputs_;
         std::vector<PlannerAction> actions_;
         std::size_t formed_ = 0;
+        /// Domains where a group has just ended whose members are not all free yet.
+        std::set<FabricDomain> unsettled_;
     };
 
     auto planGroup(Pass &pass, const Group &group) -> void;
     auto planJoins(Pass &pass, const Group &group, const Pool &pool) -> void;
     auto planOpening(Pass &pass, const Group &group) -> void;
     auto planEnd(Pass &pass, const Group &group) -> void;
-    auto isGateClosed(const Pass &pass, const Group &group) -> bool;
+    [[nodiscard]] auto isGateClosed(const Pass &pass, const Group &group) const -> bool;
     /// Whether all engines of a fleet that has just started have probably announced themselves.
     auto hasSettled(const Pass &pass) -> bool;
     auto planNewGroups(Pass &pass) -> void;
@@ -77,6 +80,14 @@
     /// Whether no group of \a domain has begun or ended for a while.
     [[nodiscard]] auto isAtRest(const Pass &pass, const FabricDomain &domain) const -> bool;
     auto planStrays(Pass &pass) -> void;
+    /// Ends groups of a pool with enough of them for one that has too few.
+    auto planRegrouping(Pass &pass, const PoolName &engines) -> void;
+    /// The instances that may be regrouped, free and in groups.
+    [[nodiscard]] auto regroupCandidates(const Pass &pass,
+                                         const std::vector<const Pool *> &pools) const
+        -> std::vector<RegroupCandidate>;
+    /// Takes in that members of a group whose first member is lost are out of it.
+    auto noteBroken(const FleetState &state, MonotonicTime now) -> void;
     auto planSpares(Pass &pass, const PoolName &engines, const std::vector<FreeInstance> &spares)
         -> void;
     auto mayLoad(const Pass &pass, const PoolName &engines) -> bool;
@@ -104,6 +115,9 @@
     /// How many engines were known, and since when.
     std::size_t known_ = 0;
     MonotonicTime knownSince_;
+    /// Groups that are taken apart for another pool, and until when others are left alone.
+    std::set<GroupId> takenApart_;
+    MonotonicTime regroupAfter_;
     /// Since when a member of a group whose first member is lost has been out of it.
     std::map<GroupId, MonotonicTime> brokenSince_;
 };
--- a/packages/groups/SparePlanner.cpp
+++ b/packages/groups/SparePlanner.cpp
@@ -182,4 +182,44 @@
     return steps;
 }
 
+auto SparePlanner::planMembers(const FleetState &state, const PoolName &engines) const
+    -> std::vector<SpareStep>
+{
+    const auto pools = poolsOf(state, engines);
+    auto coverage = SpareCoverage(state);
+    auto steps = std::vector<SpareStep>{};
+    for (const auto &[id, group] : state.groups_) {
+        if (group.phase_ != GroupPhase::Serving)
+            continue;
+        for (const auto &member : group.members_) {
+            const auto upstream = state.upstreams_.find(member);
+            if (upstream == state.upstreams_.end() || !mayTakeWork(upstream->second))
+                continue;
+            const auto &announced = upstream->second.announced_;
+            const auto isOther = [&](const Pool *pool) {
+                return pool->name_ != group.pool_ && mayBeIn(*pool, group.zone_);
+            };
+            const auto holdsOther = [&](const Pool *pool) {
+                return isOther(pool) && hasWeights(announced, pool->model_);
+            };
+            if (enginesOf(*findPool(state.declaration_, group.pool_)) != engines
+                || std::any_of(pools.begin(), pools.end(), holdsOther))
+                continue;
+            const auto &domain = announced.fabricDomain_;
+            const Pool *best = nullptr;
+            for (const auto *pool : pools) {
+                const auto isBetter = best == nullptr
+                    || coverage.worth(domain, *best) < coverage.worth(domain, *pool);
+                if (isOther(pool) && isBetter)
+                    best = pool;
+            }
+            if (best == nullptr)
+                continue;
+            coverage.add(domain, *best);
+            steps.push_back({member, SpareStep::Kind::Load, best->model_});
+        }
+    }
+    return steps;
+}
+
 } // namespace lycheereach
--- a/packages/groups/SparePlanner.h
+++ b/packages/groups/SparePlanner.h
@@ -35,6 +35,11 @@
               const std::vector<FreeInstance> &spares,
               const std::function<bool(const FabricDomain &)> &isAtRest) const
         -> std::vector<SpareStep>;
+    /// Loads of the weights of another model onto the hosts of members of serving groups of
+    /// \a engines. A member joins a group of the model that it serves without its host's weights,
+    /// so after the loss of another member it may go on with either model.
+    auto planMembers(const FleetState &state, const PoolName &engines) const
+        -> std::vector<SpareStep>;
     /// Whether the last group that \a upstream was ready in served \a model.
     [[nodiscard]] auto isPrepared(const Upstream &upstream, const std::string &model) const -> bool;
     /// Whether \a upstream is on its way into a standby group and is to be left there.
--- a/tests/groups/SparePlannerTest.cpp
+++ b/tests/groups/SparePlannerTest.cpp
@@ -181,3 +181,30 @@
     steps();
     CHECK_FALSE(planner_.isPreparing(state_.upstreams_.at(spare), now_));
 }
+
+TEST(SparePlanner, membersHoldOnlyTheirModel_planMembers_loadsTheOtherOntoEach)
+{
+    planner_.observe(state_, now_);
+    const auto steps = planner_.planMembers(state_, PoolName("e"));
+    LONGS_EQUAL(9, steps.size());
+    for (const auto &step : steps) {
+        const auto isLarge = announced(step.upstream_).group_ == GroupId("large");
+        CHECK(step.kind_ == SpareStep::Kind::Load);
+        STRCMP_EQUAL(isLarge ? "small" : "large", step.model_.c_str());
+    }
+}
+
+TEST(SparePlanner, membersHoldTheOtherModel_planMembers_loadsNothing)
+{
+    for (auto &[id, upstream] : state_.upstreams_) {
+        auto &announced = upstream.announced_;
+        announced.loaded_ = {announced.group_ == GroupId("large") ? "small" : "large"};
+    }
+    CHECK(planner_.planMembers(state_, PoolName("e")).empty());
+}
+
+TEST(SparePlanner, aGroupIsNotServing_planMembers_leavesItsMembersAlone)
+{
+    state_.groups_.at(GroupId("large")).phase_ = GroupPhase::Forming;
+    LONGS_EQUAL(3, planner_.planMembers(state_, PoolName("e")).size());
+}
