groups: Prefer prepared members and form no group that waits for a load

A group with one member that loads held its other members for 16 s; a free instance now loads as a spare, first where that completes a group of its domain. Members whose last group was of the pool go first, since the others' hosts lose a second model. Some members keep the weights of their own model, for a restart of a whole domain. A pool that is far better covered than another leaves it the instances that both could use.

--- a/packages/groups/FreeInstances.cpp
+++ b/packages/groups/FreeInstances.cpp
@@ -40,7 +40,7 @@
             continue;
         const auto policy = policyFor(state.declaration_, announced.zone_, pool.name_, id);
         free.push_back({id, announced.zone_, announced.fabricDomain_, announced.accelerators_,
-                        hasWeights(announced, pool.model_), policy.acrossDomains_});
+                        hasWeights(announced, pool.model_), false, policy.acrossDomains_});
     }
     return free;
 }
--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -34,6 +34,10 @@
 /// form the new group first.
 constexpr auto regroupPause = std::chrono::seconds(1);
 
+/// A pool gets no group back from instances that another one lacks when that has more work for each
+/// of its instances by this factor.
+constexpr auto considerable = 1.3;
+
 /// A fleet that has just started counts as complete when no engine has come for this part of the
 /// time between announcements.
 constexpr auto settlePart = 0.6;
@@ -161,14 +165,15 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
-/// Whether \a pool has less capacity for its work than any other pool of its engines even with one
-/// more group.
-auto staysWorstCovered(const FleetState &state, const Wanting &pool) -> bool
+/// Whether \a pool has more capacity for its work after one more group than another pool of its
+/// engines has now; where the pool \a hadAsMany groups before, considerably more.
+auto isBetterCovered(const FleetState &state, const Wanting &pool, bool hadAsMany) -> bool
 {
     const auto pools = wantingPools(state);
-    return std::all_of(pools.begin(), pools.end(), [&](const Wanting &other) {
-        return other.pool_ == pool.pool_ || enginesOf(*other.pool_) != enginesOf(*pool.pool_)
-            || pool.need().second >= other.load();
+    const auto limit = hadAsMany ? considerable * pool.need().second : pool.need().second;
+    return std::any_of(pools.begin(), pools.end(), [&](const Wanting &other) {
+        return other.pool_ != pool.pool_ && enginesOf(*other.pool_) == enginesOf(*pool.pool_)
+            && other.load() > limit;
     });
 }
 
@@ -377,7 +382,8 @@
     });
     for (auto &item : free) {
         const auto &upstream = *findUpstream(pass.state_, item.upstream_);
-        item.hasWeights_ = item.hasWeights_ || spares_.isPrepared(upstream, pool.model_);
+        item.isPrepared_ = spares_.isPrepared(upstream, pool.model_);
+        item.hasWeights_ = item.hasWeights_ || item.isPrepared_;
     }
     return free;
 }
@@ -386,9 +392,9 @@
     -> std::vector<FreeInstance>
 {
     auto free = unused(pass, pool, used);
+    // A member that loads holds the others up; as a spare it loads while they serve elsewhere.
     std::erase_if(free, [&](const FreeInstance &item) {
-        const auto mayLoad = !pass.state_.hasTraffic_ || isAtRest(pass, item.domain_);
-        return !item.hasWeights_ && !mayLoad;
+        return !item.hasWeights_ && pass.state_.hasTraffic_;
     });
     return free;
 }
@@ -419,8 +425,8 @@
         const auto isFull = pool.groups_ != 0 && next->groups_ >= pool.groups_;
         auto &most = mostGroups_[pool.name_];
         most = std::max(most, next->groups_);
-        const auto isExtra
-            = state.hasTraffic_ && next->groups_ >= most && !staysWorstCovered(state, *next);
+        const auto isExtra = state.hasTraffic_ && next->groups_ != 0
+            && isBetterCovered(state, *next, next->groups_ < most);
         const auto free = isExtra ? spareInstances(pass, pool, used) : usable(pass, pool, used);
         const auto choice = state.hasTraffic_ ? DomainChoice::Widest : DomainChoice::Tightest;
         const auto placed
--- a/packages/groups/Placement.cpp
+++ b/packages/groups/Placement.cpp
@@ -18,6 +18,7 @@
     /// Accelerators that members have beyond the smallest member.
     std::uint32_t unused_ = 0;
     std::size_t withoutWeights_ = 0;
+    std::size_t unprepared_ = 0;
     /// Counted down from the greatest number where more spares are to cost less.
     std::size_t spares_ = 0;
 
@@ -26,8 +27,9 @@
 
 auto byFit(const FreeInstance *left, const FreeInstance *right) -> bool
 {
-    return std::tuple(right->accelerators_, !left->hasWeights_, left->upstream_)
-        < std::tuple(left->accelerators_, !right->hasWeights_, right->upstream_);
+    return std::tuple(right->accelerators_, !left->hasWeights_, !left->isPrepared_, left->upstream_)
+        < std::tuple(left->accelerators_, !right->hasWeights_, !right->isPrepared_,
+                     right->upstream_);
 }
 
 auto costOf(const Instances &sorted, std::size_t first, std::size_t size, DomainChoice choice)
@@ -38,6 +40,7 @@
     for (auto index = first; index < first + size; ++index) {
         cost.unused_ += sorted[index]->accelerators_ - smallest;
         cost.withoutWeights_ += sorted[index]->hasWeights_ ? 0 : 1;
+        cost.unprepared_ += sorted[index]->isPrepared_ ? 0 : 1;
     }
     const auto spares = sorted.size() - size;
     const auto isTight = choice == DomainChoice::Tightest;
--- a/packages/groups/SparePlanner.cpp
+++ b/packages/groups/SparePlanner.cpp
@@ -4,6 +4,7 @@
 #include "state/FleetState.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lycheereach {
@@ -37,6 +38,14 @@
         ++spares_[{domain, pool.name_}];
     }
 
+    /// How many more spares of \a domain a group of \a pool takes; 0 when there are enough.
+    [[nodiscard]] auto missing(const FabricDomain &domain, const Pool &pool) const -> std::size_t
+    {
+        const auto found = spares_.find({domain, pool.name_});
+        const auto held = found == spares_.end() ? 0 : found->second;
+        return std::max<std::size_t>(held, pool.instancesPerGroup_) - held;
+    }
+
     [[nodiscard]] auto hasMembers(const FabricDomain &domain, const Pool &pool) const -> bool
     {
         return members_.contains({domain, pool.name_});
@@ -79,6 +88,52 @@
     return found == pools.end() ? nullptr : *found;
 }
 
+/// How many members of a group of \a own are to hold the weights of \a other: what its groups can
+/// take of the members that the loss of one leaves. The rest keep the weights of their own model,
+/// with which they join again after a restart.
+auto secondHolders(const Pool &own, const Pool &other) -> std::size_t
+{
+    const auto size = std::size_t{own.instancesPerGroup_};
+    const auto otherSize = std::max<std::size_t>(other.instancesPerGroup_, 1);
+    return size <= otherSize ? size : (size - 1) / otherSize * otherSize;
+}
+
+/// Adds the loads onto the members of \a group, which is of \a own, to \a steps.
+auto planMembersOf(const FleetState &state, const Group &group, const Pool &own,
+                   const std::vector<const Pool *> &pools, SpareCoverage &coverage,
+                   std::vector<SpareStep> &steps) -> void
+{
+    auto holders = std::map<PoolName, std::size_t>{};
+    for (const auto &member : group.members_) {
+        const auto upstream = state.upstreams_.find(member);
+        if (upstream == state.upstreams_.end() || !mayTakeWork(upstream->second))
+            return;
+        for (const auto *pool : pools)
+            holders[pool->name_] += hasWeights(upstream->second.announced_, pool->model_) ? 1 : 0;
+    }
+    for (const auto &member : group.members_) {
+        const auto &announced = state.upstreams_.at(member).announced_;
+        const auto holdsOther = std::any_of(pools.begin(), pools.end(), [&](const Pool *pool) {
+            return pool != &own && hasWeights(announced, pool->model_);
+        });
+        const auto &domain = announced.fabricDomain_;
+        const Pool *best = nullptr;
+        for (const auto *pool : pools) {
+            const auto isWanted = pool != &own && mayBeIn(*pool, group.zone_)
+                && holders[pool->name_] < secondHolders(own, *pool);
+            const auto isBetter = best == nullptr
+                || coverage.worth(domain, *best) < coverage.worth(domain, *pool);
+            if (isWanted && isBetter)
+                best = pool;
+        }
+        if (holdsOther || best == nullptr)
+            continue;
+        ++holders[best->name_];
+        coverage.add(domain, *best);
+        steps.push_back({member, SpareStep::Kind::Load, best->model_});
+    }
+}
+
 } // namespace
 
 auto SparePlanner::standbyGroup(const UpstreamId &upstream) -> GroupId
@@ -153,6 +208,18 @@
                 coverage.add(spare.domain_, *pool);
         }
     }
+    auto empty = std::map<FabricDomain, std::size_t>{};
+    for (const auto &spare : spares) {
+        const auto &upstream = state.upstreams_.at(spare.upstream_);
+        empty[spare.domain_] += heldPool(pools, upstream.announced_) == nullptr ? 1 : 0;
+    }
+    // A load that lets the spares of a domain form a group goes before one that only stands by.
+    const auto rank = [&](const FreeInstance &spare, const Pool &pool) {
+        const auto missing = coverage.missing(spare.domain_, pool);
+        const auto mayForm = state.hasTraffic_ && pool.groups_ == 0;
+        const auto completes = mayForm && missing != 0 && missing <= empty[spare.domain_];
+        return std::tuple(completes, coverage.worth(spare.domain_, pool));
+    };
     auto steps = std::vector<SpareStep>{};
     for (const auto &spare : spares) {
         const auto &upstream = state.upstreams_.at(spare.upstream_);
@@ -170,8 +237,7 @@
             const auto isNeeded = !isSecond || coverage.hasMembers(spare.domain_, *pool);
             if (!isNeeded || mayJoin(upstream, *pool))
                 continue;
-            if (best == nullptr
-                || coverage.worth(spare.domain_, *best) < coverage.worth(spare.domain_, *pool))
+            if (best == nullptr || rank(spare, *best) < rank(spare, *pool))
                 best = pool;
         }
         if (best == nullptr)
@@ -189,35 +255,9 @@
     auto coverage = SpareCoverage(state);
     auto steps = std::vector<SpareStep>{};
     for (const auto &[id, group] : state.groups_) {
-        if (group.phase_ != GroupPhase::Serving)
-            continue;
-        for (const auto &member : group.members_) {
-            const auto upstream = state.upstreams_.find(member);
-            if (upstream == state.upstreams_.end() || !mayTakeWork(upstream->second))
-                continue;
-            const auto &announced = upstream->second.announced_;
-            const auto isOther = [&](const Pool *pool) {
-                return pool->name_ != group.pool_ && mayBeIn(*pool, group.zone_);
-            };
-            const auto holdsOther = [&](const Pool *pool) {
-                return isOther(pool) && hasWeights(announced, pool->model_);
-            };
-            if (enginesOf(*findPool(state.declaration_, group.pool_)) != engines
-                || std::any_of(pools.begin(), pools.end(), holdsOther))
-                continue;
-            const auto &domain = announced.fabricDomain_;
-            const Pool *best = nullptr;
-            for (const auto *pool : pools) {
-                const auto isBetter = best == nullptr
-                    || coverage.worth(domain, *best) < coverage.worth(domain, *pool);
-                if (isOther(pool) && isBetter)
-                    best = pool;
-            }
-            if (best == nullptr)
-                continue;
-            coverage.add(domain, *best);
-            steps.push_back({member, SpareStep::Kind::Load, best->model_});
-        }
+        const auto *own = findPool(state.declaration_, group.pool_);
+        if (group.phase_ == GroupPhase::Serving && own != nullptr && enginesOf(*own) == engines)
+            planMembersOf(state, group, *own, pools, coverage, steps);
     }
     return steps;
 }
--- a/packages/groups/SparePlanner.h
+++ b/packages/groups/SparePlanner.h
@@ -37,7 +37,8 @@
         -> std::vector<SpareStep>;
     /// Loads of the weights of another model onto the hosts of members of serving groups of
     /// \a engines. A member joins a group of the model that it serves without its host's weights,
-    /// so after the loss of another member it may go on with either model.
+    /// so after the loss of another member it may go on with either model. As many members take
+    /// other weights as groups of the other model may need.
     auto planMembers(const FleetState &state, const PoolName &engines) const
         -> std::vector<SpareStep>;
     /// Whether the last group that \a upstream was ready in served \a model.
