groups, forward, control: Let groups follow the work that callers ask

Change: entries reckon the time of a full group that each request takes from the declared times of the engines, the tokens of its prompt and its expected answer, and average that by pool. The average goes with the renewals of the state leases, relays add theirs up, and the planner weighs pools by it instead of by their shares. Groups are taken apart when the worst coverage gains 15 in 100 (5 before), above the noise of the average.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -135,9 +135,37 @@
                            .applied_ = machine_.state().applied_};
     if (relaying_)
         renewal.holders_ = heardLately(now);
+    for (const auto &[pool, groups] : demandHere(now))
+        renewal.demand_.push_back({pool, groups});
     hooks_.send_(to, "control.renew", encode(renewal));
 }
 
+auto ControlService::setDemand(std::vector<PoolDemand> demand) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    ownDemand_ = std::move(demand);
+}
+
+auto ControlService::demand() const -> std::map<PoolName, double>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return demandHere(hooks_.now_());
+}
+
+auto ControlService::demandHere(MonotonicTime now) const -> std::map<PoolName, double>
+{
+    auto sum = std::map<PoolName, double>{};
+    for (const auto &item : ownDemand_)
+        sum[item.pool_] += item.groups_;
+    for (const auto &[entry, heard] : heardDemand_) {
+        if (now - heard.at_ >= heardRenewals * settings_.renewEvery_)
+            continue;
+        for (const auto &item : heard.demand_)
+            sum[item.pool_] += item.groups_;
+    }
+    return sum;
+}
+
 auto ControlService::heardLately(MonotonicTime now) const -> std::vector<EntryId>
 {
     auto heard = std::vector<EntryId>{};
@@ -162,6 +190,7 @@
     hooks_.setPeer_(from, renewal.entry_.peerAddress_);
     if (replica_ == nullptr)
         return;
+    heardDemand_[renewal.entry_.id_] = HeardDemand{renewal.demand_, now};
     auto grant = LeaseGrant{.number_ = renewal.number_, .leader_ = leader_};
     if (renewal.entry_.control_ && isLeaderNow(now))
         grant = grantAsLeader(renewal, now);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -9,6 +9,7 @@
 #include "control/ControlStatus.h"
 #include "leases/LeaseGrantor.h"
 #include "leases/StateLease.h"
+#include "state/PoolDemand.h"
 #include "state/StateMachine.h"
 
 #include <map>
@@ -63,6 +64,10 @@
     /// done hears when the change is committed, or that its outcome is not known.
     auto changeVoters(const std::optional<EntryId> &add, const std::optional<EntryId> &remove,
                       ProposalCallback done) -> Result<Nothing>;
+    /// What callers ask of the pools here, for the leader; goes with the next renewals.
+    auto setDemand(std::vector<PoolDemand> demand) -> void;
+    /// On the leader: what callers ask of each pool at all entries that renew their leases.
+    [[nodiscard]] auto demand() const -> std::map<PoolName, double>;
     /// Begins a planned stop: the entry registers as leaving.
     auto leave() -> void;
 
@@ -118,6 +123,12 @@
         MonotonicTime appliedAt_;
     };
 
+    struct HeardDemand
+    {
+        std::vector<PoolDemand> demand_;
+        MonotonicTime at_;
+    };
+
     // The state and the log.
     auto applyRecord(const LogRecord &record) -> void;
     auto applyCommand(LogIndex index, const std::string &text) -> std::optional<CommandOutcome>;
@@ -171,6 +182,8 @@
     [[nodiscard]] auto
     heardLately(MonotonicTime now) const -> std::vector<EntryId>;
     auto confirmedHere(MonotonicTime now) const -> LogIndex;
+    /// The sum of what was heard lately, here and from others.
+    [[nodiscard]] auto demandHere(MonotonicTime now) const -> std::map<PoolName, double>;
 
     ControlSettings settings_;
     ControlHooks hooks_;
@@ -208,6 +221,9 @@
     Version versionInForce_ = 0;
     /// On the leader: when a relay last named the entry as a holder.
     std::map<EntryId, MonotonicTime> heardOf_;
+    std::vector<PoolDemand> ownDemand_;
+    /// What entries that renew here said of their demand, and on the leader what relays did.
+    std::map<EntryId, HeardDemand> heardDemand_;
 };
 
 } // namespace lycheereach
--- a/packages/control/Renewal.h
+++ b/packages/control/Renewal.h
@@ -4,6 +4,7 @@
 
 #include "base/Ids.h"
 #include "state/EntryRecord.h"
+#include "state/PoolDemand.h"
 
 #include <vector>
 
@@ -21,14 +22,18 @@
     LogIndex applied_ = 0;
     /// Of a relay: the entries that hold leases from it.
     std::vector<EntryId> holders_;
+    /// What callers ask of the pools at the entry, or of a relay at all entries that renew with it.
+    std::vector<PoolDemand> demand_;
 
     auto operator==(const Renewal &) const -> bool = default;
     static constexpr auto fields()
     {
-        return std::tuple{field("number", &Renewal::number_), field("entry", &Renewal::entry_),
+        return std::tuple{field("number", &Renewal::number_),
+                          field("entry", &Renewal::entry_),
                           field("confirmed", &Renewal::confirmed_),
                           field("applied", &Renewal::applied_),
-                          optionalField("holders", &Renewal::holders_)};
+                          optionalField("holders", &Renewal::holders_),
+                          optionalField("demand", &Renewal::demand_)};
     }
 };
 
--- a/packages/forward/ForwardRequest.h
+++ b/packages/forward/ForwardRequest.h
@@ -28,6 +28,8 @@
     std::uint64_t promptTokens_ = 0;
     /// The most tokens that the answer may have.
     std::uint64_t answerTokens_ = 0;
+    /// How many tokens the caller expects the answer to have; answerTokens_ when it does not say.
+    std::uint64_t expectedTokens_ = 0;
     /// The last event that the caller has of a stream which it resumes.
     std::optional<std::uint64_t> lastEventId_;
 
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -151,7 +151,11 @@
     }
     {
         const auto lock = std::scoped_lock(retryMutex_);
-        retries_.noteRequest(service, context_.now_());
+        const auto now = context_.now_();
+        retries_.noteRequest(service, now);
+        const auto work = index.groupSeconds(*pool, request.promptTokens_, request.expectedTokens_);
+        if (work > 0)
+            demand_.note(*pool, work, now);
     }
     const auto name = workspace == nullptr ? WorkspaceName() : workspace->name_;
     const auto hasOwn = workspace != nullptr && workspace->priority_;
@@ -207,6 +211,12 @@
     return retries_.take(service, context_.now_());
 }
 
+auto ForwardService::demand() const -> std::vector<PoolDemand>
+{
+    const auto lock = std::scoped_lock(retryMutex_);
+    return demand_.demand(context_.now_());
+}
+
 auto ForwardService::leave() -> void
 {
     leavingSince_ = context_.now_();
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -5,6 +5,7 @@
 #include "base/Ids.h"
 #include "base/RankedMutex.h"
 #include "base/Time.h"
+#include "forward/DemandMeter.h"
 #include "forward/ForwardContext.h"
 #include "forward/RetryAllowance.h"
 #include "transport/HttpRequest.h"
@@ -48,6 +49,8 @@
     auto awaitProgress(const UpstreamId &upstream) -> void;
     /// Requests that have no whole answer yet.
     [[nodiscard]] auto active() const -> std::size_t;
+    /// What callers have asked of each pool lately.
+    [[nodiscard]] auto demand() const -> std::vector<PoolDemand>;
     /// Whether new requests can be taken.
     [[nodiscard]] auto takesWork() const -> bool;
 
@@ -73,8 +76,9 @@
     std::atomic<bool> hasWorked_ = false;
     MonotonicTime leavingSince_;
     /// Taken while a request holds its own lock, so it has a rank of its own.
-    RankedMutex retryMutex_;
+    mutable RankedMutex retryMutex_;
     RetryAllowance retries_;
+    DemandMeter demand_;
 };
 
 } // namespace lycheereach
--- a/packages/forward/RouteIndex.cpp
+++ b/packages/forward/RouteIndex.cpp
@@ -26,6 +26,12 @@
     for (const auto &pool : declaration.pools_) {
         pools_[{enginesOf(pool), pool.model_}] = pool.name_;
         hasEngines_[enginesOf(pool)] = true;
+        auto &times = times_[pool.name_];
+        times.pace_ = pool.pace_;
+        if (const auto *profile = findProfile(declaration, enginesOf(pool))) {
+            times.times_ = profile->times_;
+            times.slots_ = profile->slots_;
+        }
     }
 }
 
@@ -59,4 +65,14 @@
     return found->second;
 }
 
+auto RouteIndex::groupSeconds(const PoolName &pool, std::uint64_t promptTokens,
+                              std::uint64_t answerTokens) const -> double
+{
+    const auto found = times_.find(pool);
+    if (found == times_.end())
+        return 0;
+    const auto &times = found->second;
+    return times.pace_ * times.times_.groupSeconds(promptTokens, answerTokens, times.slots_);
+}
+
 } // namespace lycheereach
--- a/packages/forward/RouteIndex.h
+++ b/packages/forward/RouteIndex.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "state/EngineTimes.h"
 #include "state/HttpRoute.h"
 #include "state/Workspace.h"
 
@@ -34,7 +35,19 @@
     [[nodiscard]] auto poolOf(const PoolName &service, const std::string &model) const
         -> std::optional<PoolName>;
 
+    /// Seconds of a full group of \a pool that a request takes; 0 for a plain service.
+    [[nodiscard]] auto groupSeconds(const PoolName &pool, std::uint64_t promptTokens,
+                                    std::uint64_t answerTokens) const -> double;
+
 private:
+    /// What the work of a request at a pool is reckoned from.
+    struct PoolTimes
+    {
+        EngineTimes times_;
+        std::uint32_t slots_ = 0;
+        double pace_ = 1;
+    };
+
     /// Of each host, longest prefix first.
     std::map<std::string, std::vector<HttpRoute>, std::less<>> routes_;
     std::vector<Workspace> workspaces_;
@@ -42,6 +55,7 @@
     std::map<std::string, std::size_t> byDigest_;
     std::map<std::pair<PoolName, std::string>, PoolName> pools_;
     std::map<PoolName, bool> hasEngines_;
+    std::map<PoolName, PoolTimes> times_;
 };
 
 } // namespace lycheereach
--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -38,6 +38,9 @@
 /// of its instances by this factor.
 constexpr auto considerable = 1.3;
 
+/// A pool that nobody asks keeps this part of the work of all for the next caller.
+constexpr auto leastPart = 0.05;
+
 /// A fleet that has just started counts as complete when no engine has come for this part of the
 /// time between announcements.
 constexpr auto settlePart = 0.6;
@@ -120,10 +123,21 @@
         std::count_if(state.groups_.begin(), state.groups_.end(), counts));
 }
 
-/// The part of all work that \a pool is to carry.
-auto workOf(const Pool &pool) -> double
+/// The work that \a pool is to carry, beside other pools of its engines: what callers ask, or the
+/// declared share while that is not known.
+auto workOf(const FleetState &state, const GatePlannerInputs &inputs, const Pool &pool) -> double
 {
-    return pool.share_ > 0 ? pool.share_ : 1.0;
+    auto asked = 0.0;
+    for (const auto &other : state.declaration_.pools_) {
+        const auto found = inputs.demand_.find(other.name_);
+        if (enginesOf(other) == enginesOf(pool) && found != inputs.demand_.end())
+            asked += found->second * other.instancesPerGroup_;
+    }
+    if (asked <= 0)
+        return pool.share_ > 0 ? pool.share_ : 1.0;
+    const auto found = inputs.demand_.find(pool.name_);
+    const auto own = found == inputs.demand_.end() ? 0 : found->second * pool.instancesPerGroup_;
+    return std::max(own, leastPart * asked);
 }
 
 /// A pool that may get one more group.
@@ -131,6 +145,7 @@
 {
     const Pool *pool_ = nullptr;
     std::size_t groups_ = 0;
+    double work_ = 1;
 
     /// Whether the pool has no group, and how much of the expected work one instance would have
     /// after one more group was formed.
@@ -145,15 +160,15 @@
     [[nodiscard]] auto loadWith(std::size_t groups) const -> double
     {
         const auto instances = static_cast<double>(pool_->instancesPerGroup_ * groups);
-        return groups == 0 ? std::numeric_limits<double>::max() : workOf(*pool_) / instances;
+        return groups == 0 ? std::numeric_limits<double>::max() : work_ / instances;
     }
 };
 
-auto wantingPools(const FleetState &state) -> std::vector<Wanting>
+auto wantingPools(const FleetState &state, const GatePlannerInputs &inputs) -> std::vector<Wanting>
 {
     auto pools = std::vector<Wanting>{};
     for (const auto &pool : state.declaration_.pools_)
-        pools.push_back(Wanting{&pool, groupsOf(state, pool.name_)});
+        pools.push_back(Wanting{&pool, groupsOf(state, pool.name_), workOf(state, inputs, pool)});
     return pools;
 }
 
@@ -167,9 +182,8 @@
 
 /// Whether \a pool has more capacity for its work after one more group than another pool of its
 /// engines has now; where the pool \a hadAsMany groups before, considerably more.
-auto isBetterCovered(const FleetState &state, const Wanting &pool, bool hadAsMany) -> bool
+auto isBetterCovered(const std::vector<Wanting> &pools, const Wanting &pool, bool hadAsMany) -> bool
 {
-    const auto pools = wantingPools(state);
     const auto limit = hadAsMany ? considerable * pool.need().second : pool.need().second;
     return std::any_of(pools.begin(), pools.end(), [&](const Wanting &other) {
         return other.pool_ != pool.pool_ && enginesOf(*other.pool_) == enginesOf(*pool.pool_)
@@ -418,7 +432,8 @@
 auto GatePlanner::planNewGroups(Pass &pass) -> void
 {
     const auto &state = pass.state_;
-    auto pools = wantingPools(state);
+    const auto allPools = wantingPools(state, pass.inputs_);
+    auto pools = allPools;
     auto used = std::set<UpstreamId>{};
     while (auto *next = neediest(pools)) {
         const auto &pool = *next->pool_;
@@ -426,7 +441,7 @@
         auto &most = mostGroups_[pool.name_];
         most = std::max(most, next->groups_);
         const auto isExtra = state.hasTraffic_ && next->groups_ != 0
-            && isBetterCovered(state, *next, next->groups_ < most);
+            && isBetterCovered(allPools, *next, next->groups_ < most);
         const auto free = isExtra ? spareInstances(pass, pool, used) : usable(pass, pool, used);
         const auto choice = state.hasTraffic_ ? DomainChoice::Widest : DomainChoice::Tightest;
         const auto placed
@@ -501,8 +516,8 @@
         if (enginesOf(pool) != engines)
             continue;
         pools.push_back(&pool);
-        supplies.push_back(
-            {pool.name_, pool.instancesPerGroup_, groupsOf(state, pool.name_), workOf(pool)});
+        supplies.push_back({pool.name_, pool.instancesPerGroup_, groupsOf(state, pool.name_),
+                            workOf(state, pass.inputs_, pool)});
     }
     for (const auto &id : groupsToTakeApart(supplies, regroupCandidates(pass, pools))) {
         takenApart_.insert(id);
--- a/packages/groups/GatePlannerInputs.h
+++ b/packages/groups/GatePlannerInputs.h
@@ -6,6 +6,7 @@
 #include "state/Upstream.h"
 
 #include <functional>
+#include <map>
 
 namespace lycheereach {
 
@@ -13,6 +14,8 @@
 struct GatePlannerInputs
 {
     MonotonicTime now_;
+    /// Groups that callers keep busy, by pool; empty while it is not known.
+    std::map<PoolName, double> demand_;
     /// Whether the process that announced itself as this upstream is known to have ended; may say
     /// false for one that has.
     std::function<bool(const Upstream &)> hasEnded_;
--- a/packages/groups/PlannerInputs.h
+++ b/packages/groups/PlannerInputs.h
@@ -6,6 +6,7 @@
 #include "base/Time.h"
 
 #include <functional>
+#include <map>
 #include <set>
 
 namespace lycheereach {
@@ -19,6 +20,8 @@
     /// Whether every entry that could act on the last lease of a group has confirmed its
     /// revocation or has lost its state lease.
     std::function<bool(const GroupId &)> revokedInForce_;
+    /// Groups that callers keep busy, by pool; empty while it is not known.
+    std::map<PoolName, double> demand_;
 };
 
 } // namespace lycheereach
--- a/packages/groups/Regrouping.cpp
+++ b/packages/groups/Regrouping.cpp
@@ -11,7 +11,7 @@
 
 /// The worst coverage must rise by this factor: a group that is taken apart finishes its streams
 /// first, and its members serve nobody for a few seconds.
-constexpr auto requiredGain = 1.05;
+constexpr auto requiredGain = 1.15;
 
 using Candidates = std::vector<const RegroupCandidate *>;
 
--- a/packages/groups/SparePlanner.cpp
+++ b/packages/groups/SparePlanner.cpp
@@ -121,8 +121,8 @@
         for (const auto *pool : pools) {
             const auto isWanted = pool != &own && mayBeIn(*pool, group.zone_)
                 && holders[pool->name_] < secondHolders(own, *pool);
-            const auto isBetter = best == nullptr
-                || coverage.worth(domain, *best) < coverage.worth(domain, *pool);
+            const auto isBetter
+                = best == nullptr || coverage.worth(domain, *best) < coverage.worth(domain, *pool);
             if (isWanted && isBetter)
                 best = pool;
         }
--- a/packages/serving/GroupPlanning.cpp
+++ b/packages/serving/GroupPlanning.cpp
@@ -43,7 +43,7 @@
         = [planner](const FleetState &state, MonotonicTime now) { planner->observe(state, now); };
     planning.plan_ = [planner, hasEnded = std::move(hasEnded)](const FleetState &state,
                                                                const PlannerInputs &inputs) {
-        return planner->plan(state, GatePlannerInputs{inputs.now_, hasEnded});
+        return planner->plan(state, GatePlannerInputs{inputs.now_, inputs.demand_, hasEnded});
     };
     return planning;
 }
--- a/packages/serving/PlannerService.cpp
+++ b/packages/serving/PlannerService.cpp
@@ -66,7 +66,9 @@
     if (!isDue())
         return {};
     const auto inForce = control_.inForceIndex();
-    auto inputs = PlannerInputs{.now_ = hooks_.now_(), .liveEntries_ = control_.liveEntries()};
+    auto inputs = PlannerInputs{.now_ = hooks_.now_(),
+                                .liveEntries_ = control_.liveEntries(),
+                                .demand_ = control_.demand()};
     auto actions = control_.read([&](const FleetState &state) {
         inputs.revokedInForce_ = [&](const GroupId &group) {
             return state.groups_.at(group).leaseChangedAt_ <= inForce;
--- a/packages/state/UpstreamProfile.h
+++ b/packages/state/UpstreamProfile.h
@@ -4,6 +4,7 @@
 
 #include "base/Ids.h"
 #include "base/JsonCodec.h"
+#include "state/EngineTimes.h"
 
 #include <cstdint>
 #include <string>
@@ -28,6 +29,7 @@
     /// A group of engines whose member is gone stands still for so long before it is broken, in
     /// milliseconds.
     std::uint32_t stallMs_ = 5000;
+    EngineTimes times_;
 
     auto operator==(const UpstreamProfile &) const -> bool = default;
     static constexpr auto fields()
@@ -38,7 +40,8 @@
                           optionalField("coldPerSecond", &UpstreamProfile::coldPerSecond_),
                           optionalField("slots", &UpstreamProfile::slots_),
                           optionalField("loadsPerSecond", &UpstreamProfile::loadsPerSecond_),
-                          optionalField("stallMs", &UpstreamProfile::stallMs_)};
+                          optionalField("stallMs", &UpstreamProfile::stallMs_),
+                          optionalField("times", &UpstreamProfile::times_)};
     }
 };
 
--- a/tests/control/InForceTest.cpp
+++ b/tests/control/InForceTest.cpp
@@ -200,3 +200,30 @@
     checkHealed(fleet);
     CHECK(fleet.service(4).read([](const auto &state) { return state.version_; }) > 50);
 }
+
+/// Pattern: no single entry sees what callers ask of the fleet.
+TEST(InForce, entriesTellTheirDemand_theLeader_knowsTheSum)
+{
+    auto fleet = ControlFleet(1, 3, 2);
+    startAll(fleet);
+    const auto pool = PoolName("large");
+    fleet.service(3).setDemand({PoolDemand{pool, 1.5}});
+    fleet.service(4).setDemand({PoolDemand{pool, 2.5}});
+    fleet.run(2s);
+    const auto demand = fleet.service(*fleet.leader()).demand();
+    CHECK(demand.contains(pool));
+    DOUBLES_EQUAL(4.0, demand.at(pool), 0.01);
+}
+
+TEST(InForce, anEntryFallsSilent_theLeader_forgetsItsDemand)
+{
+    auto fleet = ControlFleet(1, 3, 2);
+    startAll(fleet);
+    const auto pool = PoolName("large");
+    fleet.service(3).setDemand({PoolDemand{pool, 1.5}});
+    fleet.service(4).setDemand({PoolDemand{pool, 2.5}});
+    fleet.run(2s);
+    fleet.stop(4);
+    fleet.run(3s);
+    DOUBLES_EQUAL(1.5, fleet.service(*fleet.leader()).demand().at(pool), 0.01);
+}
--- /dev/null
+++ b/tests/forward/DemandMeterTest.cpp
@@ -0,0 +1,58 @@
+#include "forward/DemandMeter.h"
+
+#include <chrono>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(DemandMeter)
+{
+    DemandMeter meter_;
+    MonotonicTime now_{seconds(100)};
+    PoolName pool_{"large"};
+
+    /// Requests of \a groupSeconds each come to \a pool_ every 100 ms for \a duration.
+    auto ask(double groupSeconds, Duration duration)->void
+    {
+        for (const auto end = now_ + duration; now_ < end; now_ += milliseconds(100))
+            meter_.note(pool_, groupSeconds, now_);
+    }
+
+    auto groups()->double
+    {
+        const auto demand = meter_.demand(now_);
+        return demand.empty() ? 0 : demand.front().groups_;
+    }
+};
+
+TEST(DemandMeter, requestsHaveJustBegun_demand_isNotKnown)
+{
+    ask(0.1, seconds(1));
+    CHECK(meter_.demand(now_).empty());
+}
+
+TEST(DemandMeter, steadyRequests_demand_isTheirWorkInASecond)
+{
+    ask(0.1, seconds(3));
+    DOUBLES_EQUAL(1.0, groups(), 0.1);
+    ask(0.1, seconds(20));
+    DOUBLES_EQUAL(1.0, groups(), 0.1);
+}
+
+/// Pattern: the traffic of one kind of request jumps for some seconds.
+TEST(DemandMeter, theWorkDoubles_demand_followsWithinSeconds)
+{
+    ask(0.1, seconds(20));
+    ask(0.2, seconds(6));
+    CHECK(groups() > 1.6);
+}
+
+TEST(DemandMeter, requestsEnd_demand_fallsToNothing)
+{
+    ask(0.1, seconds(20));
+    now_ += seconds(40);
+    CHECK(groups() < 0.01);
+}
--- a/tests/forward/RouteIndexTest.cpp
+++ b/tests/forward/RouteIndexTest.cpp
@@ -2,6 +2,7 @@
 
 #include "requests/Fingerprint.h"
 #include "state/Declaration.h"
+#include "state/FleetState.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -52,3 +53,22 @@
     CHECK_FALSE(index.poolOf(PoolName("e"), "unknown").has_value());
     CHECK(index.poolOf(PoolName("plain"), "") == PoolName("plain"));
 }
+
+TEST(RouteIndex, engineTimesAreDeclared_groupSeconds_countsReadingAndTheShareOfEachStep)
+{
+    auto &pool = declaration_.pools_.front();
+    pool.pace_ = 0.5;
+    auto profile = UpstreamProfile{.name_ = enginesOf(pool), .slots_ = 20};
+    profile.times_ = EngineTimes{6, 0.2, 50000};
+    declaration_.profiles_ = {profile};
+    const auto index = RouteIndex(declaration_);
+    DOUBLES_EQUAL(0.5 * (0.02 + 100 * 0.0005), index.groupSeconds(PoolName("e/m"), 1000, 100),
+                  1e-9);
+    DOUBLES_EQUAL(0, index.groupSeconds(PoolName("plain"), 1000, 100), 1e-9);
+}
+
+TEST(RouteIndex, engineTimesAreUnknown_groupSeconds_countsRequests)
+{
+    const auto index = RouteIndex(declaration_);
+    DOUBLES_EQUAL(1, index.groupSeconds(PoolName("e/m"), 1000, 100), 1e-9);
+}
--- a/tests/platform/RequestDialectTest.cpp
+++ b/tests/platform/RequestDialectTest.cpp
@@ -19,6 +19,7 @@
                             {"Last-Event-Id", "12"},
                             {"X-Model", "m"},
                             {"X-Token-Usage", "1460,80"},
+                            {"X-Length-Hint", "55"},
                             {"X-Prefix-Hash", "5c:800"},
                             {"X-Deadline-Ms", "8000"},
                             {"X-Tenant-Id", "forged"},
@@ -48,6 +49,7 @@
     CHECK(read.model_ == "m");
     UNSIGNED_LONGS_EQUAL(1460, read.promptTokens_);
     UNSIGNED_LONGS_EQUAL(80, read.answerTokens_);
+    UNSIGNED_LONGS_EQUAL(55, read.expectedTokens_);
     CHECK(read.lastEventId_ == 12);
 }
 
