forward: Hold requests shortly while a state lease is about to come

Cause: after a restart of all processes callers come back once, in the seconds before the first leader is elected, and are refused for good; the same where leases lapse shortly before the next leader renews them. Change: an entry that has just started, or worked until a second ago, holds requests for at most 1.2 s and a third of their time, and refuses as before after that. A caller that leaves while its request waits is not served. The timer of a request is set before its connection is watched, which may call back at once.

--- a/packages/forward/ForwardRequest.h
+++ b/packages/forward/ForwardRequest.h
@@ -19,6 +19,10 @@
     HttpRequest http_;
     RequestId id_;
     std::string host_;
+    /// When the entry had read it.
+    MonotonicTime arrivedAt_;
+    /// Whether it waited until the entry could take work.
+    bool wasHeld_ = false;
     /// The caller's key; empty without one.
     std::string key_;
     /// How long the caller waits from the arrival on; nothing when it does not say.
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -47,6 +47,7 @@
     , context_(std::move(context))
     , random_(std::move(random))
     , mutex_(LockRank::Requests)
+    , held_(context_.now_())
     , retryMutex_(LockRank::Targets)
     , retries_(context_.settings_.retries_)
 {
@@ -84,6 +85,7 @@
 
 auto ForwardService::tick() -> void
 {
+    releaseHeld();
     for (const auto &target : context_.targets_.suspects(context_.now_()))
         context_.groupStalled_(target.upstream_);
     for (const auto &target : context_.targets_.stalled(context_.now_())) {
@@ -104,25 +106,81 @@
 auto ForwardService::handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void
 {
     auto read = context_.dialect_.readRequest_(std::move(request));
-    auto index = std::shared_ptr<const RouteIndex>{};
-    {
-        const auto lock = std::scoped_lock(mutex_);
-        index = index_;
-    }
+    read.arrivedAt_ = context_.now_();
     const auto isLate
         = isLeaving_ && context_.now_() - leavingSince_ > context_.settings_.takesWhileLeaving_;
     if (isLate) {
         refuse(read, unavailable, "this entry is stopping; send to another entry", reply);
         return;
     }
-    const auto mayWork = index && control_.mayTakeWork();
-    if (!mayWork) {
-        refuse(read, unavailable,
-               index ? "this entry has no live state lease" : "no declaration is known yet", reply);
-        return;
+    if (const auto index = workingIndex())
+        forward(std::move(read), *index, reply);
+    else if (!hold(read, reply))
+        refuseIdle(read, reply);
+}
+
+auto ForwardService::workingIndex() -> std::shared_ptr<const RouteIndex>
+{
+    auto index = std::shared_ptr<const RouteIndex>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        index = index_;
     }
+    if (!index || !control_.mayTakeWork())
+        return nullptr;
     hasWorked_ = true;
-    forward(std::move(read), *index, reply);
+    const auto lock = std::scoped_lock(mutex_);
+    held_.noteWork(context_.now_());
+    return index;
+}
+
+auto ForwardService::hold(ForwardRequest &request, const std::shared_ptr<HttpReply> &reply) -> bool
+{
+    auto isGone = std::make_shared<std::atomic<bool>>(false);
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto until = held_.holdUntil(request.patience_, request.arrivedAt_);
+        if (!until || isLeaving_)
+            return false;
+        held_.add(HeldRequest{std::move(request), reply, *until, isGone});
+    }
+    reply->onClosed([isGone] { *isGone = true; });
+    return true;
+}
+
+auto ForwardService::releaseHeld() -> void
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (held_.empty())
+            return;
+    }
+    const auto index = workingIndex();
+    auto released = std::vector<HeldRequest>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        released = index ? held_.takeAll() : held_.takeExpired(context_.now_());
+    }
+    for (auto &held : released) {
+        if (*held.isGone_)
+            continue;
+        held.request_.wasHeld_ = true;
+        if (index)
+            forward(std::move(held.request_), *index, held.reply_);
+        else
+            refuseIdle(held.request_, held.reply_);
+    }
+}
+
+auto ForwardService::refuseIdle(const ForwardRequest &request,
+                                const std::shared_ptr<HttpReply> &reply) -> void
+{
+    const auto isKnown = [&] {
+        const auto lock = std::scoped_lock(mutex_);
+        return index_ != nullptr;
+    }();
+    refuse(request, unavailable,
+           isKnown ? "this entry has no live state lease" : "no declaration is known yet", reply);
 }
 
 auto ForwardService::forward(ForwardRequest request, const RouteIndex &index,
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -7,6 +7,7 @@
 #include "base/Time.h"
 #include "forward/DemandMeter.h"
 #include "forward/ForwardContext.h"
+#include "forward/HeldRequests.h"
 #include "forward/RetryAllowance.h"
 #include "transport/HttpRequest.h"
 
@@ -59,6 +60,13 @@
                 const std::shared_ptr<HttpReply> &reply) -> void;
     auto forward(ForwardRequest request, const RouteIndex &index,
                  const std::shared_ptr<HttpReply> &reply) -> void;
+    /// Has the requests that waited carried out, or refuses those that have waited long enough.
+    auto releaseHeld() -> void;
+    /// Keeps a request that comes while the entry takes no work; false when it is to be refused.
+    auto hold(ForwardRequest &request, const std::shared_ptr<HttpReply> &reply) -> bool;
+    auto refuseIdle(const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply) -> void;
+    /// The routes, when the entry may take work.
+    auto workingIndex() -> std::shared_ptr<const RouteIndex>;
     auto noteTraffic() -> void;
     auto ended(const ForwardedRequest *request) -> void;
     auto takeRetry(const PoolName &service) -> bool;
@@ -70,6 +78,7 @@
     std::shared_ptr<const RouteIndex> index_;
     std::uint64_t indexVersion_ = 0;
     std::map<const ForwardedRequest *, std::shared_ptr<ForwardedRequest>> active_;
+    HeldRequests held_;
     std::atomic<bool> trafficNoted_ = false;
     std::atomic<bool> isLeaving_ = false;
     /// Whether this process has taken a request since its start.
--- a/packages/forward/ForwardSettings.h
+++ b/packages/forward/ForwardSettings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "forward/Admission.h"
 #include "forward/RetryAllowance.h"
 
 #include <chrono>
@@ -23,12 +24,14 @@
     /// A leaving entry takes new requests for so long, since callers still hold its address; those
     /// that come later are refused, so that all that it took can end in time.
     Duration takesWhileLeaving_ = std::chrono::milliseconds(2800);
-    /// Requests that may wait at an engine for a place when a new one comes; more would all begin
-    /// late.
-    std::uint32_t waitingAllowed_ = 3;
-    /// As waitingAllowed_, for a further attempt at a request: a stream that was cut rather waits
-    /// than ends. Engines queue as many.
-    std::uint32_t waitingAllowedAgain_ = 50;
+    /// An engine takes a new request while few wait; more would all begin late.
+    Admission first_ = {.waiting_ = 3};
+    /// As first_, for a further attempt at a request: a stream that was cut rather waits than ends.
+    /// Engines queue as many.
+    Admission again_ = {.waiting_ = 50};
+    /// As first_, for requests that were held while the entry took no work: they are late already
+    /// and leave room for those that are not.
+    Admission held_ = {.fill_ = 0.5};
     RetryLimits retries_;
 
     auto operator==(const ForwardSettings &) const -> bool = default;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -39,7 +39,7 @@
     , routed_(std::move(routed))
     , reply_(std::move(reply))
     , finished_(std::move(finished))
-    , arrivedAt_(context_.now_())
+    , arrivedAt_(routed_.request_.arrivedAt_)
     , deadline_(deadlineOf(routed_.request_, routed_.route_, arrivedAt_))
     , mutex_(LockRank::Requests)
     , machine_(
@@ -57,13 +57,14 @@
 
 auto ForwardedRequest::start() -> void
 {
-    reply_->onClosed([weak = weak_from_this()] {
+    timer_ = context_.workers_.after(deadline_ - context_.now_(), [weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->post(forward_event::CallerGone{});
+            self->post(forward_event::DeadlinePassed{});
     });
-    timer_ = context_.workers_.after(deadline_ - arrivedAt_, [weak = weak_from_this()] {
+    // Calls back at once when the caller has left already.
+    reply_->onClosed([weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->post(forward_event::DeadlinePassed{});
+            self->post(forward_event::CallerGone{});
     });
     post(forward_event::Start{});
 }
@@ -105,9 +106,10 @@
 {
     const auto &settings = context_.settings_;
     const auto isAgain = !action.avoid_.empty();
-    const auto waiting = isAgain ? settings.waitingAllowedAgain_ : settings.waitingAllowed_;
+    const auto &first = routed_.request_.wasHeld_ ? settings.held_ : settings.first_;
+    const auto &admission = isAgain ? settings.again_ : first;
     const auto target
-        = context_.targets_.choose(routed_.pool_, action.avoid_, waiting, context_.now_());
+        = context_.targets_.choose(routed_.pool_, action.avoid_, admission, context_.now_());
     if (target) {
         handle(forward_event::TargetChosen{*target});
         return;
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -111,11 +111,11 @@
     return load + (target.target_.zone_ == zone_ ? 0 : otherZoneCost);
 }
 
-auto TargetTable::hasRoom(const Target &target, std::uint32_t waitingAllowed,
-                          MonotonicTime now) const -> bool
+auto TargetTable::hasRoom(const Target &target, const Admission &admission, MonotonicTime now) const
+    -> bool
 {
     const auto isKnown = target.isEngine_ && target.slots_ != 0;
-    return !isKnown || loadOf(target, now) < target.slots_ + waitingAllowed;
+    return !isKnown || loadOf(target, now) < admission.fill_ * target.slots_ + admission.waiting_;
 }
 
 auto TargetTable::mayStart(Target &target, MonotonicTime now) -> bool
@@ -129,7 +129,7 @@
 }
 
 auto TargetTable::choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
-                         std::uint32_t waitingAllowed, MonotonicTime now)
+                         const Admission &admission, MonotonicTime now)
     -> std::optional<ForwardTarget>
 {
     const auto lock = std::scoped_lock(mutex_);
@@ -139,8 +139,7 @@
     Target *best = nullptr;
     auto bestRank = std::tuple<bool, bool, double, std::uint64_t>{};
     for (auto &[id, target] : found->second) {
-        if (now < target.goneUntil_ || !mayStart(target, now)
-            || !hasRoom(target, waitingAllowed, now))
+        if (now < target.goneUntil_ || !mayStart(target, now) || !hasRoom(target, admission, now))
             continue;
         const auto rank = std::tuple(avoid.contains(id), now < target.leftOutUntil_,
                                      costOf(target, now), random_());
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -5,6 +5,7 @@
 #include "base/Ids.h"
 #include "base/RankedMutex.h"
 #include "base/Time.h"
+#include "forward/Admission.h"
 #include "forward/ForwardHead.h"
 #include "forward/ForwardTarget.h"
 #include "forward/TargetOutcome.h"
@@ -31,11 +32,11 @@
 
     /// Takes in the replicated state. Call it after every change.
     auto update(const FleetState &state) -> void;
-    /// The best upstream of \a pool for one more request, which counts until release(). An engine
-    /// where \a waitingAllowed requests wait for a place is full; nothing is chosen when all are,
-    /// so that a request is refused at once instead of making all that follow late.
-    auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
-                std::uint32_t waitingAllowed, MonotonicTime now) -> std::optional<ForwardTarget>;
+    /// The best upstream of \a pool for one more request, which counts until release(). Nothing is
+    /// chosen when all engines are fuller than \a admission allows, so that a request is refused at
+    /// once instead of making all that follow late.
+    auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid, const Admission &admission,
+                MonotonicTime now) -> std::optional<ForwardTarget>;
     /// A chosen target is no longer used. One that failed is left out for a while when there are
     /// others, one that is gone also when there are none.
     auto release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now) -> void;
@@ -95,8 +96,8 @@
     /// How many requests of all entries \a target probably has.
     [[nodiscard]] auto loadOf(const Target &target, MonotonicTime now) const -> double;
     [[nodiscard]] auto costOf(const Target &target, MonotonicTime now) const -> double;
-    /// Whether fewer than \a waitingAllowed requests probably wait at \a target.
-    [[nodiscard]] auto hasRoom(const Target &target, std::uint32_t waitingAllowed,
+    /// Whether \a target is probably less full than \a admission allows.
+    [[nodiscard]] auto hasRoom(const Target &target, const Admission &admission,
                                MonotonicTime now) const -> bool;
     auto find(const ForwardTarget &target) -> Target *;
     static auto mayStart(Target &target, MonotonicTime now) -> bool;
