log: Elect at once when all voters have just started

Change: a voter that has neither led nor followed since its process started asks the others whether the same is true of them. When all voters say so, no process among them can hold a leader's lease, and it stands for election without waiting. One voter that is silent, blank or has followed a leader, or a change of voters that is not known to be committed, leaves it to the timeouts. So does a split vote.

--- a/packages/log/LogCore.cpp
+++ b/packages/log/LogCore.cpp
@@ -5,6 +5,13 @@
 
 namespace lycheereach {
 
+namespace {
+
+/// Processes that start together ask for the first time within this part of an election timeout.
+constexpr auto startSpread = 8;
+
+} // namespace
+
 LogCore::LogCore(ReplicaSettings settings, const StoredLog &stored, RandomSource random,
                  MonotonicTime now)
     : settings_(std::move(settings))
@@ -21,6 +28,7 @@
 {
     state_.commitIndex_ = std::clamp(state_.commitIndex_, appliedIndex_, syncedIndex_);
     resetElectionTimer();
+    startProbeDue_ = now + jitter(settings_.electionTimeout_ / startSpread);
 }
 
 auto LogCore::role() const -> ReplicaRole
@@ -42,6 +50,8 @@
         leaderTick();
     else if (isVoter() && now_ >= electionDue_)
         standForElection(true);
+    else if (now_ >= startProbeDue_ && mayProbeStart())
+        probeStart();
 }
 
 auto LogCore::receive(const EntryId &from, const LogMessage &message, MonotonicTime now) -> void
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -89,6 +89,14 @@
     auto handle(const EntryId &from, const LogMessage &message, const VoteRequest &body) -> void;
     auto handle(const EntryId &from, const LogMessage &message, const VoteReply &body) -> void;
     auto standForElection(bool preVote) -> void;
+    /// Asks whether all voters have just started, and stands for election when they say so. No
+    /// voter that leads or follows is among them then, so nobody's lease has to run out first.
+    auto probeStart() -> void;
+    [[nodiscard]] auto mayProbeStart() const -> bool;
+    auto handleStartReply(const EntryId &from, const LogMessage &message, const VoteReply &body)
+        -> void;
+    /// A random part of \a longest.
+    auto jitter(Duration longest) -> Duration;
     auto becomeLeader() -> void;
     auto becomeFollower(Term term, std::optional<EntryId> leader) -> void;
     auto resetElectionTimer() -> void;
@@ -139,6 +147,14 @@
     MonotonicTime leaderHeard_;
     MonotonicTime electionDue_;
     std::set<EntryId> granted_;
+    /// Whether this process has neither led nor followed since it started.
+    bool isFresh_ = true;
+    /// Whether it has stood for election since then; after a split vote the timeouts decide.
+    bool hasStood_ = false;
+    MonotonicTime startProbeDue_;
+    std::uint64_t startRound_ = 0;
+    /// Voters that have just started, as they answered in this round.
+    std::set<EntryId> startGranted_;
     std::map<EntryId, std::uint64_t> blankPeers_;
     std::set<EntryId> greetedBack_;
     MonotonicTime greetingDue_;
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -4,17 +4,61 @@
 
 namespace lycheereach {
 
+namespace {
+
+/// Voters that have just started ask the others so many times within an election timeout at most.
+constexpr auto startProbes = 12;
+/// After a vote they wait this part of an election timeout for the leader that it may have elected.
+constexpr auto votePart = 3;
+
+} // namespace
+
 auto LogCore::isVoter() const -> bool
 {
     return log_.voters().contains(self_);
 }
 
+auto LogCore::jitter(Duration longest) -> Duration
+{
+    return Duration(
+        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(longest.count())));
+}
+
 auto LogCore::resetElectionTimer() -> void
 {
     const auto timeout = settings_.electionTimeout_;
-    const auto jitter = Duration(
-        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(timeout.count())));
-    electionDue_ = now_ + timeout + jitter;
+    electionDue_ = now_ + timeout + jitter(timeout);
+}
+
+auto LogCore::mayProbeStart() const -> bool
+{
+    // A leader that removed itself may still lead until that is committed.
+    const auto isSettled = log_.votersAt(state_.commitIndex_) == log_.voters();
+    return isFresh_ && !hasStood_ && isVoter() && isSettled && log_.voters().voters_.size() > 1;
+}
+
+auto LogCore::probeStart() -> void
+{
+    const auto pause = settings_.electionTimeout_ / startProbes;
+    startProbeDue_ = now_ + pause + jitter(pause);
+    ++startRound_;
+    startGranted_ = {self_.name_};
+    for (const auto &voter : log_.voters().voters_) {
+        if (voter.name_ != self_.name_)
+            sendWithTerm(voter.name_, VoteRequest{true, log_.last(), startRound_},
+                         state_.term_ + 1);
+    }
+}
+
+auto LogCore::handleStartReply(const EntryId &from, const LogMessage &message,
+                               const VoteReply &body) -> void
+{
+    const auto isAwaited = body.start_ == startRound_ && message.term_ == state_.term_ + 1;
+    if (!isAwaited || !mayProbeStart() || !log_.voters().contains({from, message.generation_}))
+        return;
+    startGranted_.insert(from);
+    if (startGranted_.size() == log_.voters().voters_.size())
+        standForElection(false);
 }
 
 auto LogCore::followsLiveLeader() const -> bool
@@ -36,6 +80,7 @@
     if (!preVote) {
         ++state_.term_;
         state_.votedFor_ = self_.name_;
+        hasStood_ = true;
         markUnsynced();
     }
     if (hasVoteQuorum()) {
@@ -46,22 +91,28 @@
         return;
     }
     const auto term = preVote ? state_.term_ + 1 : state_.term_;
+    const auto isUnanimous = startGranted_.size() == log_.voters().voters_.size();
+    const auto start = !preVote && isUnanimous ? startRound_ : 0;
     for (const auto &voter : log_.voters().voters_) {
         if (voter.name_ != self_.name_)
-            sendWithTerm(voter.name_, VoteRequest{preVote, log_.last()}, term);
+            sendWithTerm(voter.name_, VoteRequest{preVote, log_.last(), start}, term);
     }
 }
 
 auto LogCore::handle(const EntryId &from, const LogMessage &message, const VoteRequest &body)
     -> void
 {
-    if (state_.cluster_.empty() || followsLiveLeader())
+    // A voter that has just started keeps the lease of a leader that it may have followed before,
+    // unless that leader is known to have started anew as well.
+    const auto startsToo = body.start_ != 0 && isFresh_;
+    if (state_.cluster_.empty() || (!startsToo && followsLiveLeader()))
         return;
     const auto upToDate = body.last_.term_ > log_.last().term_
         || (body.last_.term_ == log_.last().term_ && body.last_.index_ >= log_.last().index_);
     if (body.preVote_) {
         const auto granted = upToDate && message.term_ > state_.term_;
-        sendWithTerm(from, VoteReply{true, granted}, granted ? message.term_ : state_.term_);
+        const auto start = startsToo ? body.start_ : 0;
+        sendWithTerm(from, VoteReply{true, granted, start}, granted ? message.term_ : state_.term_);
         return;
     }
     if (message.term_ > state_.term_)
@@ -70,6 +121,7 @@
     const auto granted = upToDate && free && message.term_ == state_.term_;
     if (granted) {
         state_.votedFor_ = from;
+        startProbeDue_ = now_ + settings_.electionTimeout_ / votePart;
         markUnsynced();
         resetElectionTimer();
     }
@@ -83,6 +135,10 @@
             becomeFollower(message.term_, std::nullopt);
         return;
     }
+    if (body.start_ != 0) {
+        handleStartReply(from, message, body);
+        return;
+    }
     const auto awaited = body.preVote_
         ? role_ == ReplicaRole::PreCandidate && message.term_ == state_.term_ + 1
         : role_ == ReplicaRole::Candidate && message.term_ == state_.term_;
@@ -100,6 +156,7 @@
 auto LogCore::becomeLeader() -> void
 {
     role_ = ReplicaRole::Leader;
+    isFresh_ = false;
     leader_ = self_.name_;
     leaderSince_ = now_;
     peers_.clear();
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -24,6 +24,7 @@
     }
     becomeFollower(message.term_, from);
     leaderHeard_ = now_;
+    isFresh_ = false;
     resetElectionTimer();
     return true;
 }
--- a/packages/log/LogMessage.h
+++ b/packages/log/LogMessage.h
@@ -37,12 +37,16 @@
     bool preVote_ = false;
     /// The last position of the candidate's log.
     LogPosition last_;
+    /// Not 0 where the candidate has neither led nor followed since its process started: the number
+    /// of its attempt to elect a leader among voters that have all just started.
+    std::uint64_t start_ = 0;
 
     auto operator==(const VoteRequest &) const -> bool = default;
     static constexpr auto fields()
     {
         return std::tuple{field("preVote", &VoteRequest::preVote_),
-                          field("last", &VoteRequest::last_)};
+                          field("last", &VoteRequest::last_),
+                          optionalField("start", &VoteRequest::start_)};
     }
 };
 
@@ -51,12 +55,15 @@
 {
     bool preVote_ = false;
     bool granted_ = false;
+    /// As in the request, where the same is true of the sender; otherwise 0.
+    std::uint64_t start_ = 0;
 
     auto operator==(const VoteReply &) const -> bool = default;
     static constexpr auto fields()
     {
         return std::tuple{field("preVote", &VoteReply::preVote_),
-                          field("granted", &VoteReply::granted_)};
+                          field("granted", &VoteReply::granted_),
+                          optionalField("start", &VoteReply::start_)};
     }
 };
 
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -287,3 +287,65 @@
     auto replica = Replica(settings, std::make_unique<MemoryStorage>(cluster_->node(0).disk_), {});
     CHECK(replica.open(cluster_->now(0)).failure().code_ == Error::InvalidArgument);
 }
+
+/// Pattern: all voters are killed at once and are back within a second; nobody serves until a
+/// leader is elected. A split vote, after which the timeouts decide, is to be rare.
+TEST(Replica, allVotersStartAnew_theyElect_withoutWaitingForALeaderThatIsGone)
+{
+    constexpr auto starts = 40;
+    constexpr auto splitAtMost = starts / 10;
+    auto split = 0;
+    for (auto seed = std::uint64_t{1}; seed <= starts; ++seed) {
+        const auto leader = startCluster(3, 3, seed);
+        commit(leader, 5);
+        for (std::size_t i = 0; i < 3; ++i)
+            cluster_->crash(i);
+        // Nothing that the leader sent is under way any more.
+        cluster_->run(300ms);
+        for (std::size_t i = 0; i < 3; ++i)
+            cluster_->start(i);
+        // An election timeout is 200 ms, and twice as long with its random part.
+        cluster_->run(190ms);
+        split += cluster_->leaseHolder().has_value() ? 0 : 1;
+        STRCMP_EQUAL("", cluster_->violations().c_str());
+    }
+    CHECK(split <= splitAtMost);
+}
+
+/// Pattern: most voters are restarted while the leader is cut off and still holds its lease.
+TEST(Replica, allVotersButTheLeaderStartAnew_theyElect_onlyWhenItsLeaseHasRunOut)
+{
+    for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
+        const auto leader = startCluster(3, 3, seed);
+        commit(leader, 5);
+        cluster_->cut(leader);
+        for (const auto other : {(leader + 1) % 3, (leader + 2) % 3}) {
+            cluster_->crash(other);
+            cluster_->start(other);
+        }
+        cluster_->run(190ms);
+        CHECK(!cluster_->leaseHolder().has_value() || cluster_->leaseHolder() == leader);
+        cluster_->run(2s);
+        CHECK(cluster_->leaseHolder().has_value() && cluster_->leaseHolder() != leader);
+        STRCMP_EQUAL("", cluster_->violations().c_str());
+    }
+}
+
+/// Pattern: one voter comes back without its disk after a loss of power of all; its vote no longer
+/// counts, and the others can't know that it did not lead.
+TEST(Replica, allVotersStartAnewAndOneIsBlank_theyElect_afterATimeout)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 5);
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster_->crash(i);
+    cluster_->loseDisk(leader);
+    cluster_->run(300ms);
+    for (std::size_t i = 0; i < 3; ++i)
+        cluster_->start(i);
+    cluster_->run(190ms);
+    CHECK(!cluster_->leaseHolder().has_value());
+    cluster_->run(2s);
+    CHECK(cluster_->leaseHolder().has_value());
+    STRCMP_EQUAL("", cluster_->violations().c_str());
+}
