transport, forward: Bound heads, bodies and events that never end

A server in trouble may send bytes without end in a head or a body until the caller closes: libcurl bounds single header lines only, and a plain answer or the pending event of a stream grew with what came until the time limit of the request. Heads end at 64 KiB, bodies at 32 MiB, events at 1 MiB; the attempt then counts as broken. A stream that goes on sending bytes but no whole event no longer counts as making progress, and is ended when no event came for as long as a silent one may take.

--- a/packages/forward/EventStreamReader.h
+++ b/packages/forward/EventStreamReader.h
@@ -23,12 +23,17 @@
     auto beginRun() -> void;
     /// Whether the run ended between two events.
     [[nodiscard]] auto isBetweenEvents() const -> bool { return pending_.empty(); }
+    /// Whether the event that has begun is longer than any that is taken.
+    [[nodiscard]] auto hasOverflowed() const -> bool { return pending_.size() > eventLimitBytes; }
     [[nodiscard]] auto lastEventId() const -> std::optional<std::uint64_t> { return last_; }
     /// Whether an event was left out or handed on without an id, so that the stream can't be
     /// resumed.
     [[nodiscard]] auto hasUnnumbered() const -> bool { return hasUnnumbered_; }
 
 private:
+    /// Events of models hold a few tokens; one that outgrows this never ends.
+    static constexpr auto eventLimitBytes = std::size_t{1024} * 1024;
+
     std::string pending_;
     std::optional<std::uint64_t> last_;
     bool hasUnnumbered_ = false;
--- a/packages/forward/ForwardMachine.cpp
+++ b/packages/forward/ForwardMachine.cpp
@@ -123,6 +123,8 @@
         return;
     }
     auto events = reader_.take(event.bytes_);
+    if (reader_.hasOverflowed())
+        spoil("an event of the stream does not end");
     if (events.empty() || replied_)
         return;
     if (std::exchange(headSent_, true))
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -126,6 +126,7 @@
 auto ForwardedRequest::perform(const forward_action::StartAttempt &action) -> void
 {
     target_ = action.target_;
+    progressAt_ = context_.now_();
     const auto left = deadline_ - context_.now_();
     const auto call = ForwardCall{.target_ = action.target_,
                                   .workspace_ = routed_.workspace_,
@@ -155,9 +156,9 @@
                 self->context_.targets_.report(target, *head.load_, self->context_.now_());
             self->post(forward_event::AttemptHead{attempt, std::move(head)});
         },
-        [self, attempt, target](std::string_view part) {
-            self->noteProgress(target);
+        [self, attempt](std::string_view part) {
             self->post(forward_event::AttemptPart{attempt, std::string(part)});
+            self->cancelIfDripping();
         },
         [self, attempt](const HttpOutcome &outcome) {
             self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
@@ -165,10 +166,22 @@
         }};
 }
 
-auto ForwardedRequest::noteProgress(const ForwardTarget &target) -> void
+auto ForwardedRequest::noteProgress() -> void
 {
-    if (context_.targets_.progressed(target, context_.now_()))
-        context_.hasProgressed_(target.upstream_);
+    progressAt_ = context_.now_();
+    if (context_.targets_.progressed(target_, progressAt_))
+        context_.hasProgressed_(target_.upstream_);
+}
+
+auto ForwardedRequest::cancelIfDripping() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto &settings = context_.settings_;
+    const auto allowed
+        = std::max<Duration>(settings.firstEventTimeout_, settings.streamIdleTimeout_);
+    const auto isStalled = context_.now_() - progressAt_ >= allowed;
+    if (!isDone_ && call_ && isStreaming(routed_.route_.kind_) && isStalled)
+        context_.client_.cancel(*call_);
 }
 
 auto ForwardedRequest::perform(const forward_action::CancelAttempt & /*action*/) -> void
@@ -197,11 +210,13 @@
 
 auto ForwardedRequest::perform(const forward_action::SendHead &action) -> void
 {
+    noteProgress();
     reply_->begin(HttpResponse{action.head_.status_, answerHeaders(action.head_), action.events_});
 }
 
 auto ForwardedRequest::perform(const forward_action::SendPart &action) -> void
 {
+    noteProgress();
     reply_->write(action.events_, nullptr);
 }
 
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -54,7 +54,10 @@
     auto perform(const forward_action::BreakOff &action) -> void;
     [[nodiscard]] auto hooksFor(std::uint32_t attempt, const ForwardTarget &target)
         -> HttpCallHooks;
-    auto noteProgress(const ForwardTarget &target) -> void;
+    /// Whole events have come.
+    auto noteProgress() -> void;
+    /// Ends an attempt whose stream goes on sending bytes and no whole event.
+    auto cancelIfDripping() -> void;
     [[nodiscard]] auto answerHeaders(const ForwardHead &head) const -> HttpHeaders;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
@@ -68,6 +71,8 @@
     RankedMutex mutex_;
     ForwardMachine machine_;
     ForwardTarget target_;
+    /// When the attempt began or last gave whole events.
+    MonotonicTime progressAt_;
     std::optional<std::uint64_t> call_;
     std::shared_ptr<Timer> timer_;
     bool isDone_ = false;
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -7,6 +7,7 @@
 #include "transport/HttpRequest.h"
 #include "transport/HttpResponse.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <system_error>
@@ -24,6 +25,11 @@
     Duration firstByteTimeout_ = std::chrono::seconds(10);
     /// Silence allowed within the answer.
     Duration idleTimeout_ = std::chrono::seconds(10);
+    /// The longest head of an answer that is taken, in bytes; libcurl bounds single lines only.
+    std::size_t headLimitBytes_ = std::size_t{64} * 1024;
+    /// The longest body that is taken, in bytes; far above the answers of models and services, far
+    /// below the memory of an entry.
+    std::size_t bodyLimitBytes_ = std::size_t{32} * 1024 * 1024;
     /// A new connection instead of one from the pool, for a request that must not be repeated.
     bool freshConnection_ = false;
     /// Asked by the client's thread right before the first byte leaves; on false the call ends with
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -152,7 +152,9 @@
         endWith(Error::LeaseExpired, call_.address_ + ": the right to start ran out");
         return;
     }
-    const auto message = call_.address_ + ": " + curl_easy_strerror(code);
+    const auto isTooLong = headBytes_ > call_.headLimitBytes_ || bodyBytes_ > call_.bodyLimitBytes_;
+    const auto message = call_.address_ + ": "
+        + (isTooLong ? "the answer is longer than is taken" : curl_easy_strerror(code));
     if (verdict() == Verdict::NotRun)
         endWith(code == CURLE_URL_MALFORMAT ? Error::InvalidArgument : Error::ConnectionFailed,
                 message);
@@ -202,14 +204,22 @@
 auto HttpTransfer::onHeader(char *data, std::size_t size, std::size_t count, void *self)
     -> std::size_t
 {
-    static_cast<HttpTransfer *>(self)->takeHeaderLine({data, size * count});
+    auto &transfer = *static_cast<HttpTransfer *>(self);
+    transfer.headBytes_ += size * count;
+    if (transfer.headBytes_ > transfer.call_.headLimitBytes_)
+        return CURL_WRITEFUNC_ERROR;
+    transfer.takeHeaderLine({data, size * count});
     return size * count;
 }
 
 auto HttpTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
     -> std::size_t
 {
-    static_cast<HttpTransfer *>(self)->takeBody({data, size * count});
+    auto &transfer = *static_cast<HttpTransfer *>(self);
+    transfer.bodyBytes_ += size * count;
+    if (transfer.bodyBytes_ > transfer.call_.bodyLimitBytes_)
+        return CURL_WRITEFUNC_ERROR;
+    transfer.takeBody({data, size * count});
     return size * count;
 }
 
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -50,6 +50,8 @@
     EasyHandle easy_;
     HeaderList headers_;
     HttpResponse head_;
+    std::size_t headBytes_ = 0;
+    std::size_t bodyBytes_ = 0;
     MonotonicTime lastHeard_;
     bool connected_ = false;
     bool headTold_ = false;
--- a/tests/forward/ForwardMachineTest.cpp
+++ b/tests/forward/ForwardMachineTest.cpp
@@ -209,6 +209,20 @@
     CHECK(find<action::BreakOff>() != nullptr);
 }
 
+/// Pattern: a server in trouble sends bytes that are no answer until the caller closes.
+TEST(ForwardMachine, anEventWithoutEnd_part_endsTheAttempt)
+{
+    auto request = machine(RouteKind::ResumableStream);
+    feed(request, Start{});
+    attempt(request, "u1");
+    feed(request, AttemptHead{1, head(200)});
+    feed(request, AttemptPart{1, "id: 1\ndata: " + std::string(2 * 1024 * 1024, 'x')});
+    CHECK(find<action::CancelAttempt>() != nullptr);
+    CHECK(find<action::SendHead>() == nullptr);
+    feed(request, broken(1, Verdict::MayHaveRun));
+    CHECK(find<action::ChooseTarget>() != nullptr);
+}
+
 TEST(ForwardMachine, theCallerOfARepeatableRequestIsGone_event_cancelsTheAttempt)
 {
     auto request = machine(RouteKind::Safe);
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -48,7 +48,8 @@
         asio::read_until(socket_, head, "\r\n\r\n", error);
         if (error)
             return;
-        asio::write(socket_, asio::buffer(answer));
+        // The client may close before it has read all.
+        asio::write(socket_, asio::buffer(answer), error);
         if (close)
             socket_.close();
     }
@@ -124,6 +125,25 @@
     CHECK(failure.code_ == Error::ConnectionSilent);
 }
 
+/// Pattern: a server in trouble sends bytes that are no answer until the caller closes.
+TEST(HttpClient, aHeadWithoutEnd_fetch_endsAtTheLimit)
+{
+    auto head = std::string("HTTP/1.1 200 OK\r\n");
+    while (head.size() < HttpCall().headLimitBytes_ + 1024)
+        head += "X-More: more\r\n";
+    const auto failure = failureOf(head, false);
+    CHECK(failure.code_ == Error::IncompleteAnswer);
+    CHECK(failure.verdict_ == Verdict::MayHaveRun);
+}
+
+TEST(HttpClient, aBodyWithoutEnd_fetch_endsAtTheLimit)
+{
+    const auto failure = failureOf(
+        "HTTP/1.1 200 OK\r\n\r\n" + std::string(HttpCall().bodyLimitBytes_ + 1, 'x'), false);
+    CHECK(failure.code_ == Error::IncompleteAnswer);
+    CHECK(failure.verdict_ == Verdict::MayHaveRun);
+}
+
 TEST(HttpClient, aBodyCutShort_fetch_isIncomplete)
 {
     const auto failure = failureOf("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true);
