--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -365,7 +365,8 @@
 {
     std::erase_if(brokenSince_,
                   [&](const auto &item) { return !state.groups_.contains(item.first); });
-    for (const auto &[id, group] : state.groups_) {
+    for (const auto &item : state.groups_) {
+        const auto &group = item.second;
         const auto *head = findUpstream(state, group.members_.front());
         const auto hasLeft = [&](const UpstreamId &member) {
             const auto *upstream = findUpstream(state, member);
@@ -375,9 +376,9 @@
         const auto isBroken = head != nullptr && head->lost_
             && std::any_of(group.members_.begin(), group.members_.end(), hasLeft);
         if (isBroken)
-            brokenSince_.try_emplace(id, now);
+            brokenSince_.try_emplace(group.id_, now);
         else
-            brokenSince_.erase(id);
+            brokenSince_.erase(group.id_);
     }
 }
 
--- a/tests/forward/ForwardMachineTest.cpp
+++ b/tests/forward/ForwardMachineTest.cpp
@@ -216,7 +216,8 @@
     feed(request, Start{});
     attempt(request, "u1");
     feed(request, AttemptHead{1, head(200)});
-    feed(request, AttemptPart{1, "id: 1\ndata: " + std::string(2 * 1024 * 1024, 'x')});
+    constexpr auto length = std::size_t{2} * 1024 * 1024;
+    feed(request, AttemptPart{1, "id: 1\ndata: " + std::string(length, 'x')});
     CHECK(find<action::CancelAttempt>() != nullptr);
     CHECK(find<action::SendHead>() == nullptr);
     feed(request, broken(1, Verdict::MayHaveRun));
