--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -30,6 +30,9 @@
 /// Instances that stay free in a fabric domain when a pool gets more groups than it had.
 constexpr auto sparesOfDomain = std::size_t{2};
 
+/// Spares and the balance of the pools are reviewed at this pace.
+constexpr auto reviewPause = std::chrono::milliseconds(400);
+
 /// After groups were taken apart for another pool, others stay for so long: their members are to
 /// form the new group first.
 constexpr auto regroupPause = std::chrono::seconds(1);
@@ -462,6 +465,12 @@
     if (pass.formed_ != 0)
         return;
     auto planned = std::set<PoolName>{};
+    // Regrouping looks at all instances and is never urgent: changes come in quick succession.
+    const auto now = pass.inputs_.now_;
+    const auto isReviewDue = !state.hasTraffic_ || now - reviewedAt_ >= reviewPause;
+    if (!isReviewDue)
+        return;
+    reviewedAt_ = now;
     for (const auto &pool : state.declaration_.pools_) {
         if (!planned.insert(enginesOf(pool)).second)
             continue;
--- a/packages/groups/GatePlanner.h
+++ b/packages/groups/GatePlanner.h
@@ -118,6 +118,8 @@
     /// Groups that are taken apart for another pool, and until when others are left alone.
     std::set<GroupId> takenApart_;
     MonotonicTime regroupAfter_;
+    /// When spares and the balance of the pools were reviewed last.
+    MonotonicTime reviewedAt_;
     /// Since when a member of a group whose first member is lost has been out of it.
     std::map<GroupId, MonotonicTime> brokenSince_;
 };
