log, groups: Use an answer of starting voters once; take nothing apart for a full pool

What other voters said of their start held for every later election of the same process: one that follows a leader in between could have passed over a voter's guard of that leader's lease. A pool that may get no more groups made its neighbours' groups be taken apart for nothing. Both found while reading the change; the second has a test, the first is a narrowing of the condition.

--- a/packages/groups/GatePlanner.cpp
+++ b/packages/groups/GatePlanner.cpp
@@ -526,8 +526,10 @@
         if (enginesOf(pool) != engines)
             continue;
         pools.push_back(&pool);
-        supplies.push_back({pool.name_, pool.instancesPerGroup_, groupsOf(state, pool.name_),
-                            workOf(state, pass.inputs_, pool)});
+        const auto groups = groupsOf(state, pool.name_);
+        const auto isFull = pool.groups_ != 0 && groups >= pool.groups_;
+        supplies.push_back({pool.name_, pool.instancesPerGroup_, groups,
+                            isFull ? 0 : workOf(state, pass.inputs_, pool)});
     }
     for (const auto &id : groupsToTakeApart(supplies, regroupCandidates(pass, pools))) {
         takenApart_.insert(id);
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -92,7 +92,10 @@
     }
     const auto term = preVote ? state_.term_ + 1 : state_.term_;
     const auto isUnanimous = startGranted_.size() == log_.voters().voters_.size();
-    const auto start = !preVote && isUnanimous ? startRound_ : 0;
+    const auto start = !preVote && isFresh_ && isUnanimous ? startRound_ : 0;
+    // What the others said holds for this election only; they may have followed a leader by the
+    // next.
+    startGranted_.clear();
     for (const auto &voter : log_.voters().voters_) {
         if (voter.name_ != self_.name_)
             sendWithTerm(voter.name_, VoteRequest{preVote, log_.last(), start}, term);
--- a/tests/groups/RegroupingTest.cpp
+++ b/tests/groups/RegroupingTest.cpp
@@ -101,3 +101,12 @@
     addGroup("e", "s1", small_, 2);
     CHECK(groupsToTakeApart(pools(4, 8), candidates_).empty());
 }
+
+TEST(Regrouping, theShortPoolIsToGetNoMoreGroups_choose_takesNothingApart)
+{
+    addGroup("d", "s1", small_, 2);
+    addFree("d", 3, {large_, small_});
+    auto supplies = pools(1, 8);
+    supplies.front().work_ = 0;
+    CHECK(groupsToTakeApart(supplies, candidates_).empty());
+}
