--- a/tests/docs/SettingsPageTest.cpp
+++ b/tests/docs/SettingsPageTest.cpp
@@ -51,6 +51,7 @@
     checkRows<HttpRoute>("routes[].");
     checkRows<RouteShare>("routes[].shares[].");
     checkRows<UpstreamProfile>("profiles[].");
+    checkRows<EngineTimes>("profiles[].times.");
     checkRows<ExceptionRule>("exceptions[].");
     checkRows<ExceptionMatch>("exceptions[].match.");
 }
