--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -22,6 +22,8 @@
 constexpr auto heardRenewals = 2;
 /// A grant for fewer renewal intervals is a reason to ask another grantor.
 constexpr auto strongGrant = 2;
+/// Changes that follow each other within this time go to the holders together.
+constexpr auto pushPause = std::chrono::milliseconds(40);
 /// Records sent to a holder count as on their way for so long.
 constexpr auto recordsUnderWay = std::chrono::milliseconds(1500);
 /// The lease of the leader's own grants is not limited by another lease.
@@ -137,7 +139,7 @@
         renewal.holders_ = heardLately(now);
     for (const auto &[pool, groups] : demandHere(now))
         renewal.demand_.push_back({pool, groups});
-    hooks_.send_(to, "control.renew", encode(renewal));
+    hooks_.sendLatest_(to, "control.renew", encode(renewal));
 }
 
 auto ControlService::setDemand(std::vector<PoolDemand> demand) -> void
@@ -187,7 +189,7 @@
 auto ControlService::onRenewal(const EntryId &from, const Renewal &renewal) -> void
 {
     const auto now = hooks_.now_();
-    hooks_.setPeer_(from, renewal.entry_.peerAddress_);
+    notePeer(renewal.entry_);
     if (replica_ == nullptr)
         return;
     heardDemand_[renewal.entry_.id_] = HeardDemand{renewal.demand_, now};
@@ -258,15 +260,21 @@
 {
     if (replica_ == nullptr || !relaying_)
         return;
-    const auto holders = relayed_.holders(now);
-    for (const auto &holder : holders) {
+    if (now - pushedAt_ < pushPause)
+        return;
+    auto behind = std::map<LogIndex, std::vector<EntryId>>{};
+    for (const auto &holder : relayed_.holders(now)) {
         const auto sent = sentTo_.find(holder);
-        if (sent == sentTo_.end() || sent->second.index_ >= machine_.state().applied_)
-            continue;
+        if (sent != sentTo_.end() && sent->second.index_ < machine_.state().applied_)
+            behind[sent->second.index_].push_back(holder);
+    }
+    for (const auto &[index, holders] : behind) {
+        pushedAt_ = now;
         auto grant = LeaseGrant{.inForceIndex_ = inForceIndex_, .leader_ = leader_};
-        addRecords(grant, sent->second.index_);
-        noteSent(holder, grant);
-        hooks_.send_(holder, "control.grant", encode(grant));
+        addRecords(grant, index);
+        for (const auto &holder : holders)
+            noteSent(holder, grant);
+        hooks_.sendAll_(holders, "control.grant", encode(grant));
     }
 }
 
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -96,6 +96,7 @@
     loseSilentEntries(now);
     registerWhenNeeded(now);
     keepVoters(now);
+    pushRecords(now);
     resendProposals(now);
     giveUpProposals(now);
     noteLeaseChange(now);
@@ -158,12 +159,15 @@
 
 auto ControlService::notePeers() -> void
 {
-    for (const auto &[id, entry] : machine_.state().entries_) {
-        const auto isNeeded
-            = settings_.connectsEntries_ || settings_.self_.control_ || entry.control_;
-        if (id != settings_.self_.id_ && isNeeded)
-            hooks_.setPeer_(id, entry.peerAddress_);
-    }
+    for (const auto &[id, entry] : machine_.state().entries_)
+        notePeer(entry);
+}
+
+auto ControlService::notePeer(const EntryRecord &entry) -> void
+{
+    const auto isNeeded = settings_.connectsEntries_ || entry.control_;
+    if (entry.id_ != settings_.self_.id_ && isNeeded)
+        hooks_.setPeer_(entry.id_, entry.peerAddress_);
 }
 
 auto ControlService::emitWhenLeader(const Event &event) -> void
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -135,6 +135,7 @@
     auto restoreSnapshot(const std::string &snapshot) -> void;
     auto noteStateChanged() -> void;
     auto notePeers() -> void;
+    auto notePeer(const EntryRecord &entry) -> void;
     auto emitWhenLeader(const Event &event) -> void;
     [[nodiscard]] auto isLeaderNow(MonotonicTime now) const -> bool;
 
@@ -167,7 +168,8 @@
     auto grantAsLeader(const Renewal &renewal, MonotonicTime now) -> LeaseGrant;
     auto grantAsRelay(const Renewal &renewal, MonotonicTime now) -> LeaseGrant;
     auto addRecords(LeaseGrant &grant, LogIndex applied) const -> void;
-    /// Sends the holders of leases granted here what was applied since their last answer.
+    /// Sends the holders of leases granted here what was applied since their last answer, no more
+    /// often than in a set pace.
     auto pushRecords(MonotonicTime now) -> void;
     auto noteSent(const EntryId &holder, const LeaseGrant &grant) -> void;
     auto onGrant(const EntryId &from, const LeaseGrant &grant) -> void;
@@ -178,10 +180,9 @@
     auto registerWhenNeeded(MonotonicTime now) -> void;
     auto keepVoters(MonotonicTime now) -> void;
     auto noteLeaseChange(MonotonicTime now) -> void;
-    [[nodiscard]] /// Entries that renewed with this process lately.
-    [[nodiscard]] auto
-    heardLately(MonotonicTime now) const -> std::vector<EntryId>;
-    auto confirmedHere(MonotonicTime now) const -> LogIndex;
+    /// Entries that renewed with this process lately.
+    [[nodiscard]] auto heardLately(MonotonicTime now) const -> std::vector<EntryId>;
+    [[nodiscard]] auto confirmedHere(MonotonicTime now) const -> LogIndex;
     /// The sum of what was heard lately, here and from others.
     [[nodiscard]] auto demandHere(MonotonicTime now) const -> std::map<PoolName, double>;
 
@@ -209,6 +210,7 @@
     /// The grantor that answered last.
     EntryId grantor_;
     std::size_t asked_ = 0;
+    MonotonicTime pushedAt_;
     MonotonicTime renewedAt_;
     MonotonicTime answeredAt_;
     MonotonicTime registeredAt_;
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -34,7 +34,7 @@
     Duration logElection_ = std::chrono::milliseconds(600);
     /// How many voters the leader keeps, replacing those that are lost; 0 leaves the voters alone.
     std::size_t voterTarget_ = 0;
-    /// Whether an entry without a log also connects to other entries without one.
+    /// Whether processes also connect to entries without a log; those connect to the others.
     bool connectsEntries_ = true;
     /// The log takes a snapshot after this many applied records.
     std::size_t snapshotAfterRecords_ = 2000;
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -179,6 +179,14 @@
 {
     return ControlHooks{
         .send_ = sender(),
+        .sendLatest_ =
+            [this](const EntryId &to, const std::string &method, Json params) {
+                network_.send(to, PeerMessage{method, std::move(params), true});
+            },
+        .sendAll_ =
+            [this](const std::vector<EntryId> &to, const std::string &method, Json params) {
+                network_.send(to, PeerMessage{method, std::move(params)});
+            },
         .setPeer_ = [this](const EntryId &peer,
                            const std::string &address) { network_.setPeer(peer, address); },
         .post_ = [this](std::function<void()> work) { workers_.post(std::move(work)); },
--- a/packages/transport/PeerContext.cpp
+++ b/packages/transport/PeerContext.cpp
@@ -1,5 +1,7 @@
 #include "transport/PeerContext.h"
 
+#include "transport/PeerFraming.h"
+
 #include <charconv>
 #include <utility>
 
@@ -13,11 +15,11 @@
     , hooks_(std::move(hooks))
 { }
 
-auto PeerContext::stamped(const PeerMessage &message) -> std::optional<std::string>
+auto PeerContext::frameOf(const PeerMessage &message) -> std::optional<std::string>
 {
-    auto text = std::optional<std::string>{};
-    gate_.run([&] { text = encodeNotification(message, clock_.now()); });
-    return text;
+    auto frame = std::optional<std::string>{};
+    gate_.run([&] { frame = encodeFrame(encodeNotification(message, clock_.now())); });
+    return frame;
 }
 
 auto PeerContext::deliver(const EntryId &from, const StampedMessage &stamped) -> void
--- a/packages/transport/PeerContext.h
+++ b/packages/transport/PeerContext.h
@@ -4,7 +4,7 @@
 
 #include "transport/HookGate.h"
 #include "transport/PeerNetwork.h"
-#include "transport/PeerRpc.h"
+#include "transport/PeerNotification.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -19,6 +19,8 @@
 
 /// The bytes of a frame before the peer has proved the key.
 constexpr std::size_t handshakeFrameLimit = 4096;
+/// Bytes read at once.
+constexpr std::size_t readBufferBytes = 65536;
 /// Room for the envelope of a message that is as large as the queue.
 constexpr std::size_t envelopeLimit = 4096;
 
@@ -30,8 +32,8 @@
     PeerContext(asio::io_context &io, HybridClock &clock, PeerNetworkSettings settings,
                 PeerNetworkHooks hooks);
 
-    /// The text of \a message stamped now; nothing after the network has stopped.
-    auto stamped(const PeerMessage &message) -> std::optional<std::string>;
+    /// The frame of \a message stamped now; nothing after the network has stopped.
+    auto frameOf(const PeerMessage &message) -> std::optional<std::string>;
     /// Takes in the stamp; hands over anything but a heartbeat.
     auto deliver(const EntryId &from, const StampedMessage &stamped) -> void;
     auto tellKeyRejected(const std::string &remoteAddress) -> void;
--- a/packages/transport/PeerLink.cpp
+++ b/packages/transport/PeerLink.cpp
@@ -11,7 +11,11 @@
 namespace {
 
 constexpr auto firstBackoff = std::chrono::milliseconds(25);
-constexpr auto longestBackoff = std::chrono::milliseconds(800);
+/// A process that is started again is found within this time; a refused attempt costs its machine
+/// next to nothing.
+constexpr auto longestBackoff = std::chrono::milliseconds(200);
+/// The pause after a peer that did not prove the key.
+constexpr auto rejectedBackoff = std::chrono::milliseconds(800);
 /// Messages that go out in one write.
 constexpr std::size_t batchBytes = 256U << 10U;
 
@@ -37,20 +41,17 @@
     asio::post(strand_, [self = shared_from_this()] { self->connect(); });
 }
 
-auto PeerLink::send(const PeerMessage &message) -> void
+auto PeerLink::send(std::string frame, std::string superseded) -> void
 {
-    const auto text = context_->stamped(message);
-    if (!text)
-        return;
-    auto frame = encodeFrame(*text);
     const auto size = frame.size();
     if (waitingBytes_.fetch_add(size) + size > context_->settings_.queueLimitBytes_) {
         waitingBytes_ -= size;
         ++context_->messagesDropped_;
         return;
     }
-    asio::post(strand_, [self = shared_from_this(), frame = std::move(frame)]() mutable {
-        self->queue(std::move(frame), true);
+    auto waiting = Waiting{std::move(frame), now(), true, std::move(superseded)};
+    asio::post(strand_, [self = shared_from_this(), waiting = std::move(waiting)]() mutable {
+        self->queue(std::move(waiting));
     });
 }
 
@@ -133,8 +134,8 @@
         takeChallenge(frame);
         return;
     }
-    const auto stamped = rpc_.read(frame);
-    if (!stamped || stamped->message_.method_ != heartbeatMethod) {
+    const auto stamped = decodeNotification(frame);
+    if (!stamped) {
         fail();
         return;
     }
@@ -150,23 +151,38 @@
     const auto expected = handshakeProof(key, PeerSide::Listening, hello_, nonce);
     if (!challenge || !sameProof(challenge->proof_, expected)) {
         context_->tellKeyRejected(printEndpoint(endpoint_));
-        backoff_ = longestBackoff;
+        backoff_ = rejectedBackoff;
         fail();
         return;
     }
     const auto proof = handshakeProof(key, PeerSide::Connecting, hello_, nonce);
     writeHandshake(encode(PeerProof{proof}).dump());
+    connection_->frames_.setLimit(context_->frameLimit());
     state_ = State::Ready;
     beat();
 }
 
-auto PeerLink::queue(std::string frame, bool isMessage) -> void
+auto PeerLink::queue(Waiting waiting) -> void
 {
-    waiting_.push_back(Waiting{std::move(frame), now(), isMessage});
+    if (state_ != State::Ready) {
+        dropStale();
+        dropSuperseded(waiting.method_);
+    }
+    waiting_.push_back(std::move(waiting));
     if (state_ == State::Ready)
         writeNext();
-    else
-        dropStale();
+}
+
+auto PeerLink::dropSuperseded(const std::string &method) -> void
+{
+    if (method.empty())
+        return;
+    std::erase_if(waiting_, [&](const Waiting &waiting) {
+        const auto isVoid = waiting.method_ == method;
+        if (isVoid)
+            waitingBytes_ -= waiting.frame_.size();
+        return isVoid;
+    });
 }
 
 /// Messages that have waited for a connection for too long say nothing about the present.
@@ -207,13 +223,14 @@
         return;
     }
     waitingBytes_ += frame.size();
-    waiting_.push_front(Waiting{std::move(frame), now(), false});
+    waiting_.push_front(Waiting{std::move(frame), now(), false, {}});
 }
 
 auto PeerLink::write(std::string bytes) -> void
 {
     connection_->writing_ = std::move(bytes);
     connection_->writeUnderWay_ = true;
+    lastSent_ = now();
     asio::async_write(connection_->socket_, asio::buffer(connection_->writing_),
                       [self = shared_from_this(),
                        connection = connection_](const std::error_code &error, std::size_t size) {
@@ -235,8 +252,11 @@
         [self = shared_from_this(), connection = connection_](const std::error_code &error) {
             if (error || connection != self->connection_)
                 return;
-            if (now() - self->lastHeard_ <= self->context_->settings_.silenceTimeout_) {
-                self->beat();
+            const auto &settings = self->context_->settings_;
+            if (now() - self->lastHeard_ <= settings.silenceTimeout_) {
+                const auto oldest = std::min(self->lastHeard_, self->lastSent_);
+                if (now() - oldest >= settings.heartbeatInterval_)
+                    self->beat();
                 self->tick();
                 return;
             }
@@ -250,12 +270,11 @@
 {
     if (state_ != State::Ready)
         return;
-    const auto text = context_->stamped(PeerMessage{heartbeatMethod, Json::object()});
-    if (!text)
+    auto frame = context_->frameOf(PeerMessage{heartbeatMethod, Json::object()});
+    if (!frame)
         return;
-    auto frame = encodeFrame(*text);
-    waitingBytes_ += frame.size();
-    queue(std::move(frame), false);
+    waitingBytes_ += frame->size();
+    queue(Waiting{std::move(*frame), now(), false, {}});
 }
 
 auto PeerLink::fail() -> void
--- a/packages/transport/PeerLink.h
+++ b/packages/transport/PeerLink.h
@@ -16,15 +16,16 @@
 
 namespace lycheereach {
 
-/// Sends the messages to one peer.
+/// Sends the messages to one peer, and hands over those that it answers on the same connection.
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
 public:
     PeerLink(std::shared_ptr<PeerContext> context, EntryId peer, asio::ip::tcp::endpoint endpoint);
 
     auto start() -> void;
-    /// Queues \a message or drops it when too much waits. Thread-safe.
-    auto send(const PeerMessage &message) -> void;
+    /// Queues \a frame or drops it when too much waits; it takes the place of earlier ones of the
+    /// method \a superseded that wait for a connection, unless that is empty. Thread-safe.
+    auto send(std::string frame, std::string superseded) -> void;
     /// Ends the connection for good. Thread-safe.
     auto close() -> void;
     [[nodiscard]] auto endpoint() const -> const asio::ip::tcp::endpoint & { return endpoint_; }
@@ -37,6 +38,8 @@
         MonotonicTime since_;
         /// Neither handshake nor heartbeat.
         bool isMessage_;
+        /// The method whose next message takes the place of this one; empty without.
+        std::string method_;
     };
     /// One connection with what its operations use.
     struct Connection
@@ -46,7 +49,7 @@
         { }
 
         asio::ip::tcp::socket socket_;
-        std::array<char, 4096> buffer_{};
+        std::array<char, readBufferBytes> buffer_{};
         FrameReader frames_{handshakeFrameLimit};
         std::string writing_;
         bool writeUnderWay_ = false;
@@ -59,7 +62,8 @@
     auto take(std::size_t size) -> void;
     auto takeFrame(const std::string &frame) -> void;
     auto takeChallenge(const std::string &frame) -> void;
-    auto queue(std::string frame, bool isMessage) -> void;
+    auto queue(Waiting waiting) -> void;
+    auto dropSuperseded(const std::string &method) -> void;
     auto writeNext() -> void;
     auto dropStale() -> void;
     auto writeHandshake(const std::string &text) -> void;
@@ -78,8 +82,8 @@
     ConnectionPtr connection_;
     Duration backoff_;
     MonotonicTime lastHeard_;
+    MonotonicTime lastSent_;
     PeerHello hello_;
-    PeerRpcReader rpc_;
     std::deque<Waiting> waiting_;
     std::atomic<std::size_t> waitingBytes_ = 0;
 };
--- a/packages/transport/PeerNetwork.cpp
+++ b/packages/transport/PeerNetwork.cpp
@@ -75,17 +75,26 @@
 
     auto send(const EntryId &peer, PeerMessage message) -> void
     {
-        if (peer == context_->settings_.self_) {
-            asio::post(selfStrand_,
-                       [context = context_, peer, message = std::move(message)]() mutable {
-                           context->deliver(peer, StampedMessage{{}, std::move(message)});
-                       });
+        if (peer == context_->settings_.self_)
+            deliverHere(std::move(message));
+        else
+            send(std::vector{peer}, message);
+    }
+
+    auto send(const std::vector<EntryId> &peers, const PeerMessage &message) -> void
+    {
+        const auto frame = context_->frameOf(message);
+        if (!frame)
             return;
+        const auto superseded = message.supersedes_ ? message.method_ : std::string();
+        for (const auto &peer : peers) {
+            if (const auto link = findLink(peer))
+                link->send(*frame, superseded);
+            else if (const auto session = findSession(peer))
+                session->send(*frame);
+            else
+                ++context_->messagesDropped_;
         }
-        if (const auto link = findLink(peer))
-            link->send(message);
-        else
-            ++context_->messagesDropped_;
     }
 
     auto stop() -> void
@@ -115,6 +124,20 @@
         std::weak_ptr<PeerSession> session_;
     };
 
+    auto deliverHere(PeerMessage message) -> void
+    {
+        asio::post(selfStrand_, [context = context_, message = std::move(message)]() mutable {
+            context->deliver(context->settings_.self_, StampedMessage{{}, std::move(message)});
+        });
+    }
+
+    auto findSession(const EntryId &peer) -> std::shared_ptr<PeerSession>
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto found = incoming_.find(peer);
+        return found == incoming_.end() ? nullptr : found->second.session_.lock();
+    }
+
     auto findLink(const EntryId &peer) -> std::shared_ptr<PeerLink>
     {
         const auto lock = std::scoped_lock(mutex_);
@@ -250,6 +273,11 @@
     impl_->registry_->send(peer, std::move(message));
 }
 
+auto PeerNetwork::send(const std::vector<EntryId> &peers, const PeerMessage &message) -> void
+{
+    impl_->registry_->send(peers, message);
+}
+
 auto PeerNetwork::counters() const -> PeerNetworkCounters
 {
     return impl_->context_->counters();
--- a/packages/transport/PeerNetwork.h
+++ b/packages/transport/PeerNetwork.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace lycheereach {
 
@@ -26,6 +27,7 @@
     std::string key_;
     /// A connection silent for this long is given up and made anew.
     Duration silenceTimeout_ = std::chrono::milliseconds(1500);
+    /// A connection on which nothing came or went for this long carries a heartbeat.
     Duration heartbeatInterval_ = std::chrono::milliseconds(400);
     /// Bytes that may wait for one peer before messages to it are dropped.
     std::size_t queueLimitBytes_ = 16U << 20U;
@@ -51,8 +53,9 @@
     std::uint64_t messagesDropped_ = 0;
 };
 
-/// Persistent connections with length-framed JSON-RPC, heartbeats and proof of the shared key.
-/// Messages to one peer arrive in order or not at all. Thread-safe.
+/// Persistent connections with length-framed notifications, heartbeats and proof of the shared key.
+/// Messages to one peer arrive in order or not at all; those to a peer without a known address go
+/// over the connection that it has made. Thread-safe.
 class PeerNetwork
 {
 public:
@@ -71,6 +74,8 @@
     auto setPeer(const EntryId &peer, const std::string &address) -> void;
     /// Sends or drops; a message to oneself is received like any other.
     auto send(const EntryId &peer, PeerMessage message) -> void;
+    /// As send() to each of \a peers, encoded once.
+    auto send(const std::vector<EntryId> &peers, const PeerMessage &message) -> void;
     [[nodiscard]] auto counters() const -> PeerNetworkCounters;
     /// Closes everything and waits for hooks that run. Not from a hook.
     auto stop() -> void;
--- a/packages/transport/PeerSession.cpp
+++ b/packages/transport/PeerSession.cpp
@@ -7,13 +7,6 @@
 
 namespace lycheereach {
 
-namespace {
-
-/// A peer that does not read the answers to its heartbeats is cut off at this many bytes.
-constexpr std::size_t answerLimitBytes = 65536;
-
-} // namespace
-
 PeerSession::PeerSession(std::shared_ptr<PeerContext> context, PeerStrand strand,
                          asio::ip::tcp::socket socket, Accepted accepted)
     : context_(std::move(context))
@@ -141,7 +134,7 @@
 
 auto PeerSession::handleFrame(const std::string &frame) -> bool
 {
-    const auto stamped = rpc_.read(frame);
+    const auto stamped = decodeNotification(frame);
     if (!stamped)
         return false;
     context_->deliver(hello_.from_, *stamped);
@@ -152,16 +145,29 @@
 
 auto PeerSession::answerHeartbeat() -> void
 {
-    if (const auto text = context_->stamped(PeerMessage{heartbeatMethod, Json::object()}))
-        write(encodeFrame(*text));
+    if (auto frame = context_->frameOf(PeerMessage{heartbeatMethod, Json::object()}))
+        write(std::move(*frame));
+}
+
+auto PeerSession::send(std::string frame) -> void
+{
+    asio::post(strand_, [self = shared_from_this(), frame = std::move(frame)]() mutable {
+        ++self->context_->messagesSent_;
+        self->write(std::move(frame));
+    });
 }
 
 auto PeerSession::write(std::string bytes) -> void
 {
-    waiting_ += bytes;
-    if (waiting_.size() > answerLimitBytes)
+    if (closed_)
+        return;
+    // A peer that reads nothing is cut off.
+    if (waiting_.size() + bytes.size() > context_->settings_.queueLimitBytes_) {
         closeNow();
-    else if (writing_.empty())
+        return;
+    }
+    waiting_ += bytes;
+    if (writing_.empty())
         writeNext();
 }
 
--- a/packages/transport/PeerSession.h
+++ b/packages/transport/PeerSession.h
@@ -17,7 +17,8 @@
 
 namespace lycheereach {
 
-/// Proves the key, then hands over what the peer sends and answers its heartbeats.
+/// Proves the key, then hands over what the peer sends, answers its heartbeats and carries messages
+/// to it.
 class PeerSession : public std::enable_shared_from_this<PeerSession>
 {
 public:
@@ -31,6 +32,8 @@
     auto start() -> void;
     /// Ends the connection; nothing is handed over after the message that is under way.
     auto close() -> void;
+    /// Queues \a frame; a peer for which too much waits is cut off. Thread-safe.
+    auto send(std::string frame) -> void;
 
 private:
     using Frames = std::vector<std::string>;
@@ -49,8 +52,6 @@
     auto rejectKey() -> void;
     auto closeNow() -> void;
 
-    static constexpr std::size_t readBufferBytes = 65536;
-
     std::shared_ptr<PeerContext> context_;
     PeerStrand strand_;
     PeerStrand peerStrand_;
@@ -67,7 +68,6 @@
     MonotonicTime lastHeard_;
     std::array<char, readBufferBytes> buffer_{};
     FrameReader frames_{handshakeFrameLimit};
-    PeerRpcReader rpc_;
     std::string writing_;
     std::string waiting_;
 };
--- a/tests/control/ControlFleet.cpp
+++ b/tests/control/ControlFleet.cpp
@@ -79,6 +79,12 @@
     result.send_ = [this, node](const EntryId &to, const std::string &method, const Json &params) {
         take(node, to, method, params);
     };
+    result.sendLatest_ = result.send_;
+    result.sendAll_ = [this, node](const std::vector<EntryId> &to, const std::string &method,
+                                   const Json &params) {
+        for (const auto &receiver : to)
+            take(node, receiver, method, params);
+    };
     result.setPeer_ = [](const EntryId &, const std::string &) {};
     result.post_ = [this, node](std::function<void()> call) {
         nodes_[node].posted_.push_back(std::move(call));
--- a/tests/gateway/InputCorpusTest.cpp
+++ b/tests/gateway/InputCorpusTest.cpp
@@ -4,7 +4,7 @@
 #include "state/Command.h"
 #include "transport/HttpRequest.h"
 #include "transport/PeerFraming.h"
-#include "transport/PeerRpc.h"
+#include "transport/PeerNotification.h"
 
 #include <array>
 #include <functional>
@@ -145,14 +145,13 @@
 {
     const auto message = PeerMessage{"control.propose", Json{{"number", 1}, {"command", "{}"}}};
     const auto frame = encodeFrame(encodeNotification(message, HybridTime{}));
-    auto reader = PeerRpcReader();
     const auto refused = refusalsOf(frame, [&](const std::string &bytes) {
         auto frames = FrameReader(1U << 16U);
         frames.append(bytes);
         const auto payload = frames.next();
         if (!payload)
             return std::optional<std::string>("no whole frame");
-        return messageOf(reader.read(*payload));
+        return messageOf(decodeNotification(*payload));
     });
     CHECK(refused > seeds / 2);
 }
--- a/tests/transport/PeerNetworkTest.cpp
+++ b/tests/transport/PeerNetworkTest.cpp
@@ -125,6 +125,34 @@
     CHECK_EQUAL(200, first_->network_->counters().messagesSent_);
 }
 
+TEST(PeerNetwork, aPeerWithoutKnownAddress_sentTo_isReachedOverItsConnection)
+{
+    connectSecond("key");
+    sendNumbers(1);
+    CHECK(second_->waitFor(hasMessages(1)));
+    for (auto number = 0; number < 50; ++number)
+        second_->network_->send({EntryId("a"), EntryId("unknown")}, PeerMessage{"test", number});
+    CHECK(first_->waitFor(hasMessages(50)));
+    const auto messages = first_->heard_.get().messages_;
+    for (auto number = 0; number < 50; ++number)
+        CHECK(messages[number] == "b:" + std::to_string(number));
+    CHECK_EQUAL(50, second_->network_->counters().messagesDropped_);
+}
+
+TEST(PeerNetwork, messagesThatSupersede_waitingForTheConnection_leaveOnlyTheLast)
+{
+    connectSecond("key");
+    const auto address = second_->address();
+    second_->network_->stop();
+    second_.reset();
+    for (auto number = 0; number < 5; ++number)
+        first_->network_->send(EntryId("b"), PeerMessage{"renew", number, true});
+    first_->network_->send(EntryId("b"), PeerMessage{"test", 9});
+    second_ = std::make_unique<Node>(workers_, "b", "key", address);
+    CHECK(second_->waitFor(hasMessages(2)));
+    CHECK(second_->heard_.get().messages_ == (std::vector<std::string>{"a:4", "a:9"}));
+}
+
 TEST(PeerNetwork, aMessageToOneself_isReceived)
 {
     first_->network_->send(EntryId("a"), PeerMessage{"test", 1});
--- a/tests/transport/PeerProtocolTest.cpp
+++ b/tests/transport/PeerProtocolTest.cpp
@@ -1,6 +1,6 @@
 #include "transport/PeerFraming.h"
 #include "transport/PeerHandshake.h"
-#include "transport/PeerRpc.h"
+#include "transport/PeerNotification.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -51,27 +51,32 @@
     CHECK(makeNonce() != makeNonce());
 }
 
-TEST_GROUP(PeerRpc)
-{
-    PeerRpcReader reader_;
-};
+TEST_GROUP(PeerNotification){};
 
-TEST(PeerRpc, aMessage_encodedAndRead_isTheSame)
+TEST(PeerNotification, aMessage_encodedAndRead_isTheSame)
 {
     const auto message = PeerMessage{"log.append", {{"term", 3}, {"text", "a \"quote\" \n"}}};
     const auto stamp = HybridTime{1'700'000'000'123'456, 9};
-    const auto read = reader_.read(encodeNotification(message, stamp));
+    const auto read = decodeNotification(encodeNotification(message, stamp));
     CHECK(read.ok());
     CHECK(read.value() == (StampedMessage{stamp, message}));
 }
 
-TEST(PeerRpc, textThatIsNoNotification_read_isRefused)
+TEST(PeerNotification, bytesThatAreNoNotification_read_areRefused)
+{
+    const auto whole = encodeNotification(PeerMessage{"test", 1}, HybridTime{5, 1});
+    CHECK(decodeNotification(whole).ok());
+    for (const auto &bytes :
+         {std::string(), std::string("{"), whole.substr(0, whole.size() - 1), whole + "x",
+          std::string("\x93\x01\x01\xa1x", 5), std::string("\x94\xa1x\x01\xa1x\x01", 7),
+          std::string("\x94\x01\xff\xa1x\x01", 6), std::string("\x94\x01\x01\x05\x01", 5)})
+        CHECK(!decodeNotification(bytes).ok());
+    CHECK(!decodeNotification(std::string(100000, '\x91')).ok());
+}
+
+TEST(PeerNotification, textWithinText_encoded_costsNoEscapes)
 {
-    for (
-        const auto *text :
-        {"", "{", "[]", "3", R"({"jsonrpc":"2.0","method":"other","params":{}})",
-         R"({"jsonrpc":"2.0","method":"notify","params":{"us":"x"}})",
-         R"({"jsonrpc":"2.0","method":"notify","params":{"us":1,"n":-1,"method":"","params":""}})"})
-        CHECK(!reader_.read(text).ok());
-    CHECK(!reader_.read(std::string(100000, '[')).ok());
+    const auto text = Json{{"key", std::string(100, '"')}}.dump();
+    const auto message = PeerMessage{"log.append", {{"payload", text}}};
+    CHECK(encodeNotification(message, HybridTime{}).size() < text.size() + 50);
 }
