--- a/packages/serving/LeaseholderService.cpp
+++ b/packages/serving/LeaseholderService.cpp
@@ -135,7 +135,7 @@
     underWay_.erase(key);
 }
 
-auto LeaseholderService::announce(const Announcement &announcement) -> AnnouncementAnswer
+auto LeaseholderService::hear(const Announcement &announcement) -> bool
 {
     const auto now = hooks_.now_();
     const auto effect = control_.read([&](const FleetState &state) {
@@ -145,17 +145,58 @@
             permits_.report(announcement, now);
         return heard;
     });
+    if (effect == AnnouncementEffect::Stale)
+        return false;
+    if (isNews(announcement))
+        proposeNews(announcement);
+    return true;
+}
+
+auto LeaseholderService::announce(const Announcement &announcement) -> AnnouncementAnswer
+{
+    const auto isAccepted = hear(announcement);
     auto answer = answerFor(announcement);
-    answer.accepted_ = effect != AnnouncementEffect::Stale;
-    const auto isNews = control_.read([&](const FleetState &state) {
+    answer.accepted_ = isAccepted;
+    return answer;
+}
+
+auto LeaseholderService::isNews(const Announcement &announcement) const -> bool
+{
+    return control_.read([&](const FleetState &state) {
         const auto known = state.upstreams_.find(announcement.upstream_);
         return known == state.upstreams_.end() || known->second.lost_
             || known->second.watcher_ != self_
             || differsBeyondLoad(known->second.announced_, announcement);
     });
-    if (answer.accepted_ && isNews)
-        proposeOnce(PutUpstream{announcement, self_});
-    return answer;
+}
+
+auto LeaseholderService::proposeNews(const Announcement &announcement) -> void
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto [item, isFirst] = news_.try_emplace(announcement.upstream_, announcement);
+        if (!isFirst) {
+            item->second = announcement;
+            return;
+        }
+    }
+    const auto done = [weak = weak_from_this(), announcement](const Result<CommandOutcome> &) {
+        if (const auto self = weak.lock())
+            self->newsEnded(announcement);
+    };
+    control_.propose(PutUpstream{announcement, self_}, done);
+}
+
+auto LeaseholderService::newsEnded(const Announcement &proposed) -> void
+{
+    auto latest = proposed;
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (const auto item = news_.extract(proposed.upstream_))
+            latest = item.mapped();
+    }
+    if (latest != proposed && isNews(latest))
+        proposeNews(latest);
 }
 
 auto LeaseholderService::answerFor(const Announcement &announcement) const -> AnnouncementAnswer
--- a/packages/serving/LeaseholderService.h
+++ b/packages/serving/LeaseholderService.h
@@ -50,7 +50,9 @@
     /// Looks for silent upstreams, group phases to propose and permits that have run out; after a
     /// freeze of the process only once the messages that waited were delivered.
     auto tick() -> void;
-    /// Takes an announcement.
+    /// Takes an announcement; whether it is newer than what was heard before.
+    auto hear(const Announcement &announcement) -> bool;
+    /// As hear(), with what the upstream is told.
     auto announce(const Announcement &announcement) -> AnnouncementAnswer;
     /// Takes a message of a peer; true when it was one for this service.
     auto receive(const EntryId &from, const std::string &method, const Json &params) -> bool;
@@ -62,6 +64,11 @@
     [[nodiscard]] auto holdsNothing() const -> bool;
 
 private:
+    [[nodiscard]] auto isNews(const Announcement &announcement) const -> bool;
+    /// Proposes \a announcement, or keeps it until the outcome of an earlier one is known: without
+    /// a leader a backlog would grow with every announcement.
+    auto proposeNews(const Announcement &announcement) -> void;
+    auto newsEnded(const Announcement &proposed) -> void;
     auto proposeOnce(const Command &command) -> void;
     auto proposalEnded(const std::string &key) -> void;
     auto updateServing(const FleetState &state, bool mayWork, MonotonicTime now) -> void;
@@ -79,7 +86,9 @@
     GroupWatch watch_;
     PermitTable permits_;
     std::set<GroupId> held_;
-    /// Commands proposed and not answered.
+    /// The last news of each upstream that has a proposal without outcome.
+    std::map<UpstreamId, Announcement> news_;
+    /// Other commands proposed and not answered.
     std::set<std::string> underWay_;
     std::vector<TargetLoad> reported_;
     MonotonicTime reportedAt_;
--- /dev/null
+++ b/tests/serving/AnnouncementBacklogTest.cpp
@@ -0,0 +1,96 @@
+#include "control/ControlFleet.h"
+#include "serving/LeaseholderService.h"
+
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+/// Upstreams that announce themselves to a control process while there is no leader, as after a
+/// loss of most control processes.
+TEST_GROUP(AnnouncementBacklog)
+{
+    static constexpr auto upstreams = 10;
+    static constexpr auto rounds = 8;
+
+    ControlFleet fleet_ = ControlFleet(1, 3, 0);
+    std::shared_ptr<LeaseholderService> watch_;
+
+    auto setup()->void override
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index)
+            fleet_.start(index);
+        CHECK(fleet_.runUntilReady());
+        auto hooks = LeaseholderHooks{};
+        hooks.send_ = [](const EntryId &, const std::string &, const Json &) {};
+        hooks.loads_ = [](const LoadReport &) {};
+        hooks.event_ = [](const Event &) {};
+        hooks.now_ = [this] { return fleet_.now(); };
+        watch_ = std::make_shared<LeaseholderService>(fleet_.node(0).self_.id_, fleet_.service(0),
+                                                      hooks);
+    }
+
+    auto announcement(int upstream, Sequence sequence)->Announcement
+    {
+        return Announcement{.upstream_ = UpstreamId("u" + std::to_string(upstream)),
+                            .incarnation_ = 1,
+                            .sequence_ = sequence,
+                            .address_ = "10.0.0.1:80",
+                            .zone_ = ZoneName("z"),
+                            .pool_ = PoolName("pool"),
+                            .epoch_ = sequence};
+    }
+
+    auto applied()->LogIndex
+    {
+        return fleet_.service(0).read([](const FleetState &state) { return state.applied_; });
+    }
+
+    auto hasAll(Sequence sequence)->bool
+    {
+        return fleet_.service(0).read([&](const FleetState &state) {
+            for (auto number = 0; number < upstreams; ++number) {
+                const auto found = state.upstreams_.find(UpstreamId("u" + std::to_string(number)));
+                if (found == state.upstreams_.end()
+                    || found->second.announced_.sequence_ != sequence)
+                    return false;
+            }
+            return true;
+        });
+    }
+};
+
+TEST(AnnouncementBacklog,
+     upstreamsAnnounceWithoutLeader_whenThereIsOneAgain_onlyTheLatestAreProposed)
+{
+    fleet_.stop(1);
+    fleet_.stop(2);
+    fleet_.run(2s);
+    for (auto round = 1; round <= rounds; ++round) {
+        for (auto number = 0; number < upstreams; ++number)
+            CHECK(watch_->hear(announcement(number, round)));
+        fleet_.run(500ms);
+    }
+    const auto before = applied();
+    fleet_.start(1);
+    fleet_.start(2);
+    CHECK(fleet_.runUntil([this] { return hasAll(rounds); }));
+    fleet_.run(5s);
+    // For each upstream the first that found no leader and the latest, and what restarted voters
+    // add.
+    constexpr auto others = 15;
+    CHECK(applied() - before <= 2 * upstreams + others);
+}
+
+TEST(AnnouncementBacklog,
+     anUpstreamChangesWhileAnAnnouncementIsUnderWay_afterItsOutcome_theChangeIsProposed)
+{
+    for (auto number = 0; number < upstreams; ++number) {
+        CHECK(watch_->hear(announcement(number, 1)));
+        CHECK(watch_->hear(announcement(number, 2)));
+        CHECK(!watch_->hear(announcement(number, 1)));
+    }
+    CHECK(fleet_.runUntil([this] { return hasAll(2); }, 2s));
+}
