serving: Say when to come back where no group took a request in time

A request that a leaseholder refused waits aside for another group; when its deadline passed there, the refusal had no time to come back, unlike the one of the queue.

--- a/packages/requests/FairQueue.h
+++ b/packages/requests/FairQueue.h
@@ -37,6 +37,8 @@
     /// Takes over the limits of a new policy.
     auto setLimits(std::uint32_t limit, Duration timeout) -> void;
 
+    /// When a caller that is refused now may come back.
+    [[nodiscard]] auto retryAfter() const -> Duration;
     [[nodiscard]] auto size() const -> std::size_t { return size_; }
     /// How long a request of \a workspace added now would wait.
     [[nodiscard]] auto expectedWait(const WorkspaceName &workspace, std::uint32_t weight) const
@@ -70,7 +72,6 @@
     [[nodiscard]] auto ahead(const WorkspaceName &workspace, std::uint32_t weight,
                              std::size_t ownAhead) const -> double;
     [[nodiscard]] auto waitFor(double requests) const -> Duration;
-    [[nodiscard]] auto retryAfter() const -> Duration;
 
     std::uint32_t limit_;
     Duration timeout_;
--- a/packages/serving/PermitBrokerTakes.cpp
+++ b/packages/serving/PermitBrokerTakes.cpp
@@ -175,7 +175,8 @@
             std::erase(queue.stalled_, request);
             fail(request,
                  Failure{.code_ = Error::Overloaded,
-                         .message_ = "no group could take the request before its deadline"},
+                         .message_ = "no group could take the request before its deadline",
+                         .retryAfter_ = queue.queue_.retryAfter()},
                  work);
         }
     }
