serving: Judge silent probes only while the process hears answers

Ruled out: cut links (srv_cut had ended at 17 s); evidence from entries, which came as late as the answers.

Change: silence of a probe counts only if the process's own ticks were never 200 ms apart since it was sent; no more than eight upstreams are probed at once, others when they are named again.

Figures: two new tests, both failing without the change.

--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -2,6 +2,7 @@
 
 #include "control/ControlService.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -17,6 +18,12 @@
 constexpr auto evidenceWait = std::chrono::milliseconds(80);
 /// A probe that ends later than this says nothing: this process had no time to read the answer.
 constexpr auto conclusiveWithin = std::chrono::milliseconds(400);
+/// Ticks that are further apart show that this process was held up for most of a probe's time.
+constexpr auto heldUpAfter = std::chrono::milliseconds(200);
+/// Upstreams probed at once; the connections of more would keep this process from reading answers.
+constexpr auto mostProbed = 8;
+/// Probes of an upstream have ended after this time.
+constexpr auto probeTime = std::chrono::milliseconds(250);
 /// A group that gave something so long before its probe, or later, does not stand still. Entries
 /// wait four times as long before they say that it does.
 constexpr auto evidenceLead = std::chrono::milliseconds(50);
@@ -47,6 +54,9 @@
     auto due = std::map<UpstreamId, MonotonicTime>{};
     {
         const auto lock = std::scoped_lock(mutex_);
+        if (now - lastTick_ > heldUpAfter)
+            heldUpAt_ = now;
+        lastTick_ = now;
         std::erase_if(suspected_, [&](const auto &item) {
             const auto isDue = now - item.second >= evidenceWait;
             if (isDue)
@@ -85,6 +95,8 @@
     const auto now = hooks_.now_();
     {
         const auto lock = std::scoped_lock(mutex_);
+        if (probedAtOnce(now) >= mostProbed)
+            return;
         auto &probed = probed_[upstream.announced_.upstream_];
         if (probed.incarnation_ != upstream.announced_.incarnation_)
             probed = Probed{upstream.announced_.incarnation_, {}, 0, false};
@@ -101,6 +113,12 @@
         hooks_.probe_(upstream, done);
 }
 
+auto MemberProbe::probedAtOnce(MonotonicTime now) const -> std::ptrdiff_t
+{
+    return std::count_if(probed_.begin(), probed_.end(),
+                         [&](const auto &item) { return now - item.second.at_ < probeTime; });
+}
+
 auto MemberProbe::probed(const Upstream &upstream, ProbeOutcome outcome) -> void
 {
     const auto &announced = upstream.announced_;
@@ -113,7 +131,8 @@
             return;
         if (probed.ended_)
             return;
-        const auto isConclusive = hooks_.now_() - probed.at_ <= conclusiveWithin;
+        const auto isConclusive
+            = hooks_.now_() - probed.at_ <= conclusiveWithin && heldUpAt_ <= probed.at_;
         probed.silent_ += outcome == ProbeOutcome::Silent && isConclusive ? 1 : 0;
         probed.ended_ = outcome == ProbeOutcome::Ended;
         isLost = probed.ended_ || probed.silent_ == probesAtOnce;
--- a/packages/serving/MemberProbe.h
+++ b/packages/serving/MemberProbe.h
@@ -8,6 +8,7 @@
 #include "base/Time.h"
 #include "serving/ProbeOutcome.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,7 +34,8 @@
 
 /// Probes upstreams that may be dead: all members of a group that an entry found standing still.
 /// One whose process has ended is proposed as lost, and one that answers none of two probes while
-/// no entry gets anything of its group: it may be cut off from control alone.
+/// no entry gets anything of its group: it may be cut off from control alone. Silence counts only
+/// while this process has the time to hear answers; few are probed at once.
 /// Thread-safe; guarded by one lock of rank LockRank::Leaseholder.
 class MemberProbe : public std::enable_shared_from_this<MemberProbe>
 {
@@ -58,6 +60,8 @@
         bool ended_ = false;
     };
 
+    /// Upstreams that are being probed.
+    [[nodiscard]] auto probedAtOnce(MonotonicTime now) const -> std::ptrdiff_t;
     auto probeMembers(const UpstreamId &head) -> void;
     auto probe(const Upstream &upstream) -> void;
     [[nodiscard]] auto servesStill(const UpstreamId &upstream, MonotonicTime probedAt) const
@@ -70,6 +74,9 @@
     std::map<UpstreamId, Probed> probed_;
     /// First members of groups that are said to stand still, and since when.
     std::map<UpstreamId, MonotonicTime> suspected_;
+    MonotonicTime lastTick_;
+    /// When a late tick last showed that this process had no time to read answers.
+    MonotonicTime heldUpAt_;
 };
 
 } // namespace lycheereach
--- a/tests/serving/EvidenceTest.cpp
+++ b/tests/serving/EvidenceTest.cpp
@@ -225,3 +225,47 @@
     CHECK_FALSE(isLost(head_));
     CHECK_FALSE(isLost(member_));
 }
+
+TEST(Evidence, theProcessIsHeldUpWhileItProbes_probesUnanswered_losesNobody)
+{
+    suspect();
+    CHECK(!probes_.empty());
+    fleet_.run(240ms);
+    probe_->tick();
+    stayUnanswered();
+    CHECK_FALSE(isLost(head_));
+    CHECK_FALSE(isLost(member_));
+    fleet_.run(400ms);
+    probe_->tick();
+    suspect();
+    stayUnanswered();
+    CHECK(isLost(head_));
+}
+
+TEST(Evidence, manyMembersAreSuspected_probed_fewAtOnce)
+{
+    auto members = std::vector<UpstreamId>{};
+    for (auto number = 0; number < 20; ++number) {
+        members.emplace_back("m" + std::to_string(number));
+        commit(PutUpstream{Announcement{.upstream_ = members.back(),
+                                        .incarnation_ = 1,
+                                        .address_ = members.back().text() + ":1",
+                                        .zone_ = ZoneName("a"),
+                                        .fabricDomain_ = FabricDomain("d"),
+                                        .pool_ = PoolName("p"),
+                                        .cold_ = false},
+                           EntryId("c")});
+    }
+    for (auto number = 0; number < 20; number += 2) {
+        const auto group = GroupId("many" + std::to_string(number));
+        commit(FormGroup{
+            group, PoolName("p"), ZoneName("a"), 0, {members[number], members[number + 1]}, true});
+    }
+    for (auto number = 0; number < 20; number += 2)
+        probe_->groupStalled(members[number]);
+    fleet_.run(80ms);
+    probe_->tick();
+    constexpr auto mostProbes = 2 * 8;
+    CHECK(!probes_.empty());
+    CHECK(probes_.size() <= mostProbes);
+}
