groups, serving: Judge in one place whether an announcement is news

Cause: LeaseholderService::isNews repeated the test of GroupWatch::heard. Change: one function for both, beside differsBeyondLoad(); behaviour is the same.

--- a/packages/groups/GroupWatch.cpp
+++ b/packages/groups/GroupWatch.cpp
@@ -55,6 +55,15 @@
     return adjusted != right;
 }
 
+auto isNews(const FleetState &state, const Announcement &announcement, const EntryId &watcher)
+    -> bool
+{
+    const auto known = state.upstreams_.find(announcement.upstream_);
+    return known == state.upstreams_.end() || known->second.lost_
+        || known->second.watcher_ != watcher
+        || differsBeyondLoad(known->second.announced_, announcement);
+}
+
 GroupWatch::GroupWatch(EntryId self)
     : self_(std::move(self))
 { }
@@ -97,9 +106,8 @@
     const auto &upstream = known->second;
     if (!isNewer(announcement, upstream.announced_))
         return AnnouncementEffect::LoadOnly;
-    const auto isNews = upstream.lost_ || upstream.watcher_ != self_
-        || differsBeyondLoad(announcement, upstream.announced_);
-    return isNews ? AnnouncementEffect::Changed : AnnouncementEffect::LoadOnly;
+    return isNews(state, announcement, self_) ? AnnouncementEffect::Changed
+                                              : AnnouncementEffect::LoadOnly;
 }
 
 auto GroupWatch::noteMember(const FleetState &state, const Announcement &announcement) -> void
--- a/packages/groups/GroupWatch.h
+++ b/packages/groups/GroupWatch.h
@@ -16,6 +16,9 @@
 
 /// Whether two announcements differ in more than sequence and load.
 auto differsBeyondLoad(const Announcement &left, const Announcement &right) -> bool;
+/// Whether \a state does not have what \a announcement says, heard by \a watcher, beyond its load.
+auto isNews(const FleetState &state, const Announcement &announcement, const EntryId &watcher)
+    -> bool;
 
 /// The announcements that one entry hears, and the groups whose lease it holds.
 ///
--- a/packages/serving/LeaseholderService.cpp
+++ b/packages/serving/LeaseholderService.cpp
@@ -162,12 +162,8 @@
 
 auto LeaseholderService::isNews(const Announcement &announcement) const -> bool
 {
-    return control_.read([&](const FleetState &state) {
-        const auto known = state.upstreams_.find(announcement.upstream_);
-        return known == state.upstreams_.end() || known->second.lost_
-            || known->second.watcher_ != self_
-            || differsBeyondLoad(known->second.announced_, announcement);
-    });
+    return control_.read(
+        [&](const FleetState &state) { return lycheereach::isNews(state, announcement, self_); });
 }
 
 auto LeaseholderService::proposeNews(const Announcement &announcement) -> void
