--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -36,6 +36,7 @@
     UpstreamDraining = 1404,
     AnnouncementRefused = 1405,
     ProbeFailed = 1406,
+    LeaveAcknowledged = 1407,
     GroupForming = 1501,
     GroupLoading = 1502,
     GroupServing = 1503,
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -64,7 +64,7 @@
     }
     for (const auto &[id, upstream] : state.upstreams_) {
         const auto isPlain = upstream.announced_.kind_ == UpstreamKind::Service;
-        if (isPlain && !upstream.lost_ && !upstream.draining_ && !upstream.announced_.leaving_)
+        if (isPlain && mayTakeWork(upstream))
             add(state, upstream.announced_.pool_, id, targets);
     }
     targets_ = std::move(targets);
--- a/packages/groups/FreeInstances.cpp
+++ b/packages/groups/FreeInstances.cpp
@@ -4,11 +4,6 @@
 
 namespace lycheereach {
 
-auto mayTakeWork(const Upstream &upstream) -> bool
-{
-    return !upstream.lost_ && !upstream.draining_ && !upstream.announced_.leaving_;
-}
-
 auto isLost(const FleetState &state, const UpstreamId &member) -> bool
 {
     const auto found = state.upstreams_.find(member);
--- a/packages/groups/FreeInstances.h
+++ b/packages/groups/FreeInstances.h
@@ -9,9 +9,6 @@
 
 namespace lycheereach {
 
-/// Whether \a upstream lives and no one wants it empty.
-auto mayTakeWork(const Upstream &upstream) -> bool;
-
 /// Whether \a member of a group is lost or unknown.
 auto isLost(const FleetState &state, const UpstreamId &member) -> bool;
 
--- a/packages/routing/GroupChooser.cpp
+++ b/packages/routing/GroupChooser.cpp
@@ -29,8 +29,7 @@
         if (found == state.upstreams_.end())
             return false;
         const auto &upstream = found->second;
-        return !upstream.lost_ && !upstream.draining_ && !upstream.announced_.leaving_
-            && !isZoneOut(state, upstream.announced_.zone_);
+        return mayTakeWork(upstream) && !isZoneOut(state, upstream.announced_.zone_);
     };
     return std::all_of(group.members_.begin(), group.members_.end(), isUsable);
 }
--- a/packages/state/FleetState.cpp
+++ b/packages/state/FleetState.cpp
@@ -50,6 +50,11 @@
 
 } // namespace
 
+auto mayTakeWork(const Upstream &upstream) -> bool
+{
+    return !upstream.lost_ && !upstream.draining_ && !upstream.announced_.leaving_;
+}
+
 auto memberAgrees(const Group &group, const Upstream &upstream) -> bool
 {
     if (upstream.lost_)
--- a/packages/state/FleetState.h
+++ b/packages/state/FleetState.h
@@ -72,6 +72,8 @@
     }
 };
 
+/// Whether \a upstream lives and no one wants it empty, itself included.
+auto mayTakeWork(const Upstream &upstream) -> bool;
 /// Whether \a upstream takes its part in \a group, by its own last announcement.
 auto memberAgrees(const Group &group, const Upstream &upstream) -> bool;
 /// Whether every member of \a group is there and agrees.
--- a/packages/state/MembershipCommands.cpp
+++ b/packages/state/MembershipCommands.cpp
@@ -12,10 +12,26 @@
         > std::pair(right.incarnation_, right.sequence_);
 }
 
-auto emitUpstream(const CommandContext &context, EventNumber number, const UpstreamId &upstream)
-    -> void
+auto emitUpstream(const CommandContext &context, EventNumber number, const UpstreamId &upstream,
+                  const std::string &reason = {}) -> void
 {
-    context.sink_(Event{number, {{"upstream", upstream.text()}}});
+    auto event = Event{number, {{"upstream", upstream.text()}}};
+    if (!reason.empty())
+        event.attributes_["reason"] = reason;
+    context.sink_(event);
+}
+
+/// Tells what \a announced changes for new work at \a upstream.
+auto emitChanges(const CommandContext &context, const Upstream &upstream,
+                 const Announcement &announced) -> void
+{
+    const auto &id = announced.upstream_;
+    if (announced.incarnation_ > upstream.announced_.incarnation_)
+        emitUpstream(context, EventNumber::UpstreamRestarted, id);
+    else if (upstream.lost_)
+        emitUpstream(context, EventNumber::UpstreamSeen, id, "it was lost");
+    if (announced.leaving_ && !upstream.announced_.leaving_)
+        emitUpstream(context, EventNumber::UpstreamDraining, id, "it announced that it leaves");
 }
 
 auto emitEntry(const CommandContext &context, EventNumber number, const EntryId &entry) -> void
@@ -70,8 +86,7 @@
     auto &upstream = found->second;
     if (!isNewer(announced, upstream.announced_))
         return refused("an older announcement of '" + announced.upstream_.text() + "'");
-    if (announced.incarnation_ > upstream.announced_.incarnation_)
-        emitUpstream(context, EventNumber::UpstreamRestarted, announced.upstream_);
+    emitChanges(context, upstream, announced);
     upstream.announced_ = announced;
     upstream.watcher_ = command.watcher_;
     upstream.lost_ = false;
--- a/tests/forward/ForwardServiceTest.cpp
+++ b/tests/forward/ForwardServiceTest.cpp
@@ -2,7 +2,7 @@
 #include "control/ControlFleet.h"
 #include "forward/TargetTable.h"
 #include "transport/HttpClient.h"
-#include "transport/HttpReply.h"
+#include "transport/KeptReply.h"
 #include "transport/WorkerPool.h"
 
 #include <CppUTest/TestHarness.h>
@@ -10,26 +10,6 @@
 using namespace lycheereach;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// Keeps a whole answer.
-class KeptReply : public HttpReply
-{
-public:
-    auto send(HttpResponse response) -> void override { answer_ = std::move(response); }
-    auto begin(HttpResponse) -> void override { }
-    auto write(std::string, Written) -> void override { }
-    auto finish() -> void override { }
-    auto abort() -> void override { }
-    auto onClosed(std::function<void()> closed) -> void override { closed_ = std::move(closed); }
-    [[nodiscard]] auto remoteAddress() const -> std::string override { return "127.0.0.1:1"; }
-
-    std::optional<HttpResponse> answer_;
-    std::function<void()> closed_;
-};
-
-} // namespace
-
 /// An entry of a simulated fleet whose dialect writes a refusal's pause in milliseconds.
 TEST_GROUP(ForwardService)
 {
