state, platform: Keep a deregistered upstream out of use for good

What callers saw: requests went to a back end that had deregistered (DRAIN).

Cause: a deregistration was proposed as the loss of a silent upstream, and only if the process that heard it knew the upstream. A process that lagged behind the log dropped it, and any later report of the same run, delayed on its way, made the upstream usable again, since its sequence number is above that of the last committed announcement.

RetireUpstream is the upstream's own word: it holds for the incarnation whatever is announced later, and names no incarnation where the process knows none, so that the log decides. An upstream that deregisters without having said that it leaves still serves for a while; it counts as leaving, so that its group closes and finishes its streams, where it counted as lost before and its group was told to leave at once.

--- a/packages/routing/PermitTable.cpp
+++ b/packages/routing/PermitTable.cpp
@@ -41,8 +41,7 @@
         if (found == state.upstreams_.end())
             return true;
         const auto &upstream = found->second;
-        return upstream.draining_ || upstream.announced_.leaving_
-            || isZoneOut(state, upstream.announced_.zone_);
+        return isWithdrawn(upstream) || isZoneOut(state, upstream.announced_.zone_);
     };
     return std::any_of(group.members_.begin(), group.members_.end(), leaves);
 }
--- a/packages/state/Command.cpp
+++ b/packages/state/Command.cpp
@@ -12,7 +12,7 @@
 constexpr auto tags = std::to_array<const char *>(
     {"apply", "zone", "drain", "entry", "entryPhase", "upstream", "upstreamLost", "group",
      "groupPhase", "leaseholder", "claim", "settle", "expire", "block", "publish", "evacuate",
-     "confirm", "traffic"});
+     "confirm", "traffic", "retire"});
 static_assert(tags.size() == std::variant_size_v<Command>);
 
 template <std::size_t Index>
--- a/packages/state/Command.h
+++ b/packages/state/Command.h
@@ -16,6 +16,7 @@
 #include "state/PublishDeclaration.h"
 #include "state/PutEntry.h"
 #include "state/PutUpstream.h"
+#include "state/RetireUpstream.h"
 #include "state/SetEntryPhase.h"
 #include "state/SetGroupPhase.h"
 #include "state/SetLeaseholder.h"
@@ -28,10 +29,11 @@
 namespace lycheereach {
 
 /// One record of the replicated log.
-using Command = std::variant<ApplyDeclaration, SetZone, DrainUpstream, PutEntry, SetEntryPhase,
-                             PutUpstream, LoseUpstream, FormGroup, SetGroupPhase, SetLeaseholder,
-                             ClaimRequest, SettleClaim, ExpireClaims, BlockRequest,
-                             PublishDeclaration, EvacuateZone, ConfirmState, NoteTraffic>;
+using Command
+    = std::variant<ApplyDeclaration, SetZone, DrainUpstream, PutEntry, SetEntryPhase, PutUpstream,
+                   LoseUpstream, FormGroup, SetGroupPhase, SetLeaseholder, ClaimRequest,
+                   SettleClaim, ExpireClaims, BlockRequest, PublishDeclaration, EvacuateZone,
+                   ConfirmState, NoteTraffic, RetireUpstream>;
 
 /// \a command as JSON text for the log.
 auto encodeCommand(const Command &command) -> std::string;
--- a/packages/state/CommandHandlers.h
+++ b/packages/state/CommandHandlers.h
@@ -25,6 +25,7 @@
 auto handle(CommandContext &context, const SetEntryPhase &command) -> CommandOutcome;
 auto handle(CommandContext &context, const PutUpstream &command) -> CommandOutcome;
 auto handle(CommandContext &context, const LoseUpstream &command) -> CommandOutcome;
+auto handle(CommandContext &context, const RetireUpstream &command) -> CommandOutcome;
 auto handle(CommandContext &context, const FormGroup &command) -> CommandOutcome;
 auto handle(CommandContext &context, const SetGroupPhase &command) -> CommandOutcome;
 auto handle(CommandContext &context, const SetLeaseholder &command) -> CommandOutcome;
--- a/packages/state/FleetState.cpp
+++ b/packages/state/FleetState.cpp
@@ -50,9 +50,14 @@
 
 } // namespace
 
+auto isWithdrawn(const Upstream &upstream) -> bool
+{
+    return upstream.draining_ || upstream.retired_ || upstream.announced_.leaving_;
+}
+
 auto mayTakeWork(const Upstream &upstream) -> bool
 {
-    return !upstream.lost_ && !upstream.draining_ && !upstream.announced_.leaving_;
+    return !upstream.lost_ && !isWithdrawn(upstream);
 }
 
 auto memberAgrees(const Group &group, const Upstream &upstream) -> bool
--- a/packages/state/FleetState.h
+++ b/packages/state/FleetState.h
@@ -26,6 +26,9 @@
     /// The last accepted operation or change of a group's lease: an entry takes new work only when
     /// it has applied this record.
     LogIndex requiredIndex_ = 0;
+    /// The last record that withdrew an upstream at its own word: it waits for an answer until all
+    /// entries follow.
+    LogIndex withdrawnIndex_ = 0;
     Declaration declaration_;
     /// The operator's revision of a published declaration; 0 when it was applied.
     std::uint64_t revision_ = 0;
@@ -55,6 +58,7 @@
         return std::tuple{field("applied", &FleetState::applied_),
                           field("version", &FleetState::version_),
                           field("requiredIndex", &FleetState::requiredIndex_),
+                          optionalField("withdrawnIndex", &FleetState::withdrawnIndex_),
                           field("declaration", &FleetState::declaration_),
                           optionalField("revision", &FleetState::revision_),
                           optionalField("source", &FleetState::source_),
@@ -72,7 +76,9 @@
     }
 };
 
-/// Whether \a upstream lives and no one wants it empty, itself included.
+/// Whether \a upstream is to get no new work, at its own word or an operator's.
+auto isWithdrawn(const Upstream &upstream) -> bool;
+/// Whether \a upstream lives and is not withdrawn.
 auto mayTakeWork(const Upstream &upstream) -> bool;
 /// Whether \a upstream takes its part in \a group, by its own last announcement.
 auto memberAgrees(const Group &group, const Upstream &upstream) -> bool;
--- a/packages/state/MembershipCommands.cpp
+++ b/packages/state/MembershipCommands.cpp
@@ -34,6 +34,20 @@
         emitUpstream(context, EventNumber::UpstreamDraining, id, "it announced that it leaves");
 }
 
+/// Takes in whether \a upstream may still take work after a change; \a couldWork is whether it
+/// might before.
+auto noteWithdrawal(CommandContext &context, Upstream &upstream, bool couldWork) -> void
+{
+    if (mayTakeWork(upstream))
+        upstream.withdrawnIndex_ = 0;
+    else if (couldWork || upstream.withdrawnIndex_ == 0)
+        upstream.withdrawnIndex_ = context.index_;
+    else
+        return;
+    if (isWithdrawn(upstream))
+        context.state_.withdrawnIndex_ = context.index_;
+}
+
 auto emitEntry(const CommandContext &context, EventNumber number, const EntryId &entry) -> void
 {
     context.sink_(Event{number, {{"entry", entry.text()}}});
@@ -79,7 +93,9 @@
     const auto &announced = command.announced_;
     const auto found = upstreams.find(announced.upstream_);
     if (found == upstreams.end()) {
-        upstreams[announced.upstream_] = Upstream{announced, command.watcher_};
+        auto &upstream = upstreams[announced.upstream_];
+        upstream = Upstream{announced, command.watcher_};
+        noteWithdrawal(context, upstream, true);
         emitUpstream(context, EventNumber::UpstreamSeen, announced.upstream_);
         return accepted();
     }
@@ -87,9 +103,13 @@
     if (!isNewer(announced, upstream.announced_))
         return refused("an older announcement of '" + announced.upstream_.text() + "'");
     emitChanges(context, upstream, announced);
+    const auto couldWork = mayTakeWork(upstream);
+    upstream.retired_
+        = upstream.retired_ && announced.incarnation_ == upstream.announced_.incarnation_;
     upstream.announced_ = announced;
     upstream.watcher_ = command.watcher_;
     upstream.lost_ = false;
+    noteWithdrawal(context, upstream, couldWork);
     demoteIfIncomplete(context, announced.upstream_);
     return accepted();
 }
@@ -106,10 +126,38 @@
         return refused("'" + command.upstream_.text() + "' has another watcher or incarnation");
     if (upstream.lost_)
         return accepted();
+    const auto couldWork = mayTakeWork(upstream);
     upstream.lost_ = true;
+    noteWithdrawal(context, upstream, couldWork);
     emitUpstream(context, EventNumber::UpstreamLost, command.upstream_);
     demoteIfIncomplete(context, command.upstream_);
     return accepted();
 }
 
+auto handle(CommandContext &context, const RetireUpstream &command) -> CommandOutcome
+{
+    auto &upstreams = context.state_.upstreams_;
+    const auto found = upstreams.find(command.upstream_);
+    if (found == upstreams.end())
+        return refused("unknown upstream '" + command.upstream_.text() + "'");
+    auto &upstream = found->second;
+    const auto &announced = upstream.announced_;
+    if (command.incarnation_ && announced.incarnation_ != *command.incarnation_)
+        return refused("another incarnation of upstream '" + command.upstream_.text() + "'");
+    if (upstream.retired_)
+        return accepted();
+    const auto couldWork = mayTakeWork(upstream);
+    upstream.retired_ = true;
+    noteWithdrawal(context, upstream, couldWork);
+    if (!announced.leaving_) {
+        emitUpstream(context, EventNumber::UpstreamDraining, command.upstream_, "it deregistered");
+        return accepted();
+    }
+    if (!upstream.lost_)
+        emitUpstream(context, EventNumber::UpstreamLost, command.upstream_, "it deregistered");
+    upstream.lost_ = true;
+    demoteIfIncomplete(context, command.upstream_);
+    return accepted();
+}
+
 } // namespace lycheereach
--- a/packages/state/Upstream.h
+++ b/packages/state/Upstream.h
@@ -19,6 +19,10 @@
     bool lost_ = false;
     /// An operator wants it empty.
     bool draining_ = false;
+    /// This incarnation has deregistered, whatever it announces later.
+    bool retired_ = false;
+    /// The record since which it gets no new work; 0 while it may get some.
+    LogIndex withdrawnIndex_ = 0;
 
     auto operator==(const Upstream &) const -> bool = default;
     static constexpr auto fields()
@@ -26,7 +30,9 @@
         return std::tuple{field("announced", &Upstream::announced_),
                           optionalField("watcher", &Upstream::watcher_),
                           optionalField("lost", &Upstream::lost_),
-                          optionalField("draining", &Upstream::draining_)};
+                          optionalField("draining", &Upstream::draining_),
+                          optionalField("retired", &Upstream::retired_),
+                          optionalField("withdrawnIndex", &Upstream::withdrawnIndex_)};
     }
 };
 
--- a/tests/platform/RegistryApiTest.cpp
+++ b/tests/platform/RegistryApiTest.cpp
@@ -29,6 +29,8 @@
         for (std::size_t index = 0; index < fleet_.size(); ++index)
             fleet_.start(index);
         CHECK(fleet_.runUntilReady());
+        // Leases that were granted before the start would hold up what is in force.
+        fleet_.run(5s);
         auto hooks = LeaseholderHooks{};
         hooks.send_ = [](const EntryId &, const std::string &, const Json &) {};
         hooks.loads_ = [](const LoadReport &) {};
--- a/tests/state/CommandTest.cpp
+++ b/tests/state/CommandTest.cpp
@@ -14,6 +14,7 @@
     SetEntryPhase{EntryId("e"), 3, EntryPhase::Leaving},
     PutUpstream{Announcement{.upstream_ = UpstreamId("u"), .carries_ = 4}, EntryId("e")},
     LoseUpstream{UpstreamId("u"), 3, EntryId("e")},
+    RetireUpstream{UpstreamId("u"), 3},
     FormGroup{GroupId("g"), PoolName("p"), ZoneName("z"), 1, {UpstreamId("u")}},
     SetGroupPhase{GroupId("g"), 2, GroupPhase::Serving},
     SetLeaseholder{GroupId("g"), 2, EntryId("e")},
