serving, control, platform: Acknowledge that an upstream leaves once every entry follows

What callers saw: requests reached a back end later than it allows after it was told that it gets none (DRAIN).

Cause: acknowledged before it holds. A control process answered as soon as it had heard the report, or proposed the deregistration. The entries follow when the record is committed and has reached them; without a leader, or behind a proposal of the same upstream whose outcome is not known for up to 6 s, that is never or seconds later, while the upstream counts the time that it still serves from the answer.

WithdrawalWatch keeps the answer until the record that withdrew the upstream is in force: every entry that may take work has applied it. So that the answer comes within the second, holders of leases confirm a withdrawal 100 ms after their last renewal, not at the next one, and the leader tells the relays of it without their asking; other records cost no message more.

--- a/packages/base/EventCatalogue.cpp
+++ b/packages/base/EventCatalogue.cpp
@@ -36,6 +36,8 @@
     {AnnouncementRefused, "announcement-refused", "An announcement was invalid or stale."},
     {ProbeFailed, "probe-failed", "A probed upstream gave no sign of life and is taken for dead."},
     {LeaveAcknowledged, "leave-acknowledged", "An upstream was told that it gets no new work."},
+    {LeaveUnconfirmed, "leave-unconfirmed",
+     "An upstream was asked to say elsewhere that it leaves; entries may still use it."},
     {GroupForming, "group-forming", "Members were chosen for a new epoch of a group."},
     {GroupLoading, "group-loading", "The members of a group load weights."},
     {GroupServing, "group-serving", "All members agree on the epoch; the group serves."},
--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -37,6 +37,7 @@
     AnnouncementRefused = 1405,
     ProbeFailed = 1406,
     LeaveAcknowledged = 1407,
+    LeaveUnconfirmed = 1408,
     GroupForming = 1501,
     GroupLoading = 1502,
     GroupServing = 1503,
--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -69,7 +69,9 @@
 auto ControlService::renewWhenDue(MonotonicTime now) -> void
 {
     const auto hasLease = lease_.allowsWork(machine_.state().applied_, now);
-    const auto pause = hasLease ? settings_.renewEvery_ : settings_.renewWithoutLease_;
+    auto pause = hasLease ? settings_.renewEvery_ : settings_.renewWithoutLease_;
+    if (owesConfirmation(now))
+        pause = std::min(pause, settings_.confirmAfter_);
     if (now - renewedAt_ < pause)
         return;
     renewedAt_ = now;
@@ -81,6 +83,12 @@
         sendRenewal(*grantor, now);
 }
 
+auto ControlService::owesConfirmation(MonotonicTime now) const -> bool
+{
+    const auto awaited = machine_.state().withdrawnIndex_;
+    return toldConfirmed_ < awaited && confirmedHere(now) >= awaited;
+}
+
 auto ControlService::renewAsLeader(MonotonicTime now) -> void
 {
     const auto number = lease_.renewalSent(now);
@@ -146,6 +154,7 @@
                            .entry_ = settings_.self_,
                            .confirmed_ = confirmedHere(now),
                            .applied_ = machine_.state().applied_};
+    toldConfirmed_ = renewal.confirmed_;
     if (relaying_)
         renewal.holders_ = heardLately(now);
     for (const auto &[pool, groups] : demandHere(now))
@@ -366,6 +375,7 @@
         return;
     const auto confirmed = granted_.confirmedIndex(confirmedHere(now), now);
     inForceIndex_ = std::max(inForceIndex_, confirmed);
+    tellInForce(now);
     const auto &state = machine_.state();
     if (inForceIndex_ < state.requiredIndex_ || versionInForce_ == state.version_)
         return;
@@ -374,6 +384,16 @@
         Event{EventNumber::ConfigurationInForce, {{"version", std::to_string(state.version_)}}});
 }
 
+auto ControlService::tellInForce(MonotonicTime now) -> void
+{
+    const auto awaited = machine_.state().withdrawnIndex_;
+    if (toldInForce_ >= awaited || inForceIndex_ < awaited)
+        return;
+    toldInForce_ = awaited;
+    const auto news = LeaseGrant{.inForceIndex_ = inForceIndex_, .leader_ = settings_.self_.id_};
+    hooks_.sendAll_(granted_.holders(now), "control.grant", encode(news));
+}
+
 auto ControlService::loseSilentEntries(MonotonicTime now) -> void
 {
     const auto patience = settings_.entryPatience_.value_or(2 * settings_.stateLease_);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -162,6 +162,8 @@
     // Leases.
     auto renewWhenDue(MonotonicTime now) -> void;
     auto renewAsLeader(MonotonicTime now) -> void;
+    /// Whether the last renewal did not confirm a withdrawal that is in force here.
+    [[nodiscard]] auto owesConfirmation(MonotonicTime now) const -> bool;
     auto sendRenewal(const EntryId &to, MonotonicTime now) -> void;
     [[nodiscard]] auto grantorToAsk() -> std::optional<EntryId>;
     /// Whom this process may renew with, best first: relays of its zone, others, and the leader
@@ -179,6 +181,8 @@
     auto takeRecords(const LeaseGrant &grant) -> void;
     auto noteLeadership(MonotonicTime now) -> void;
     auto updateInForce(MonotonicTime now) -> void;
+    /// Tells the relays of a withdrawal that has come into force, without their asking.
+    auto tellInForce(MonotonicTime now) -> void;
     auto loseSilentEntries(MonotonicTime now) -> void;
     auto registerWhenNeeded(MonotonicTime now) -> void;
     auto keepVoters(MonotonicTime now) -> void;
@@ -215,6 +219,10 @@
     std::size_t asked_ = 0;
     MonotonicTime pushedAt_;
     MonotonicTime renewedAt_;
+    /// What the last renewal confirmed.
+    LogIndex toldConfirmed_ = 0;
+    /// On the leader: what the relays were told to be in force without their asking.
+    LogIndex toldInForce_ = 0;
     MonotonicTime answeredAt_;
     MonotonicTime registeredAt_;
     bool relaying_ = false;
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -20,6 +20,8 @@
     std::vector<EntryId> voters_;
     Duration stateLease_ = std::chrono::seconds(3);
     Duration renewEvery_ = std::chrono::milliseconds(500);
+    /// As renewEvery_, while an upstream waits for this process to confirm that it is withdrawn.
+    Duration confirmAfter_ = std::chrono::milliseconds(100);
     /// As renewEvery_, while this process has no live lease.
     Duration renewWithoutLease_ = std::chrono::milliseconds(500);
     /// An entry is lost when it renewed with no process for so long, which is longer than its
--- a/tests/platform/RegistryApiTest.cpp
+++ b/tests/platform/RegistryApiTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/RegistryApi.h"
 #include "control/ControlFleet.h"
 #include "serving/LeaseholderService.h"
+#include "serving/WithdrawalWatch.h"
 #include "transport/KeptReply.h"
 
 #include <memory>
@@ -22,6 +23,7 @@
     ControlFleet fleet_ = ControlFleet(1, 3, 1);
     UpstreamId runner_{"i-1"};
     std::shared_ptr<LeaseholderService> watch_;
+    std::unique_ptr<WithdrawalWatch> withdrawals_;
     std::unique_ptr<RegistryApi> api_;
 
     auto setup()->void override
@@ -38,8 +40,10 @@
         hooks.now_ = [this] { return fleet_.now(); };
         watch_ = std::make_shared<LeaseholderService>(fleet_.node(0).self_.id_, fleet_.service(0),
                                                       hooks);
-        api_ = std::make_unique<RegistryApi>(fleet_.service(0), *watch_, "127.0.0.1:1",
-                                             [](const Event &) {});
+        withdrawals_ = std::make_unique<WithdrawalWatch>(
+            fleet_.service(0), [](const Event &) {}, [this] { return fleet_.now(); });
+        api_ = std::make_unique<RegistryApi>(fleet_.service(0), *watch_, *withdrawals_,
+                                             "127.0.0.1:1", [](const Event &) {});
         report("ready", 1);
         CHECK(fleet_.runUntil([this] { return mayGetWork(entry) && mayGetWork(0); }, 2s));
     }
@@ -74,7 +78,11 @@
 
     auto pass(Duration duration)->void
     {
-        fleet_.run(duration);
+        constexpr auto step = Duration(20ms);
+        for (auto left = duration; left > Duration::zero(); left -= step) {
+            fleet_.run(step);
+            withdrawals_->tick();
+        }
     }
 
     static auto isAcknowledged(const KeptReply &reply)->bool
