forward: Send nothing more to a first member that leaves

What callers saw: a back end that had said that it leaves got requests (DRAIN) until its group was closed.

Cause: for plain services TargetTable leaves out an upstream that is withdrawn, for groups it waited for the planner's record that closes the group, which comes one commit and one push later and not at all while the leader is being replaced. The acknowledgement that is now in force would still have been one record too early for a first member.

Evidence: TargetTable, aFirstMemberLeaves_choose_leavesItsGroupOut failed before and passes now.

--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -39,7 +39,7 @@
         return false;
     const auto head = state.upstreams_.find(group.members_.front());
     return head != state.upstreams_.end() && head->second.announced_.phase_ == MemberPhase::Open
-        && memberAgrees(group, head->second);
+        && mayTakeWork(head->second) && memberAgrees(group, head->second);
 }
 
 } // namespace
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -244,3 +244,13 @@
     CHECK(sent > 0);
     CHECK(fresh >= sent);
 }
+
+// Guards against requests to a first member that leaves (DRAIN): its group is closed by a later
+// record.
+TEST(TargetTable, aFirstMemberLeaves_choose_leavesItsGroupOut)
+{
+    state_.upstreams_.at(UpstreamId("u1")).announced_.leaving_ = true;
+    table_.update(state_);
+    CHECK(choose() == "u2");
+    CHECK(choose() == "u2");
+}
