forward, requests: Divide what a cold upstream carries without rounding up

Cause: a shared limit divided with rounding up. Each entry gave a cold upstream at least one request a second; 67 entries may send 67 where it carries 15. With fewer entries than the limit the fraction of each share was lost instead: eight entries used 32 of 38.

The shares are whole numbers that add up to the limit: the remainder goes to the entries with the highest rendezvous hash together with the upstream, so that every entry comes to the same division without a message, and different upstreams favour different entries.

Ruled out: pacing below one request a second for each entry; entries that have not sent yet would send at once and together.

Evidence: the two new cases of TargetTable failed before (67 for 15, 32 for 38) and pass now.

--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -1,5 +1,6 @@
 #include "forward/TargetTable.h"
 
+#include "forward/ColdShare.h"
 #include "state/FleetState.h"
 
 #include <algorithm>
@@ -44,19 +45,23 @@
 
 } // namespace
 
-TargetTable::TargetTable(ZoneName zone, RandomSource random)
-    : zone_(std::move(zone))
+TargetTable::TargetTable(EntryId self, ZoneName zone, RandomSource random)
+    : self_(std::move(self))
+    , zone_(std::move(zone))
     , random_(std::move(random))
     , mutex_(LockRank::Targets)
+    , entries_{self_}
 { }
 
 auto TargetTable::update(const FleetState &state) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
-    auto live = std::size_t{0};
-    for (const auto &[id, entry] : state.entries_)
-        live += !entry.control_ && entry.phase_ != EntryPhase::Lost ? 1 : 0;
-    entries_ = std::max<std::size_t>(live, 1);
+    auto entries = std::set<EntryId>{self_};
+    for (const auto &[id, entry] : state.entries_) {
+        if (!entry.control_ && entry.phase_ != EntryPhase::Lost)
+            entries.insert(id);
+    }
+    entries_.assign(entries.begin(), entries.end());
     auto targets = std::map<PoolName, std::map<UpstreamId, Target>>{};
     for (const auto &[id, group] : state.groups_) {
         if (isOpen(state, group))
@@ -87,8 +92,10 @@
     const auto *profile = findProfile(state.declaration_, announced.pool_);
     added.isEngine_ = announced.kind_ == UpstreamKind::Engine;
     added.slots_ = profile == nullptr ? 0 : profile->slots_;
-    const auto isCold = announced.cold_ && profile != nullptr;
-    added.coldPerSecond_ = isCold ? profile->coldPerSecond_ / static_cast<double>(entries_) : 0;
+    const auto isLimited = announced.cold_ && profile != nullptr && profile->coldPerSecond_ > 0;
+    added.coldShare_ = isLimited
+        ? std::optional(coldShare(profile->coldPerSecond_, upstream, entries_, self_))
+        : std::nullopt;
     targets[pool].emplace(upstream, std::move(added));
 }
 
@@ -96,7 +103,7 @@
 {
     const auto own = static_cast<double>(target.inFlight_);
     if (!target.load_ || now - target.loadAt_ >= fullnessLifetime)
-        return own * static_cast<double>(entries_);
+        return own * static_cast<double>(entries_.size());
     const auto reported = static_cast<double>(target.load_->running_ + target.load_->waiting_);
     return std::max(own, reported + target.sinceLoad_);
 }
@@ -106,7 +113,7 @@
     auto load = static_cast<double>(target.inFlight_);
     if (target.load_ && now - target.loadAt_ < reportLifetime) {
         const auto others = static_cast<double>(target.load_->running_ + target.load_->waiting_);
-        load = std::max(load, others / static_cast<double>(entries_));
+        load = std::max(load, others / static_cast<double>(entries_.size()));
     }
     return load + (target.target_.zone_ == zone_ ? 0 : otherZoneCost);
 }
@@ -120,12 +127,12 @@
 
 auto TargetTable::mayStart(Target &target, MonotonicTime now) -> bool
 {
-    if (target.coldPerSecond_ <= 0)
+    if (!target.coldShare_)
         return true;
     auto &starts = target.coldStarts_;
     while (!starts.empty() && now - starts.front() > std::chrono::seconds(1))
         starts.pop_front();
-    return static_cast<double>(starts.size()) + 1 <= std::max(1.0, target.coldPerSecond_);
+    return starts.size() < *target.coldShare_;
 }
 
 auto TargetTable::choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
@@ -155,7 +162,7 @@
         best->progressAt_ = now;
         best->hasProgressed_ = false;
     }
-    if (best->coldPerSecond_ > 0)
+    if (best->coldShare_)
         best->coldStarts_.push_back(now);
     return best->target_;
 }
@@ -272,7 +279,7 @@
 auto TargetTable::entries() const -> std::size_t
 {
     const auto lock = std::scoped_lock(mutex_);
-    return entries_;
+    return entries_.size();
 }
 
 auto TargetTable::hasTarget(const PoolName &pool) const -> bool
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -23,12 +23,13 @@
 
 /// The upstreams that forwarded requests may go to, with their load: first members of serving
 /// groups whose gate is open, and instances of plain services. Chooses by the requests of this
-/// entry and by what upstreams say in their answers. A cold upstream gets this entry's part of what
-/// it carries. Thread-safe; guarded by one lock of rank LockRank::Targets.
+/// entry and by what upstreams say in their answers. A cold upstream gets this entry's share of
+/// what it carries. Thread-safe; guarded by one lock of rank LockRank::Targets.
 class TargetTable
 {
 public:
-    TargetTable(ZoneName zone, RandomSource random);
+    /// \a self is the entry that chooses, in \a zone.
+    TargetTable(EntryId self, ZoneName zone, RandomSource random);
 
     /// Takes in the replicated state. Call it after every change.
     auto update(const FleetState &state) -> void;
@@ -67,9 +68,9 @@
         std::uint32_t inFlight_ = 0;
         bool isEngine_ = false;
         std::uint32_t slots_ = 0;
-        /// Requests a second that this entry may send while the upstream is cold; 0 when it is
-        /// warm.
-        double coldPerSecond_ = 0;
+        /// Requests a second that this entry may send; nothing when the upstream is warm or its
+        /// profile names no limit.
+        std::optional<std::uint32_t> coldShare_;
         std::deque<MonotonicTime> coldStarts_;
         std::optional<ReportedLoad> load_;
         MonotonicTime loadAt_;
@@ -104,11 +105,13 @@
     auto add(const FleetState &state, const PoolName &pool, const UpstreamId &upstream,
              std::map<PoolName, std::map<UpstreamId, Target>> &targets) const -> void;
 
+    EntryId self_;
     ZoneName zone_;
     RandomSource random_;
     mutable RankedMutex mutex_;
     std::map<PoolName, std::map<UpstreamId, Target>> targets_;
-    std::size_t entries_ = 1;
+    /// Entries that share the upstreams, this one among them.
+    std::vector<EntryId> entries_;
 };
 
 } // namespace lycheereach
--- a/packages/requests/Rendezvous.cpp
+++ b/packages/requests/Rendezvous.cpp
@@ -1,5 +1,6 @@
 #include "requests/Rendezvous.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace lycheereach {
@@ -15,6 +16,8 @@
     return state;
 }
 
+constexpr auto offsetBasis = 0xcbf29ce484222325U;
+
 /// The finalizer of SplitMix64.
 auto mix(std::uint64_t value) -> std::uint64_t
 {
@@ -28,7 +31,6 @@
 auto rendezvousPick(std::string_view key, const std::vector<std::string> &names)
     -> std::optional<std::size_t>
 {
-    constexpr auto offsetBasis = 0xcbf29ce484222325U;
     const auto keyHash = mix(hash(key, offsetBasis));
     auto best = std::optional<std::size_t>{};
     auto bestScore = std::uint64_t{0};
@@ -42,4 +44,13 @@
     return best;
 }
 
+auto rendezvousRank(std::string_view key, const std::vector<std::string> &names,
+                    std::string_view name) -> std::size_t
+{
+    const auto keyHash = mix(hash(key, offsetBasis));
+    const auto own = mix(hash(name, keyHash));
+    const auto isHigher = [&](const std::string &other) { return mix(hash(other, keyHash)) > own; };
+    return static_cast<std::size_t>(std::count_if(names.begin(), names.end(), isHigher));
+}
+
 } // namespace lycheereach
--- a/packages/requests/Rendezvous.h
+++ b/packages/requests/Rendezvous.h
@@ -15,4 +15,8 @@
 auto rendezvousPick(std::string_view key, const std::vector<std::string> &names)
     -> std::optional<std::size_t>;
 
+/// How many of \a names have a higher hash together with \a key than \a name.
+auto rendezvousRank(std::string_view key, const std::vector<std::string> &names,
+                    std::string_view name) -> std::size_t;
+
 } // namespace lycheereach
--- a/tests/forward/ForwardServiceTest.cpp
+++ b/tests/forward/ForwardServiceTest.cpp
@@ -16,7 +16,7 @@
     ControlFleet fleet_ = ControlFleet(1, 1, 1);
     HttpClient client_;
     WorkerPool workers_{1};
-    TargetTable targets_{ZoneName("a"), [] { return std::uint64_t{0}; }};
+    TargetTable targets_{EntryId("e1"), ZoneName("a"), [] { return std::uint64_t{0}; }};
 
     auto setup()->void override
     {
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -17,7 +17,7 @@
     MonotonicTime now_{seconds(100)};
     FleetState state_;
     PoolName pool_{"e/m"};
-    TargetTable table_{ZoneName("a"), [] { return std::uint64_t{0}; }};
+    TargetTable table_{EntryId("e"), ZoneName("a"), [] { return std::uint64_t{0}; }};
 
     auto setup()->void override
     {
@@ -53,6 +53,28 @@
         state_.groupOf_[upstream] = group;
     }
 
+    auto addEntries(int count)->void
+    {
+        for (auto i = 0; i < count; ++i) {
+            const auto entry = EntryId("e" + std::to_string(i));
+            state_.entries_[entry] = EntryRecord{.id_ = entry};
+        }
+    }
+
+    /// How many requests to u1 all \a entries choose within one second, each as many as it can.
+    auto chosenByAll(int entries)->int
+    {
+        auto chosen = 0;
+        for (auto i = 0; i < entries; ++i) {
+            auto table = TargetTable(EntryId("e" + std::to_string(i)), ZoneName("a"),
+                                     [] { return std::uint64_t{0}; });
+            table.update(state_);
+            while (table.choose(pool_, {}, Admission{.waiting_ = 1000}, now_))
+                ++chosen;
+        }
+        return chosen;
+    }
+
     auto choose(const std::set<UpstreamId> &avoid = {})->std::string
     {
         const auto target = table_.choose(pool_, avoid, Admission{.waiting_ = 3}, now_);
@@ -254,3 +276,28 @@
     CHECK(choose() == "u2");
     CHECK(choose() == "u2");
 }
+
+// Guards against more requests than a cold upstream carries (FAILBACK): with more entries than it
+// carries requests, shares of at least one each are too many.
+TEST(TargetTable, moreEntriesThanAColdUpstreamCarries_choose_staysWithinItsLimitTogether)
+{
+    constexpr auto entries = 67;
+    state_.declaration_.profiles_
+        = {UpstreamProfile{.name_ = PoolName("e"), .coldPerSecond_ = 15, .slots_ = 1000}};
+    state_.groups_.erase(GroupId("g-u2"));
+    state_.upstreams_.at(UpstreamId("u1")).announced_.cold_ = true;
+    addEntries(entries);
+    LONGS_EQUAL(15, chosenByAll(entries));
+}
+
+// Guards against FAILBACK, and against a part of what a cold upstream carries that nobody uses.
+TEST(TargetTable, aLimitThatDoesNotDivideEvenly_choose_usesTheWholeLimitTogether)
+{
+    constexpr auto entries = 8;
+    state_.declaration_.profiles_
+        = {UpstreamProfile{.name_ = PoolName("e"), .coldPerSecond_ = 38, .slots_ = 1000}};
+    state_.groups_.erase(GroupId("g-u2"));
+    state_.upstreams_.at(UpstreamId("u1")).announced_.cold_ = true;
+    addEntries(entries);
+    LONGS_EQUAL(38, chosenByAll(entries));
+}
