forward: Move a stalled stream only where another group moves and an attempt is left

Cause: a group whose streams give nothing for 300 ms was taken to stand still, and all its streams were cancelled. A group runs at the pace of its slowest member; engines twelve times as slow need longer than that for one pass. The streams moved to groups that were as slow, where they were cancelled again, and the second cancellation was the end: no further attempt is allowed. It is a judgement from silence alone that is acted on though the action can't help.

A stalled stream is now moved only if another group of its pool has room and was not found stalled lately, a further attempt is allowed, and the retry budget grants it before the attempt is cancelled. Events that still come count, so that a stream that ends while it is cancelled is whole.

--- a/packages/forward/ForwardEvent.h
+++ b/packages/forward/ForwardEvent.h
@@ -57,6 +57,10 @@
     bool isRefused_ = false;
 };
 
+/// The upstream of the open attempt gives nothing on any stream, and another one does.
+struct TargetStalled
+{ };
+
 /// The caller closed its connection.
 struct CallerGone
 { };
@@ -70,9 +74,10 @@
 namespace lycheereach {
 
 /// One input of ForwardMachine.
-using ForwardEvent = std::variant<forward_event::Start, forward_event::TargetChosen,
-                                  forward_event::NoTarget, forward_event::AttemptHead,
-                                  forward_event::AttemptPart, forward_event::AttemptEnded,
-                                  forward_event::CallerGone, forward_event::DeadlinePassed>;
+using ForwardEvent
+    = std::variant<forward_event::Start, forward_event::TargetChosen, forward_event::NoTarget,
+                   forward_event::AttemptHead, forward_event::AttemptPart,
+                   forward_event::AttemptEnded, forward_event::TargetStalled,
+                   forward_event::CallerGone, forward_event::DeadlinePassed>;
 
 } // namespace lycheereach
--- a/packages/forward/ForwardMachine.cpp
+++ b/packages/forward/ForwardMachine.cpp
@@ -191,10 +191,8 @@
     avoid_.insert(target_.upstream_);
     if (replied_)
         return;
-    const auto isTried = arrivals() >= plan_.attemptLimit_ || unconnected_ > unconnectedLimit;
-    const auto mayGoOn = !isTried && now_ < plan_.deadline_ && mayRepeat(verdict);
     // Only what may have reached an upstream counts as sent, and only a second send as repeated.
-    if (mayGoOn && (arrivals() == 0 || takeRetry_())) {
+    if (mayGoOn(verdict) && (arrivals() == 0 || std::exchange(hasRetry_, false) || takeRetry_())) {
         emit(forward_action::ChooseTarget{avoid_});
         return;
     }
@@ -216,6 +214,12 @@
                                         : std::nullopt);
 }
 
+auto ForwardMachine::mayGoOn(Verdict verdict) const -> bool
+{
+    const auto isTried = arrivals() >= plan_.attemptLimit_ || unconnected_ > unconnectedLimit;
+    return !isTried && now_ < plan_.deadline_ && mayRepeat(verdict);
+}
+
 auto ForwardMachine::mayRepeat(Verdict verdict) const -> bool
 {
     if (plan_.kind_ == RouteKind::ResumableStream)
@@ -230,6 +234,18 @@
     emit(forward_action::SendRefusal{{status, std::move(reason), retryAfter}, verdict_});
 }
 
+auto ForwardMachine::on(const forward_event::TargetStalled &) -> void
+{
+    const auto isMovable = plan_.kind_ == RouteKind::ResumableStream && isOpen_ && !isCancelled_
+        && !replied_ && !hasRetry_;
+    // Without a further attempt the stream would end for certain; here it may only be slow.
+    if (!isMovable || !mayGoOn(Verdict::MayHaveRun) || !takeRetry_())
+        return;
+    hasRetry_ = true;
+    // What still comes of this attempt counts: it may be whole before it is cancelled.
+    emit(forward_action::CancelAttempt{attempts_});
+}
+
 auto ForwardMachine::on(const forward_event::CallerGone &) -> void
 {
     replied_ = true;
--- a/packages/forward/ForwardMachine.h
+++ b/packages/forward/ForwardMachine.h
@@ -42,6 +42,7 @@
     auto on(const forward_event::AttemptHead &event) -> void;
     auto on(const forward_event::AttemptPart &event) -> void;
     auto on(const forward_event::AttemptEnded &event) -> void;
+    auto on(const forward_event::TargetStalled &event) -> void;
     auto on(const forward_event::CallerGone &event) -> void;
     auto on(const forward_event::DeadlinePassed &event) -> void;
 
@@ -54,6 +55,9 @@
     auto failureOf(const forward_event::AttemptEnded &event) const -> std::string;
     auto attemptSucceeded() -> void;
     auto attemptFailed(const std::string &failure, Verdict verdict) -> void;
+    /// Whether a further attempt is allowed after one that ends with \a verdict, but for the
+    /// budget.
+    [[nodiscard]] auto mayGoOn(Verdict verdict) const -> bool;
     [[nodiscard]] auto mayRepeat(Verdict verdict) const -> bool;
     auto refuse(std::uint16_t status, std::string reason, std::optional<Duration> retryAfter)
         -> void;
@@ -74,6 +78,8 @@
     /// Whether the attempt's connection is open.
     bool isOpen_ = false;
     bool isCancelled_ = false;
+    /// Whether the budget has given a retry that was not used yet.
+    bool hasRetry_ = false;
     std::optional<ForwardHead> head_;
     std::string body_;
     /// Why the answer of the attempt can't be handed on.
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -89,11 +89,14 @@
 
 auto ForwardedRequest::targetStalled(const ForwardTarget &target) -> void
 {
-    const auto lock = std::scoped_lock(mutex_);
-    const auto isAffected = !isDone_ && call_ && target_ == target
-        && routed_.route_.kind_ == RouteKind::ResumableStream;
-    if (isAffected)
-        context_.client_.cancel(*call_);
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (isDone_ || !call_ || target_ != target)
+            return;
+    }
+    const auto &admission = context_.settings_.again_;
+    if (context_.targets_.hasOther(target, admission, context_.now_()))
+        post(forward_event::TargetStalled{});
 }
 
 auto ForwardedRequest::handle(const ForwardEvent &event) -> void
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -167,6 +167,22 @@
     return best->target_;
 }
 
+auto TargetTable::hasOther(const ForwardTarget &target, const Admission &admission,
+                           MonotonicTime now) -> bool
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = targets_.find(target.pool_);
+    if (found == targets_.end())
+        return false;
+    const auto isUsable = [&](auto &item) {
+        auto &other = item.second;
+        return item.first != target.upstream_ && now >= other.goneUntil_
+            && now - other.stalledAt_ >= stallHoldOff && mayStart(other, now)
+            && hasRoom(other, admission, now);
+    };
+    return std::any_of(found->second.begin(), found->second.end(), isUsable);
+}
+
 auto TargetTable::release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now)
     -> void
 {
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -38,6 +38,9 @@
     /// once instead of making all that follow late.
     auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid, const Admission &admission,
                 MonotonicTime now) -> std::optional<ForwardTarget>;
+    /// Whether choose() would find another upstream than \a target that was not stalled lately.
+    auto hasOther(const ForwardTarget &target, const Admission &admission, MonotonicTime now)
+        -> bool;
     /// A chosen target is no longer used. One that failed is left out for a while when there are
     /// others, one that is gone also when there are none.
     auto release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now) -> void;
--- a/tests/forward/ForwardMachineTest.cpp
+++ b/tests/forward/ForwardMachineTest.cpp
@@ -312,3 +312,59 @@
     feed(request, ended());
     CHECK(find<action::ReleaseTarget>()->outcome_ == TargetOutcome::Gone);
 }
+
+// Guards against streams of slow groups that this entry cuts itself: without a further attempt a
+// stream that moves again a little later would be lost.
+TEST(ForwardMachine, theLastAttemptAllowed_targetStalled_isLeftAlone)
+{
+    auto request = machine(RouteKind::ResumableStream, 2);
+    feed(request, Start{});
+    attempt(request, "u1");
+    feed(request, TargetStalled{});
+    CHECK(find<action::CancelAttempt>() != nullptr);
+    feed(request, broken(1, Verdict::MayHaveRun));
+    CHECK(find<action::ChooseTarget>() != nullptr);
+    attempt(request, "u2");
+    feed(request, TargetStalled{});
+    CHECK(actions_.empty());
+    LONGS_EQUAL(1, retries_);
+}
+
+// Guards against streams that are cut and then find the budget of retries spent.
+TEST(ForwardMachine, theBudgetIsSpent_targetStalled_leavesTheAttemptAlone)
+{
+    retryLimit_ = 0;
+    auto request = machine(RouteKind::ResumableStream);
+    feed(request, Start{});
+    attempt(request, "u1");
+    feed(request, TargetStalled{});
+    CHECK(actions_.empty());
+}
+
+TEST(ForwardMachine, aRequestThatIsNoResumableStream_targetStalled_isLeftAlone)
+{
+    for (const auto kind : {RouteKind::Unsafe, RouteKind::Safe, RouteKind::Stream}) {
+        auto request = machine(kind);
+        feed(request, Start{});
+        attempt(request, "u1");
+        feed(request, TargetStalled{});
+        CHECK(actions_.empty());
+    }
+}
+
+// Guards against a stream with missing events that looks complete (ORDER): its last events come
+// while it is about to be moved.
+TEST(ForwardMachine, theStreamEndsWhileItIsMoved_ended_isHandedOnWhole)
+{
+    auto request = machine(RouteKind::ResumableStream);
+    feed(request, Start{});
+    attempt(request, "u1");
+    feed(request, AttemptHead{1, head(200)});
+    feed(request, AttemptPart{1, "id: 1\ndata: a\n\n"});
+    feed(request, TargetStalled{});
+    CHECK(find<action::CancelAttempt>() != nullptr);
+    feed(request, AttemptPart{1, "id: 2\ndata: b\n\n"});
+    STRCMP_EQUAL("id: 2\ndata: b\n\n", find<action::SendPart>()->events_.c_str());
+    feed(request, ended());
+    CHECK(find<action::SendEnd>() != nullptr);
+}
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -301,3 +301,28 @@
     addEntries(entries);
     LONGS_EQUAL(38, chosenByAll(entries));
 }
+
+/// Pattern: many engines turn slow at once, so that each pass of every group takes longer than the
+/// silence after which a group is taken to stand still.
+TEST(TargetTable, allGroupsAreSilent_hasOther_findsNoneToMoveStreamsTo)
+{
+    const auto again = ForwardSettings().again_;
+    const auto first = *table_.choose(pool_, {}, again, now_);
+    const auto second = *table_.choose(pool_, {first.upstream_}, again, now_);
+    table_.progressed(first, now_);
+    table_.progressed(second, now_);
+    CHECK(table_.hasOther(first, again, now_));
+    now_ += milliseconds(400);
+    LONGS_EQUAL(2, table_.stalled(now_).size());
+    CHECK_FALSE(table_.hasOther(first, again, now_));
+    CHECK_FALSE(table_.hasOther(second, again, now_));
+}
+
+TEST(TargetTable, theOtherGroupFailedARequest_hasOther_findsItAllTheSame)
+{
+    const auto again = ForwardSettings().again_;
+    const auto first = *table_.choose(pool_, {}, again, now_);
+    const auto second = *table_.choose(pool_, {first.upstream_}, again, now_);
+    table_.release(second, TargetOutcome::Failed, now_);
+    CHECK(table_.hasOther(first, again, now_));
+}
