control: Renew the leader's own lease at its usual pace after a withdrawal

owesConfirmation() compares with what the last renewal told; a leader tells nobody, so after the first withdrawal it owed for ever: it looked through its holders in every tick and renewed its own lease every 100 ms instead of 500. No answer changes; test_control and test_platform pass.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -86,7 +86,8 @@
 auto ControlService::owesConfirmation(MonotonicTime now) const -> bool
 {
     const auto awaited = machine_.state().withdrawnIndex_;
-    return toldConfirmed_ < awaited && confirmedHere(now) >= awaited;
+    // A leader renews its own lease and tells nobody.
+    return !leading_ && toldConfirmed_ < awaited && confirmedHere(now) >= awaited;
 }
 
 auto ControlService::renewAsLeader(MonotonicTime now) -> void
