--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -53,6 +53,15 @@
         state_.groupOf_[upstream] = group;
     }
 
+    /// Leaves u1 alone, cold, with room for more requests than it carries a second.
+    auto haveOnlyAColdUpstream(double perSecond)->void
+    {
+        state_.declaration_.profiles_ = {
+            UpstreamProfile{.name_ = PoolName("e"), .coldPerSecond_ = perSecond, .slots_ = 1000}};
+        state_.groups_.erase(GroupId("g-u2"));
+        state_.upstreams_.at(UpstreamId("u1")).announced_.cold_ = true;
+    }
+
     auto addEntries(int count)->void
     {
         for (auto i = 0; i < count; ++i) {
@@ -282,10 +291,7 @@
 TEST(TargetTable, moreEntriesThanAColdUpstreamCarries_choose_staysWithinItsLimitTogether)
 {
     constexpr auto entries = 67;
-    state_.declaration_.profiles_
-        = {UpstreamProfile{.name_ = PoolName("e"), .coldPerSecond_ = 15, .slots_ = 1000}};
-    state_.groups_.erase(GroupId("g-u2"));
-    state_.upstreams_.at(UpstreamId("u1")).announced_.cold_ = true;
+    haveOnlyAColdUpstream(15);
     addEntries(entries);
     LONGS_EQUAL(15, chosenByAll(entries));
 }
@@ -294,10 +300,7 @@
 TEST(TargetTable, aLimitThatDoesNotDivideEvenly_choose_usesTheWholeLimitTogether)
 {
     constexpr auto entries = 8;
-    state_.declaration_.profiles_
-        = {UpstreamProfile{.name_ = PoolName("e"), .coldPerSecond_ = 38, .slots_ = 1000}};
-    state_.groups_.erase(GroupId("g-u2"));
-    state_.upstreams_.at(UpstreamId("u1")).announced_.cold_ = true;
+    haveOnlyAColdUpstream(38);
     addEntries(entries);
     LONGS_EQUAL(38, chosenByAll(entries));
 }
