forward: Log the configuration in force when a stream is broken off

The log line of a begun stream that an entry breaks off had the reason and the age of the request, but not whether a configuration had just changed. It now carries upstream, version and the age of the version.

--- a/packages/forward/ForwardContext.h
+++ b/packages/forward/ForwardContext.h
@@ -4,6 +4,7 @@
 
 #include "base/Event.h"
 #include "base/Time.h"
+#include "forward/DeclarationAge.h"
 #include "forward/ForwardCodec.h"
 #include "forward/ForwardSettings.h"
 
@@ -25,6 +26,8 @@
     WorkerPool &workers_;
     /// Whether the entry is shutting down; responses then carry `Connection: close`.
     std::function<bool()> isLeaving_;
+    /// The version of the declaration that the entry obeys, and how long it has.
+    std::function<DeclarationAge()> declarationAge_;
     /// Takes one retry to a service from the retry budget; false when it is spent.
     std::function<bool(const PoolName &service)> tryTakeRetry_;
     /// Called with the first member of a group that may be stalled.
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -54,6 +54,7 @@
     , retryBudget_(context_.settings_.retries_)
 {
     context_.isLeaving_ = [this] { return isLeaving_.load(); };
+    context_.declarationAge_ = [this] { return declarationAge(); };
     context_.tryTakeRetry_ = [this](const PoolName &service) { return tryTakeRetry(service); };
 }
 
@@ -83,6 +84,15 @@
         return;
     index_ = std::move(index);
     indexVersion_ = version;
+    const auto accountingLock = std::scoped_lock(accountingMutex_);
+    declarationVersion_ = version;
+    declarationSince_ = context_.clock_();
+}
+
+auto ForwardService::declarationAge() const -> DeclarationAge
+{
+    const auto lock = std::scoped_lock(accountingMutex_);
+    return {declarationVersion_, context_.clock_() - declarationSince_};
 }
 
 auto ForwardService::tick() -> void
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -5,6 +5,7 @@
 #include "base/Ids.h"
 #include "base/RankedMutex.h"
 #include "base/Time.h"
+#include "forward/DeclarationAge.h"
 #include "forward/DemandMeter.h"
 #include "forward/ForwardContext.h"
 #include "forward/ForwardRetryBudget.h"
@@ -73,6 +74,7 @@
     auto recordFirstTraffic() -> void;
     auto removeFinished(const ForwardedRequest *request) -> void;
     auto tryTakeRetry(const PoolName &service) -> bool;
+    [[nodiscard]] auto declarationAge() const -> DeclarationAge;
 
     ControlService &control_;
     ForwardContext context_;
@@ -88,11 +90,14 @@
     /// Whether this process has been ready to serve a request since its start.
     std::atomic<bool> hasServed_ = false;
     MonotonicTime leavingSince_;
-    /// Guards retryBudget_ and demandMeter_; locked under the lock of a request, so its rank
+    /// Guards the members that follow; locked under the lock of a request, so its rank
     /// differs.
     mutable RankedMutex accountingMutex_;
     ForwardRetryBudget retryBudget_;
     DemandMeter demandMeter_;
+    /// The version of index_, and since when it is in use.
+    Version declarationVersion_ = 0;
+    MonotonicTime declarationSince_;
 };
 
 } // namespace lycheereach
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -247,8 +247,13 @@
 
 auto ForwardedRequest::perform(const forward_action::AbortResponse &action) -> void
 {
+    const auto declaration = context_.declarationAge_();
     emit(EventNumber::RequestRefused,
-         {{"verdict", "may-have-run"}, {"reason", "stream broken off: " + action.reason_}});
+         {{"verdict", "may-have-run"},
+          {"reason", "stream broken off: " + action.reason_},
+          {"upstream", target_.upstream_.text()},
+          {"version", std::to_string(declaration.version_)},
+          {"versionAgeMs", std::to_string(toMilliseconds(declaration.age_))}});
     reply_->abort();
 }
 
