forward: Try another upstream beside a silent one instead of cancelling it first

Cause: when all streams of a group were silent for 300 ms, the entry cancelled each of them and chose another upstream afterwards. If that one had no room left (every stream of the group saw the same free place, a cold upstream carries a few a second), refused, or failed, no attempt was left and the stream was broken off, although the first upstream would have gone on.

Now the other upstream is reserved first (TargetTable::chooseAlternative takes the place of hasAlternative, which only looked), the second attempt runs beside the first, and the one that delivers events first continues the stream; the other is then cancelled. If the second refuses or fails, the first goes on. Events of two runs are never mixed: the loser's are dropped from that moment on.

--- a/packages/forward/ForwardAction.h
+++ b/packages/forward/ForwardAction.h
@@ -53,6 +53,7 @@
 /// Begin the streamed response to the caller with its first events.
 struct BeginStream
 {
+    std::uint32_t attempt_ = 0;
     ForwardResponseHead head_;
     std::string events_;
 };
@@ -60,6 +61,7 @@
 /// Send further complete events of the stream to the caller.
 struct SendEvents
 {
+    std::uint32_t attempt_ = 0;
     std::string events_;
 };
 
--- a/packages/forward/ForwardEvent.h
+++ b/packages/forward/ForwardEvent.h
@@ -57,10 +57,13 @@
     bool isRefused_ = false;
 };
 
-/// The upstream of the open attempt has stalled: it sends no events on any stream, while another
-/// upstream has capacity and has not stalled.
+/// The upstream of the open attempt sends no events, while another upstream has capacity and has
+/// not stalled.
 struct TargetStalled
-{ };
+{
+    /// Reserved at the other upstream.
+    ForwardTarget alternative_;
+};
 
 /// The caller closed its connection.
 struct CallerDisconnected
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -24,10 +24,15 @@
 
 } // namespace
 
+auto ForwardStateMachine::Attempt::isStreaming(RouteKind kind) const -> bool
+{
+    return isStream(kind) && head_ && head_->status_ < firstNonSuccessStatus;
+}
+
 ForwardStateMachine::ForwardStateMachine(ForwardPlan plan, std::function<bool()> tryTakeRetry)
     : plan_(std::move(plan))
     , tryTakeRetry_(std::move(tryTakeRetry))
-    , reader_(plan_.lastEventId_)
+    , lastEventId_(plan_.lastEventId_)
 { }
 
 auto ForwardStateMachine::handle(const ForwardEvent &event, MonotonicTime now)
@@ -50,14 +55,16 @@
                                            TargetOutcome::Responded});
         return;
     }
-    target_ = event.target_;
-    isAttemptOpen_ = true;
-    isAttemptCancelled_ = false;
-    head_.reset();
-    body_.clear();
-    rejectReason_.clear();
-    reader_.beginAttempt();
-    emit(forward_action::StartAttempt{++attempts_, target_, reader_.lastEventId()});
+    startAttempt(event.target_);
+}
+
+auto ForwardStateMachine::startAttempt(const ForwardTarget &target) -> void
+{
+    if (attempt_)
+        other_ = std::move(attempt_);
+    attempt_.emplace(Attempt{
+        .number_ = ++attempts_, .target_ = target, .reader_ = EventStreamReader(lastEventId_)});
+    emit(forward_action::StartAttempt{attempts_, target, lastEventId_});
 }
 
 auto ForwardStateMachine::on(const forward_event::NoTargetAvailable &event) -> void
@@ -78,125 +85,169 @@
     return attempts_ - unconnectedAttempts_;
 }
 
-auto ForwardStateMachine::isStreaming() const -> bool
+auto ForwardStateMachine::find(std::uint32_t number) -> Attempt *
 {
-    return isStream(plan_.kind_) && head_ && head_->status_ < firstNonSuccessStatus;
+    for (auto *attempt : {&attempt_, &other_}) {
+        if (*attempt && (*attempt)->number_ == number)
+            return &**attempt;
+    }
+    return nullptr;
+}
+
+auto ForwardStateMachine::take(const Attempt &ended) -> Attempt
+{
+    if (!attempt_ || &*attempt_ != &ended)
+        return *std::exchange(other_, std::nullopt);
+    return *std::exchange(attempt_, std::exchange(other_, std::nullopt));
 }
 
-auto ForwardStateMachine::isCurrent(std::uint32_t attempt) const -> bool
+auto ForwardStateMachine::reject(Attempt &attempt, std::string reason) -> void
 {
-    return isAttemptOpen_ && attempt == attempts_;
+    attempt.rejectReason_ = std::move(reason);
+    cancel(attempt);
 }
 
-auto ForwardStateMachine::rejectResponse(std::string rejectReason) -> void
+auto ForwardStateMachine::cancel(Attempt &attempt) -> void
 {
-    rejectReason_ = std::move(rejectReason);
-    cancelAttempt();
+    if (!std::exchange(attempt.isCancelled_, true))
+        emit(forward_action::CancelAttempt{attempt.number_});
 }
 
-auto ForwardStateMachine::cancelAttempt() -> void
+auto ForwardStateMachine::cancelAll() -> void
 {
-    if (isAttemptOpen_ && !std::exchange(isAttemptCancelled_, true))
-        emit(forward_action::CancelAttempt{attempts_});
+    for (auto *attempt : {&attempt_, &other_}) {
+        if (*attempt)
+            cancel(**attempt);
+    }
 }
 
 auto ForwardStateMachine::on(const forward_event::ResponseHeadReceived &event) -> void
 {
-    if (!isCurrent(event.attempt_) || isAttemptCancelled_)
+    auto *attempt = find(event.attempt_);
+    if (attempt == nullptr || attempt->isCancelled_)
         return;
     const auto &head = event.head_;
-    head_ = head;
+    attempt->head_ = head;
     if (head.notRun_)
         return;
     if (head.echoedRequestId_ != plan_.requestId_)
-        rejectResponse("the answer carries the id of request '" + head.echoedRequestId_.text()
-                       + "'");
+        reject(*attempt,
+               "the answer carries the id of request '" + head.echoedRequestId_.text() + "'");
     else if (head.status_ < firstNonSuccessStatus && !head.hasSignature_)
-        rejectResponse("the answer bears no signature");
+        reject(*attempt, "the answer bears no signature");
 }
 
 auto ForwardStateMachine::on(const forward_event::AttemptData &event) -> void
 {
-    if (!isCurrent(event.attempt_) || isAttemptCancelled_ || !head_)
+    auto *attempt = find(event.attempt_);
+    if (attempt == nullptr || attempt->isCancelled_ || !attempt->head_)
         return;
-    if (!isStreaming()) {
-        body_ += event.bytes_;
+    if (!attempt->isStreaming(plan_.kind_)) {
+        attempt->body_ += event.bytes_;
         return;
     }
-    auto events = reader_.feed(event.bytes_);
-    if (reader_.hasOverflowed())
-        rejectResponse("an event of the stream does not end");
-    if (events.empty() || replied_)
-        return;
+    auto events = attempt->reader_.feed(event.bytes_);
+    if (attempt->reader_.hasOverflowed())
+        reject(*attempt, "an event of the stream does not end");
+    if (!events.empty() && !replied_)
+        deliver(*attempt, std::move(events));
+}
+
+auto ForwardStateMachine::deliver(Attempt &source, std::string events) -> void
+{
+    lastEventId_ = source.reader_.lastEventId();
+    hasEventWithoutId_ = hasEventWithoutId_ || source.reader_.hasEventWithoutId();
+    const auto number = source.number_;
     if (std::exchange(headSent_, true))
-        emit(forward_action::SendEvents{std::move(events)});
+        emit(forward_action::SendEvents{number, std::move(events)});
     else
-        emit(forward_action::BeginStream{*head_, std::move(events)});
+        emit(forward_action::BeginStream{number, *source.head_, std::move(events)});
+    if (!other_)
+        return;
+    if (number == other_->number_)
+        std::swap(attempt_, other_);
+    if (other_->isCancelled_)
+        return;
+    // A newer attempt is cancelled because the earlier upstream has gone on, not for a failure.
+    if (other_->number_ > number)
+        other_->failureOutcome_ = TargetOutcome::Responded;
+    reject(*other_, "another upstream continues the stream");
 }
 
 auto ForwardStateMachine::on(const forward_event::AttemptEnded &event) -> void
 {
-    if (!isCurrent(event.attempt_))
+    const auto *found = find(event.attempt_);
+    if (found == nullptr)
         return;
-    isAttemptOpen_ = false;
-    const auto failure = failureOf(event);
-    if (failure.empty()) {
-        attemptSucceeded();
+    auto ended = take(*found);
+    const auto failure = failureOf(ended, event);
+    const auto hasOther = attempt_ && !attempt_->isCancelled_;
+    // Beside another attempt only a complete stream ends the request.
+    if (failure.empty() && (!hasOther || ended.isStreaming(plan_.kind_))) {
+        attemptSucceeded(std::move(ended));
         return;
     }
-    const auto isOtherInstance = head_ && head_->isOtherInstance_;
-    targetOutcome_
-        = event.isRefused_ || isOtherInstance ? TargetOutcome::Unavailable : TargetOutcome::Failed;
+    const auto isOtherInstance = ended.head_ && ended.head_->isOtherInstance_;
+    if (event.isRefused_ || isOtherInstance)
+        ended.failureOutcome_ = TargetOutcome::Unavailable;
     // An attempt without a connection has not reached an upstream.
-    if (event.verdict_ == Verdict::NotRun && !head_)
+    if (event.verdict_ == Verdict::NotRun && !ended.head_)
         ++unconnectedAttempts_;
-    const auto notRun = event.verdict_ == Verdict::NotRun || (head_ && head_->notRun_);
-    attemptFailed(failure, notRun ? Verdict::NotRun : Verdict::MayHaveRun);
+    const auto notRun = event.verdict_ == Verdict::NotRun || (ended.head_ && ended.head_->notRun_);
+    attemptFailed(std::move(ended), failure.empty() ? "an earlier attempt is still open" : failure,
+                  notRun ? Verdict::NotRun : Verdict::MayHaveRun);
 }
 
-auto ForwardStateMachine::failureOf(const forward_event::AttemptEnded &event) const -> std::string
+auto ForwardStateMachine::failureOf(const Attempt &attempt,
+                                    const forward_event::AttemptEnded &event) const -> std::string
 {
-    if (!rejectReason_.empty())
-        return rejectReason_;
-    if (head_ && head_->notRun_)
-        return "the upstream refused with status " + std::to_string(head_->status_);
+    if (!attempt.rejectReason_.empty())
+        return attempt.rejectReason_;
+    const auto &head = attempt.head_;
+    if (head && head->notRun_)
+        return "the upstream refused with status " + std::to_string(head->status_);
     if (event.error_)
         return event.message_.empty() ? event.error_.message() : event.message_;
-    if (!head_)
+    if (!head)
         return "the upstream gave no answer";
-    if (isStreaming() && !reader_.isAtEventBoundary())
+    const auto isStreaming = attempt.isStreaming(plan_.kind_);
+    if (isStreaming && !attempt.reader_.isAtEventBoundary())
         return "the upstream ended the stream within an event";
-    if (headSent_ && !isStreaming())
+    if (headSent_ && !isStreaming)
         return "the upstream did not go on with the stream: status "
-            + std::to_string(head_->status_);
-    const auto hasServerError = head_->status_ >= firstServerErrorStatus;
+            + std::to_string(head->status_);
+    const auto hasServerError = head->status_ >= firstServerErrorStatus;
     if (hasServerError && isRetrySafe(Verdict::MayHaveRun) && attemptsSent() < plan_.attemptLimit_)
-        return "the upstream answered with status " + std::to_string(head_->status_);
+        return "the upstream answered with status " + std::to_string(head->status_);
     return {};
 }
 
-auto ForwardStateMachine::attemptSucceeded() -> void
+auto ForwardStateMachine::attemptSucceeded(Attempt attempt) -> void
 {
-    emit(forward_action::ReleaseTarget{target_, "", Verdict::Ran, TargetOutcome::Responded});
+    emit(
+        forward_action::ReleaseTarget{attempt.target_, "", Verdict::Ran, TargetOutcome::Responded});
     if (std::exchange(replied_, true))
         return;
     if (headSent_)
         emit(forward_action::EndStream{});
     else
-        emit(forward_action::SendResponse{*head_, std::move(body_)});
+        emit(forward_action::SendResponse{*attempt.head_, std::move(attempt.body_)});
+    if (attempt_)
+        reject(*attempt_, "another upstream ended the stream");
 }
 
-auto ForwardStateMachine::attemptFailed(const std::string &failure, Verdict verdict) -> void
+auto ForwardStateMachine::attemptFailed(Attempt attempt, const std::string &failure,
+                                        Verdict verdict) -> void
 {
-    emit(forward_action::ReleaseTarget{target_, failure, verdict, targetOutcome_});
+    emit(forward_action::ReleaseTarget{attempt.target_, failure, verdict, attempt.failureOutcome_});
     verdict_ = combine(verdict_, verdict);
-    avoid_.insert(target_.upstream_);
-    if (replied_)
+    avoid_.insert(attempt.target_.upstream_);
+    const auto hasOther = attempt_ && !attempt_->isCancelled_;
+    if (replied_ || hasOther)
         return;
     // A further attempt takes from the retry budget only once an earlier one may have reached an
     // upstream.
-    if (mayRetry(verdict)
-        && (attemptsSent() == 0 || std::exchange(hasReservedRetry_, false) || tryTakeRetry_())) {
+    if (mayRetry(verdict) && (attemptsSent() == 0 || tryTakeRetry_())) {
         emit(forward_action::ChooseTarget{avoid_});
         return;
     }
@@ -205,11 +256,11 @@
         emit(forward_action::AbortResponse{failure});
         return;
     }
-    const auto hasErrorResponse = head_ && rejectReason_.empty() && !head_->notRun_
-        && head_->status_ >= firstServerErrorStatus;
+    const auto hasErrorResponse = attempt.head_ && attempt.rejectReason_.empty()
+        && !attempt.head_->notRun_ && attempt.head_->status_ >= firstServerErrorStatus;
     if (hasErrorResponse) {
         replied_ = true;
-        emit(forward_action::SendResponse{*head_, std::move(body_)});
+        emit(forward_action::SendResponse{*attempt.head_, std::move(attempt.body_)});
         return;
     }
     const auto status = verdict_ == Verdict::NotRun ? serviceUnavailable : badGateway;
@@ -227,7 +278,7 @@
 auto ForwardStateMachine::isRetrySafe(Verdict verdict) const -> bool
 {
     if (plan_.kind_ == RouteKind::ResumableStream)
-        return !headSent_ || !reader_.hasEventWithoutId();
+        return !headSent_ || !hasEventWithoutId_;
     return plan_.kind_ == RouteKind::Safe || verdict == Verdict::NotRun;
 }
 
@@ -238,30 +289,34 @@
     emit(forward_action::SendRefusal{{status, std::move(reason), retryAfter}, verdict_});
 }
 
-auto ForwardStateMachine::on(const forward_event::TargetStalled &) -> void
+auto ForwardStateMachine::mayMoveFrom(const ForwardTarget &target) const -> bool
 {
-    const auto canMove = plan_.kind_ == RouteKind::ResumableStream && isAttemptOpen_
-        && !isAttemptCancelled_ && !replied_ && !hasReservedRetry_;
-    // Cancelling without another attempt would certainly lose the stream, which may only be slow.
-    if (!canMove || !mayRetry(Verdict::MayHaveRun) || !tryTakeRetry_())
+    return plan_.kind_ == RouteKind::ResumableStream && !replied_ && attempt_ && !other_
+        && !attempt_->isCancelled_ && attempt_->target_ == target && mayRetry(Verdict::MayHaveRun);
+}
+
+auto ForwardStateMachine::on(const forward_event::TargetStalled &event) -> void
+{
+    if (!attempt_ || !mayMoveFrom(attempt_->target_) || !tryTakeRetry_()) {
+        emit(forward_action::ReleaseTarget{event.alternative_, "", Verdict::NotRun,
+                                           TargetOutcome::Responded});
         return;
-    hasReservedRetry_ = true;
-    // Data that still arrives is accepted: the response may be complete before the cancellation.
-    emit(forward_action::CancelAttempt{attempts_});
+    }
+    startAttempt(event.alternative_);
 }
 
 auto ForwardStateMachine::on(const forward_event::CallerDisconnected &) -> void
 {
     replied_ = true;
     if (plan_.kind_ != RouteKind::Unsafe)
-        cancelAttempt();
+        cancelAll();
 }
 
 auto ForwardStateMachine::on(const forward_event::DeadlinePassed &) -> void
 {
     if (replied_)
         return;
-    const auto mayHaveRun = isAttemptOpen_ || verdict_ != Verdict::NotRun;
+    const auto mayHaveRun = attempt_ || verdict_ != Verdict::NotRun;
     const auto reason = std::string("the time for the request has passed");
     if (headSent_) {
         replied_ = true;
@@ -270,7 +325,7 @@
         verdict_ = mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
         refuse(mayHaveRun ? gatewayTimeout : serviceUnavailable, reason, std::nullopt);
     }
-    cancelAttempt();
+    cancelAll();
 }
 
 } // namespace lycheereach
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -22,8 +22,11 @@
 ///
 /// A request of an unsafe route is retried only when no attempt can have run. The caller receives
 /// only complete events of a stream; a resumable stream continues at another upstream after the
-/// last event delivered, with the status and headers of its first attempt. A response with the id
-/// of another request, or a successful one without its upstream's signature, is never forwarded.
+/// last event delivered, with the status and headers of its first attempt. While an upstream is
+/// silent, a second attempt may run beside the first: the one that delivers events first continues
+/// the stream and the other is cancelled, so that a silent upstream that goes on loses nothing. A
+/// response with the id of another request, or a successful one without its upstream's signature,
+/// is never forwarded.
 class ForwardStateMachine
 {
 public:
@@ -33,7 +36,10 @@
     /// Handles \a event, which occurred at \a now; returns actions to carry out in order.
     auto handle(const ForwardEvent &event, MonotonicTime now) -> std::vector<ForwardAction>;
     /// Whether the caller needs nothing more and no attempt is open.
-    [[nodiscard]] auto isFinished() const -> bool { return replied_ && !isAttemptOpen_; }
+    [[nodiscard]] auto isFinished() const -> bool { return replied_ && !attempt_ && !other_; }
+    /// Whether TargetStalled would start another attempt beside the one that runs at \a target,
+    /// apart from the retry budget.
+    [[nodiscard]] auto mayMoveFrom(const ForwardTarget &target) const -> bool;
 
 private:
     auto on(const forward_event::Start &event) -> void;
@@ -46,15 +52,42 @@
     auto on(const forward_event::CallerDisconnected &event) -> void;
     auto on(const forward_event::DeadlinePassed &event) -> void;
 
+    /// An attempt whose connection is open.
+    struct Attempt
+    {
+        /// Numbered from 1 within the request.
+        std::uint32_t number_ = 0;
+        ForwardTarget target_;
+        EventStreamReader reader_;
+        bool isCancelled_ = false;
+        /// What a failure of the attempt shows about its target.
+        TargetOutcome failureOutcome_ = TargetOutcome::Failed;
+        /// Status and headers of the response, and the body unless it is a stream.
+        std::optional<ForwardResponseHead> head_;
+        std::string body_;
+        /// Why the response can't be forwarded; empty when it can.
+        std::string rejectReason_;
+
+        /// Whether the response is a successful stream.
+        [[nodiscard]] auto isStreaming(RouteKind kind) const -> bool;
+    };
+
     auto emit(ForwardAction action) -> void { actions_.push_back(std::move(action)); }
+    auto startAttempt(const ForwardTarget &target) -> void;
     /// Number of attempts that may have reached an upstream.
     [[nodiscard]] auto attemptsSent() const -> std::uint32_t;
-    [[nodiscard]] auto isStreaming() const -> bool;
-    [[nodiscard]] auto isCurrent(std::uint32_t attempt) const -> bool;
+    /// The open attempt with \a number; null when there is none.
+    auto find(std::uint32_t number) -> Attempt *;
+    /// Removes the open attempt \a ended; the other one, if it is open, takes its place.
+    auto take(const Attempt &ended) -> Attempt;
+    /// Sends \a events of \a source to the caller, and cancels the other attempt if there is one.
+    auto deliver(Attempt &source, std::string events) -> void;
     /// Why the ended attempt has no response to forward; empty when it has one.
-    auto failureOf(const forward_event::AttemptEnded &event) const -> std::string;
-    auto attemptSucceeded() -> void;
-    auto attemptFailed(const std::string &failure, Verdict verdict) -> void;
+    auto failureOf(const Attempt &attempt, const forward_event::AttemptEnded &event) const
+        -> std::string;
+    auto attemptSucceeded(Attempt attempt) -> void;
+    /// \a verdict tells whether the attempt may have run.
+    auto attemptFailed(Attempt attempt, const std::string &failure, Verdict verdict) -> void;
     /// Whether another attempt is allowed after one that ended with \a verdict, apart from the
     /// retry budget.
     [[nodiscard]] auto mayRetry(Verdict verdict) const -> bool;
@@ -62,8 +95,10 @@
     [[nodiscard]] auto isRetrySafe(Verdict verdict) const -> bool;
     auto refuse(std::uint16_t status, std::string reason, std::optional<Duration> retryAfter)
         -> void;
-    auto rejectResponse(std::string rejectReason) -> void;
-    auto cancelAttempt() -> void;
+    /// Cancels \a attempt, whose response is not forwarded for \a reason.
+    auto reject(Attempt &attempt, std::string reason) -> void;
+    auto cancel(Attempt &attempt) -> void;
+    auto cancelAll() -> void;
 
     ForwardPlan plan_;
     std::function<bool()> tryTakeRetry_;
@@ -73,20 +108,14 @@
     std::uint32_t attempts_ = 0;
     /// Attempts that established no connection.
     std::uint32_t unconnectedAttempts_ = 0;
-    /// What the last failed attempt showed about its target.
-    TargetOutcome targetOutcome_ = TargetOutcome::Responded;
-    ForwardTarget target_;
-    /// Whether the connection of the current attempt is open.
-    bool isAttemptOpen_ = false;
-    bool isAttemptCancelled_ = false;
-    /// Whether a retry was taken from the budget and is not used yet.
-    bool hasReservedRetry_ = false;
-    /// Response of the current attempt: status and headers, and the body unless it is a stream.
-    std::optional<ForwardResponseHead> head_;
-    std::string body_;
-    /// Why the response of the current attempt can't be forwarded; empty when it can.
-    std::string rejectReason_;
-    EventStreamReader reader_;
+    std::optional<Attempt> attempt_;
+    /// The second open attempt: an earlier one at a silent upstream, or one that was cancelled
+    /// because attempt_ continues the stream.
+    std::optional<Attempt> other_;
+    /// Id of the last event that the caller has received; nothing before the first.
+    std::optional<std::uint64_t> lastEventId_;
+    /// Whether an event without an id was delivered, so that the stream can't be resumed.
+    bool hasEventWithoutId_ = false;
     std::set<UpstreamId> avoid_;
     /// Combined over all failed attempts.
     Verdict verdict_ = Verdict::NotRun;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -90,14 +90,13 @@
 
 auto ForwardedRequest::targetStalled(const ForwardTarget &target) -> void
 {
-    {
-        const auto lock = std::scoped_lock(mutex_);
-        if (isDone_ || !callId_ || target_ != target)
-            return;
-    }
+    const auto lock = std::scoped_lock(mutex_);
+    if (isDone_ || !stateMachine_.mayMoveFrom(target))
+        return;
     const auto &admission = context_.settings_.retryLimit_;
-    if (context_.targets_.hasAlternative(target, admission, context_.clock_()))
-        post(forward_event::TargetStalled{});
+    auto alternative = context_.targets_.chooseAlternative(target, admission, context_.clock_());
+    if (alternative)
+        handle(forward_event::TargetStalled{std::move(*alternative)});
 }
 
 auto ForwardedRequest::handle(const ForwardEvent &event) -> void
@@ -130,8 +129,6 @@
 
 auto ForwardedRequest::perform(const forward_action::StartAttempt &action) -> void
 {
-    target_ = action.target_;
-    progressAt_ = context_.clock_();
     const auto remaining = deadline_ - context_.clock_();
     const auto parameters = AttemptParameters{.target_ = action.target_,
                                               .workspace_ = routed_.workspace_,
@@ -148,7 +145,9 @@
                    .firstByteTimeout_ = isStream ? settings.firstEventTimeout_ : remaining,
                    .idleTimeout_ = isStream ? settings.streamIdleTimeout_ : remaining,
                    .freshConnection_ = kind == RouteKind::Unsafe || kind == RouteKind::Stream};
-    callId_ = context_.client_.start(std::move(http), hooksFor(action.attempt_, action.target_));
+    const auto id
+        = context_.client_.start(std::move(http), hooksFor(action.attempt_, action.target_));
+    calls_.insert_or_assign(action.attempt_, Call{action.target_, context_.clock_(), id});
 }
 
 auto ForwardedRequest::hooksFor(std::uint32_t attempt, const ForwardTarget &target) -> HttpCallHooks
@@ -163,7 +162,7 @@
         },
         [self, attempt](std::string_view part) {
             self->post(forward_event::AttemptData{attempt, std::string(part)});
-            self->cancelIfNoWholeEvent();
+            self->moveIfNoWholeEvent(attempt);
         },
         [self, attempt](const HttpOutcome &outcome) {
             self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
@@ -171,28 +170,35 @@
         }};
 }
 
-auto ForwardedRequest::handleProgress() -> void
+auto ForwardedRequest::handleProgress(std::uint32_t attempt) -> void
 {
-    progressAt_ = context_.clock_();
-    if (context_.targets_.recordProgress(target_, progressAt_))
-        context_.onProgress_(target_.upstream_);
+    auto &call = calls_.at(attempt);
+    call.progressAt_ = context_.clock_();
+    if (context_.targets_.recordProgress(call.target_, call.progressAt_))
+        context_.onProgress_(call.target_.upstream_);
 }
 
-auto ForwardedRequest::cancelIfNoWholeEvent() -> void
+auto ForwardedRequest::moveIfNoWholeEvent(std::uint32_t attempt) -> void
 {
-    const auto lock = std::scoped_lock(mutex_);
-    const auto &settings = context_.settings_;
-    const auto timeout
-        = std::max<Duration>(settings.firstEventTimeout_, settings.streamIdleTimeout_);
-    const auto isStalled = context_.clock_() - progressAt_ >= timeout;
-    if (!isDone_ && callId_ && isStreaming(routed_.route_.kind_) && isStalled)
-        context_.client_.cancel(*callId_);
+    if (!isStreaming(routed_.route_.kind_))
+        return;
+    auto target = ForwardTarget{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto &settings = context_.settings_;
+        const auto timeout
+            = std::max<Duration>(settings.firstEventTimeout_, settings.streamIdleTimeout_);
+        const auto &call = calls_.at(attempt);
+        if (context_.clock_() - call.progressAt_ < timeout)
+            return;
+        target = call.target_;
+    }
+    targetStalled(target);
 }
 
-auto ForwardedRequest::perform(const forward_action::CancelAttempt & /*action*/) -> void
+auto ForwardedRequest::perform(const forward_action::CancelAttempt &action) -> void
 {
-    if (callId_)
-        context_.client_.cancel(*callId_);
+    context_.client_.cancel(calls_.at(action.attempt_).id_);
 }
 
 auto ForwardedRequest::perform(const forward_action::ReleaseTarget &action) -> void
@@ -215,14 +221,14 @@
 
 auto ForwardedRequest::perform(const forward_action::BeginStream &action) -> void
 {
-    handleProgress();
+    handleProgress(action.attempt_);
     reply_->begin(
         HttpResponse{action.head_.status_, responseHeaders(action.head_), action.events_});
 }
 
 auto ForwardedRequest::perform(const forward_action::SendEvents &action) -> void
 {
-    handleProgress();
+    handleProgress(action.attempt_);
     reply_->write(action.events_, nullptr);
 }
 
@@ -251,7 +257,7 @@
     emit(EventNumber::RequestRefused,
          {{"verdict", "may-have-run"},
           {"reason", "stream broken off: " + action.reason_},
-          {"upstream", target_.upstream_.text()},
+          {"upstream", calls_.empty() ? "" : calls_.rbegin()->second.target_.upstream_.text()},
           {"version", std::to_string(declaration.version_)},
           {"versionAgeMs", std::to_string(toMilliseconds(declaration.age_))}});
     reply_->abort();
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -10,6 +10,7 @@
 #include "transport/HttpCall.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -35,12 +36,23 @@
 
     /// Starts the deadline timer and the first attempt.
     auto start() -> void;
-    /// Moves the stream to another upstream when it runs at the stalled \a target.
+    /// Tries another upstream beside \a target, which is silent, if the stream runs there and may
+    /// be continued elsewhere.
     auto targetStalled(const ForwardTarget &target) -> void;
     /// Handles \a event and carries out the resulting actions.
     auto post(const ForwardEvent &event) -> void;
 
 private:
+    /// The HTTP call of an attempt.
+    struct Call
+    {
+        ForwardTarget target_;
+        /// When the attempt started or last delivered complete events.
+        MonotonicTime progressAt_;
+        /// HttpClient's id.
+        std::uint64_t id_ = 0;
+    };
+
     auto handle(const ForwardEvent &event) -> void;
     auto perform(const forward_action::ChooseTarget &action) -> void;
     auto perform(const forward_action::StartAttempt &action) -> void;
@@ -54,10 +66,11 @@
     auto perform(const forward_action::AbortResponse &action) -> void;
     [[nodiscard]] auto hooksFor(std::uint32_t attempt, const ForwardTarget &target)
         -> HttpCallHooks;
-    /// Records that the target delivered complete events.
-    auto handleProgress() -> void;
-    /// Cancels an attempt whose stream sends bytes, but has completed no event within the timeout.
-    auto cancelIfNoWholeEvent() -> void;
+    /// Records that the target of \a attempt delivered complete events.
+    auto handleProgress(std::uint32_t attempt) -> void;
+    /// As targetStalled(), when the stream of \a attempt sends bytes, but has completed no event
+    /// within the timeout.
+    auto moveIfNoWholeEvent(std::uint32_t attempt) -> void;
     [[nodiscard]] auto responseHeaders(const ForwardResponseHead &head) const -> HttpHeaders;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
@@ -70,11 +83,8 @@
 
     RankedMutex mutex_;
     ForwardStateMachine stateMachine_;
-    ForwardTarget target_;
-    /// When the attempt started or last delivered complete events.
-    MonotonicTime progressAt_;
-    /// HttpClient's id of the last attempt's call; nothing before the first attempt.
-    std::optional<std::uint64_t> callId_;
+    /// By the number of the attempt.
+    std::map<std::uint32_t, Call> calls_;
     std::shared_ptr<Timer> deadlineTimer_;
     bool isDone_ = false;
 };
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -146,13 +146,32 @@
     -> std::optional<ForwardTarget>
 {
     const auto lock = std::scoped_lock(mutex_);
+    return reserveBest(pool, avoid, admission, now, [](const TargetState &) { return true; });
+}
+
+auto TargetTable::chooseAlternative(const ForwardTarget &target, const AdmissionLimit &admission,
+                                    MonotonicTime now) -> std::optional<ForwardTarget>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto isUsable = [&](const TargetState &other) {
+        return other.target_.upstream_ != target.upstream_
+            && now - other.stalledAt_ >= stallHoldOff;
+    };
+    return reserveBest(target.pool_, {}, admission, now, isUsable);
+}
+
+auto TargetTable::reserveBest(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                              const AdmissionLimit &admission, MonotonicTime now,
+                              const std::function<bool(const TargetState &)> &isUsable)
+    -> std::optional<ForwardTarget>
+{
     const auto found = targets_.find(pool);
     if (found == targets_.end())
         return std::nullopt;
     TargetState *best = nullptr;
     auto bestRank = std::tuple<bool, bool, double, std::uint64_t>{};
     for (auto &[id, target] : found->second) {
-        if (now < target.unavailableUntil_ || !isWithinColdLimit(target, now)
+        if (now < target.unavailableUntil_ || !isUsable(target) || !isWithinColdLimit(target, now)
             || !hasCapacity(target, admission, now))
             continue;
         const auto rank = std::tuple(avoid.contains(id), now < target.deprioritizedUntil_,
@@ -174,22 +193,6 @@
     return best->target_;
 }
 
-auto TargetTable::hasAlternative(const ForwardTarget &target, const AdmissionLimit &admission,
-                                 MonotonicTime now) -> bool
-{
-    const auto lock = std::scoped_lock(mutex_);
-    const auto found = targets_.find(target.pool_);
-    if (found == targets_.end())
-        return false;
-    const auto isUsable = [&](auto &item) {
-        auto &other = item.second;
-        return item.first != target.upstream_ && now >= other.unavailableUntil_
-            && now - other.stalledAt_ >= stallHoldOff && isWithinColdLimit(other, now)
-            && hasCapacity(other, admission, now);
-    };
-    return std::any_of(found->second.begin(), found->second.end(), isUsable);
-}
-
 auto TargetTable::release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now)
     -> void
 {
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,9 +40,10 @@
     /// rate limit, so that the request is refused at once instead of delaying all that follow.
     auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
                 const AdmissionLimit &admission, MonotonicTime now) -> std::optional<ForwardTarget>;
-    /// Whether choose() would find another upstream than \a target that has not stalled recently.
-    auto hasAlternative(const ForwardTarget &target, const AdmissionLimit &admission,
-                        MonotonicTime now) -> bool;
+    /// As choose(), for a stream to move away from \a target: reserves only another upstream, and
+    /// only one that has not stalled recently.
+    auto chooseAlternative(const ForwardTarget &target, const AdmissionLimit &admission,
+                           MonotonicTime now) -> std::optional<ForwardTarget>;
     /// Releases a reserved target. For a short time a failed one is chosen only when there is no
     /// other, and an unavailable one not at all.
     auto release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now) -> void;
@@ -103,6 +105,12 @@
         MonotonicTime progressAwaitedUntil_;
     };
 
+    /// Reserves the best upstream of \a pool out of those that \a isUsable accepts; one of \a avoid
+    /// only when there is no other.
+    auto reserveBest(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                     const AdmissionLimit &admission, MonotonicTime now,
+                     const std::function<bool(const TargetState &)> &isUsable)
+        -> std::optional<ForwardTarget>;
     /// Whether no stream of the engine \a target has progressed for \a stallLimit, or for the
     /// longer limit that applies before the first event.
     static auto isSilent(const TargetState &target, Duration stallLimit, MonotonicTime now) -> bool;
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -36,8 +36,26 @@
     /// Reports the upstream \a id as the chosen target, which starts an attempt.
     auto startAttempt(ForwardStateMachine & stateMachine, const std::string &id)->void
     {
-        handle(stateMachine,
-               TargetChosen{ForwardTarget{UpstreamId(id), 1, "127.0.0.1:1", PoolName("p"), {}}});
+        handle(stateMachine, TargetChosen{target(id)});
+    }
+
+    static auto target(const std::string &id)->ForwardTarget
+    {
+        return ForwardTarget{UpstreamId(id), 1, "127.0.0.1:1", PoolName("p"), {}};
+    }
+
+    /// A stream of u1 that is silent after its first event, and an attempt at u2 beside it.
+    auto makeMovingStream(std::uint32_t attemptLimit = 2)->ForwardStateMachine
+    {
+        auto request = makeStateMachine(RouteKind::ResumableStream, attemptLimit);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        handle(request, ResponseHeadReceived{1, head(200)});
+        handle(request, AttemptData{1, "id: 1\ndata: a\n\n"});
+        handle(request, TargetStalled{target("u2")});
+        CHECK(find<action::StartAttempt>()->lastEventId_ == std::optional<std::uint64_t>(1));
+        CHECK(find<action::CancelAttempt>() == nullptr);
+        return request;
     }
 
     static auto head(std::uint16_t status, bool isSigned = true)->ForwardResponseHead
@@ -322,13 +340,15 @@
     auto request = makeStateMachine(RouteKind::ResumableStream, 2);
     handle(request, Start{});
     startAttempt(request, "u1");
-    handle(request, TargetStalled{});
-    CHECK(find<action::CancelAttempt>() != nullptr);
+    handle(request, TargetStalled{target("u2")});
+    CHECK(find<action::StartAttempt>()->target_ == target("u2"));
     handle(request, brokenConnection(1, Verdict::MayHaveRun));
-    CHECK(find<action::ChooseTarget>() != nullptr);
-    startAttempt(request, "u2");
-    handle(request, TargetStalled{});
-    CHECK(actions_.empty());
+    CHECK(find<action::ChooseTarget>() == nullptr);
+    CHECK_FALSE(request.mayMoveFrom(target("u2")));
+    handle(request, TargetStalled{target("u3")});
+    CHECK(find<action::StartAttempt>() == nullptr);
+    CHECK(find<action::CancelAttempt>() == nullptr);
+    CHECK(find<action::ReleaseTarget>()->target_ == target("u3"));
     LONGS_EQUAL(1, retries_);
 }
 
@@ -339,8 +359,9 @@
     auto request = makeStateMachine(RouteKind::ResumableStream);
     handle(request, Start{});
     startAttempt(request, "u1");
-    handle(request, TargetStalled{});
-    CHECK(actions_.empty());
+    handle(request, TargetStalled{target("u2")});
+    LONGS_EQUAL(1, actions_.size());
+    CHECK(find<action::ReleaseTarget>()->target_ == target("u2"));
 }
 
 TEST(ForwardStateMachine, aRequestThatIsNoResumableStream_targetStalled_isNotCancelled)
@@ -349,24 +370,116 @@
         auto request = makeStateMachine(kind);
         handle(request, Start{});
         startAttempt(request, "u1");
-        handle(request, TargetStalled{});
-        CHECK(actions_.empty());
+        CHECK_FALSE(request.mayMoveFrom(target("u1")));
+        handle(request, TargetStalled{target("u2")});
+        LONGS_EQUAL(1, actions_.size());
+        CHECK(find<action::ReleaseTarget>()->target_ == target("u2"));
     }
 }
 
-// Guards against a stream with missing events that looks complete (ORDER): its last events arrive
-// after its attempt was cancelled to move it to another upstream.
+// Guards against a stream with missing events that looks complete (ORDER): the last events of its
+// first attempt arrive after another upstream was tried.
 TEST(ForwardStateMachine, theStreamEndsWhileItIsMoved_ended_isForwardedWhole)
 {
-    auto request = makeStateMachine(RouteKind::ResumableStream);
-    handle(request, Start{});
-    startAttempt(request, "u1");
-    handle(request, ResponseHeadReceived{1, head(200)});
-    handle(request, AttemptData{1, "id: 1\ndata: a\n\n"});
-    handle(request, TargetStalled{});
-    CHECK(find<action::CancelAttempt>() != nullptr);
+    auto request = makeMovingStream();
+    handle(request, AttemptData{1, "id: 2\ndata: b\n\n"});
+    STRCMP_EQUAL("id: 2\ndata: b\n\n", find<action::SendEvents>()->events_.c_str());
+    handle(request, endedNormally());
+    CHECK(find<action::EndStream>() != nullptr);
+}
+
+// Guards against a stream that is broken off because the upstream that was tried beside its silent
+// one refuses it (LOST).
+TEST(ForwardStateMachine, theOtherUpstreamRefuses_ended_goesOnAtTheSilentOne)
+{
+    auto request = makeMovingStream();
+    auto refusal = head(503, false);
+    refusal.notRun_ = true;
+    handle(request, ResponseHeadReceived{2, refusal});
+    handle(request, AttemptEnded{2, {}, Verdict::Ran, ""});
+    LONGS_EQUAL(1, actions_.size());
+    CHECK(find<action::ReleaseTarget>()->target_ == target("u2"));
     handle(request, AttemptData{1, "id: 2\ndata: b\n\n"});
     STRCMP_EQUAL("id: 2\ndata: b\n\n", find<action::SendEvents>()->events_.c_str());
     handle(request, endedNormally());
     CHECK(find<action::EndStream>() != nullptr);
+    CHECK(request.isFinished());
+}
+
+// Guards against the text of an error of the second upstream that ends the request while the first
+// may go on.
+TEST(ForwardStateMachine, theOtherUpstreamAnswersAnError_ended_goesOnAtTheSilentOne)
+{
+    for (const auto status : {400, 404, 500}) {
+        auto request = makeStateMachine(RouteKind::ResumableStream);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        handle(request, TargetStalled{target("u2")});
+        handle(request, ResponseHeadReceived{2, head(static_cast<std::uint16_t>(status))});
+        handle(request, AttemptData{2, "no"});
+        handle(request, AttemptEnded{2, {}, Verdict::Ran, ""});
+        LONGS_EQUAL(1, actions_.size());
+        CHECK(find<action::ReleaseTarget>() != nullptr);
+        handle(request, ResponseHeadReceived{1, head(200)});
+        handle(request, AttemptData{1, "id: 1\ndata: a\n\n"});
+        CHECK(find<action::BeginStream>() != nullptr);
+    }
+}
+
+// Guards against pieces of two runs that are joined (ORDER): both upstreams send the same events.
+TEST(ForwardStateMachine, bothUpstreamsSendEvents_data_onlyTheFirstToSendIsForwarded)
+{
+    auto request = makeMovingStream();
+    handle(request, ResponseHeadReceived{2, head(200)});
+    handle(request, AttemptData{2, "id: 2\ndata: second\n\n"});
+    CHECK(find<action::SendEvents>()->attempt_ == 2);
+    CHECK(find<action::CancelAttempt>()->attempt_ == 1);
+    handle(request, AttemptData{1, "id: 2\ndata: first\n\nid: 3\ndata: first\n\n"});
+    CHECK(actions_.empty());
+    handle(request, AttemptEnded{1, make_error_code(Error::Cancelled), Verdict::MayHaveRun, ""});
+    CHECK(find<action::ReleaseTarget>()->target_ == target("u1"));
+    CHECK(find<action::ReleaseTarget>()->outcome_ == TargetOutcome::Failed);
+    handle(request, AttemptEnded{2, {}, Verdict::Ran, ""});
+    CHECK(find<action::EndStream>() != nullptr);
+    CHECK(request.isFinished());
+}
+
+TEST(ForwardStateMachine, theSilentUpstreamGoesOn_data_cancelsTheOtherAttempt)
+{
+    auto request = makeMovingStream();
+    handle(request, AttemptData{1, "id: 2\ndata: b\n\n"});
+    CHECK(find<action::CancelAttempt>()->attempt_ == 2);
+    handle(request, AttemptEnded{2, make_error_code(Error::Cancelled), Verdict::MayHaveRun, ""});
+    CHECK(find<action::ReleaseTarget>()->outcome_ == TargetOutcome::Responded);
+    CHECK_FALSE(request.isFinished());
+}
+
+// Guards against a target that stays reserved: the upstream that continues the stream fails before
+// the cancelled attempt has ended, and a third one is tried.
+TEST(ForwardStateMachine, aThirdAttemptBeginsBeforeACancelledOneEnds_ended_releasesAllTargets)
+{
+    auto request = makeMovingStream(3);
+    handle(request, ResponseHeadReceived{2, head(200)});
+    handle(request, AttemptData{2, "id: 2\ndata: b\n\n"});
+    handle(request, brokenConnection(2, Verdict::MayHaveRun));
+    CHECK(find<action::ChooseTarget>() != nullptr);
+    startAttempt(request, "u3");
+    LONGS_EQUAL(2, *find<action::StartAttempt>()->lastEventId_);
+    handle(request, AttemptEnded{1, make_error_code(Error::Cancelled), Verdict::MayHaveRun, ""});
+    CHECK(find<action::ReleaseTarget>()->target_ == target("u1"));
+    CHECK(find<action::AbortResponse>() == nullptr);
+    handle(request, ResponseHeadReceived{3, head(200)});
+    handle(request, AttemptData{3, "id: 3\ndata: c\n\n"});
+    STRCMP_EQUAL("id: 3\ndata: c\n\n", find<action::SendEvents>()->events_.c_str());
+}
+
+TEST(ForwardStateMachine, twoAttemptsAreOpen_callerDisconnects_bothAreCancelled)
+{
+    auto request = makeMovingStream();
+    handle(request, CallerDisconnected{});
+    LONGS_EQUAL(2, actions_.size());
+    handle(request, brokenConnection(1, Verdict::MayHaveRun));
+    CHECK_FALSE(request.isFinished());
+    handle(request, brokenConnection(2, Verdict::MayHaveRun));
+    CHECK(request.isFinished());
 }
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -312,25 +312,41 @@
 
 /// Failure: many engines slow down at once, so that each step of every group takes longer than the
 /// timeout after which a group counts as stalled.
-TEST(TargetTable, allGroupsAreSilent_hasAlternative_findsNoneToMoveStreamsTo)
+TEST(TargetTable, allGroupsAreSilent_chooseAlternative_findsNoneToMoveStreamsTo)
 {
     const auto again = ForwardSettings().retryLimit_;
     const auto first = *table_.choose(pool_, {}, again, now_);
     const auto second = *table_.choose(pool_, {first.upstream_}, again, now_);
     table_.recordProgress(first, now_);
     table_.recordProgress(second, now_);
-    CHECK(table_.hasAlternative(first, again, now_));
+    const auto alternative = table_.chooseAlternative(first, again, now_);
+    CHECK(alternative == second);
+    table_.release(*alternative, TargetOutcome::Responded, now_);
     now_ += milliseconds(400);
     LONGS_EQUAL(2, table_.collectStalled(now_).size());
-    CHECK_FALSE(table_.hasAlternative(first, again, now_));
-    CHECK_FALSE(table_.hasAlternative(second, again, now_));
+    CHECK_FALSE(table_.chooseAlternative(first, again, now_));
+    CHECK_FALSE(table_.chooseAlternative(second, again, now_));
 }
 
-TEST(TargetTable, theOtherGroupFailedARequest_hasAlternative_stillFindsIt)
+TEST(TargetTable, theOtherGroupFailedARequest_chooseAlternative_stillFindsIt)
 {
     const auto again = ForwardSettings().retryLimit_;
     const auto first = *table_.choose(pool_, {}, again, now_);
     const auto second = *table_.choose(pool_, {first.upstream_}, again, now_);
     table_.release(second, TargetOutcome::Failed, now_);
-    CHECK(table_.hasAlternative(first, again, now_));
+    CHECK(table_.chooseAlternative(first, again, now_) == second);
+}
+
+// Guards against moving all streams of a silent group to another one that has room for a few of
+// them only, so that the rest is broken off (LOST).
+TEST(TargetTable, theOtherGroupIsColdAndLimited_chooseAlternative_reservesItUpToItsLimit)
+{
+    state_.upstreams_[UpstreamId("u2")].announced_.cold_ = true;
+    table_.update(state_);
+    const auto again = ForwardSettings().retryLimit_;
+    const auto first = ForwardTarget{UpstreamId("u1"), 1, "u1:1", pool_, ZoneName("a")};
+    auto reserved = 0;
+    while (reserved < 100 && table_.chooseAlternative(first, again, now_))
+        ++reserved;
+    LONGS_EQUAL(4, reserved);
 }
