forward, transport: Don't end an attempt because its upstream is silent

Cause: a stream without bytes for 1.2 s (1.8 s before the head) was cancelled also where no other attempt was allowed or left: routes that may not be resumed, the last attempt, a spent retry budget.

HttpCallHooks::silent_ now tells the owner of a call of its silence, and the call goes on. A forwarded request tries another upstream beside the silent one where it may, and waits otherwise: the deadline of the request, and the caller, which leaves a stream that is silent for too long, still end it. A request whose caller has left is cancelled at its deadline, since silence no longer does that.

Two cases guard the hook and the deadline.

--- a/packages/forward/ForwardSettings.h
+++ b/packages/forward/ForwardSettings.h
@@ -16,10 +16,10 @@
 {
     /// Timeout of connecting to an upstream.
     Duration connectTimeout_ = std::chrono::milliseconds(250);
-    /// Timeout between two events of a stream.
+    /// After this time between two events of a stream another upstream is tried beside its own.
     Duration streamIdleTimeout_ = std::chrono::milliseconds(1200);
-    /// Timeout for the first event of a stream; callers abandon a stream that is silent for two
-    /// seconds.
+    /// As streamIdleTimeout_, before the first event; callers abandon a stream that is silent for
+    /// two seconds.
     Duration firstEventTimeout_ = std::chrono::milliseconds(1800);
     /// How long an entry accepts new requests after its shutdown began, since callers still use its
     /// address. Later requests are refused, so that those accepted can complete in time.
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -314,8 +314,10 @@
 
 auto ForwardStateMachine::on(const forward_event::DeadlinePassed &) -> void
 {
-    if (replied_)
+    if (replied_) {
+        cancelAll();
         return;
+    }
     const auto mayHaveRun = attempt_ || verdict_ != Verdict::NotRun;
     const auto reason = std::string("the time for the request has passed");
     if (headSent_) {
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -167,7 +167,8 @@
         [self, attempt](const HttpOutcome &outcome) {
             self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
                                                    outcome.message_, outcome.isRefused_});
-        }};
+        },
+        [self, target] { self->targetStalled(target); }};
 }
 
 auto ForwardedRequest::handleProgress(std::uint32_t attempt) -> void
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -56,6 +56,9 @@
     std::function<void(const HttpResponse &)> head_;
     std::function<void(std::string_view)> part_;
     std::function<void(const HttpOutcome &)> ended_;
+    /// Called whenever nothing has come for as long as HttpCall allows; the call goes on. Without
+    /// it the call ends with Error::ConnectionSilent.
+    std::function<void()> silent_ = nullptr;
 };
 
 } // namespace lycheereach
--- a/packages/transport/HttpClient.cpp
+++ b/packages/transport/HttpClient.cpp
@@ -188,7 +188,7 @@
         nextSilenceCheck_ = now + silenceCheckPeriod;
         auto silent = std::vector<HttpCallId>{};
         for (const auto &[id, transfer] : transfers_) {
-            if (transfer->isSilent(now))
+            if (transfer->isSilent(now) && !transfer->tellSilence(now))
                 silent.push_back(id);
         }
         for (const auto id : silent)
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ErrorCode.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <utility>
@@ -132,7 +133,16 @@
     if (!connected_)
         return false;
     const auto allowed = headTold_ ? call_.idleTimeout_ : call_.firstByteTimeout_;
-    return now - lastHeard_ > allowed;
+    return now - std::max(lastHeard_, silenceToldAt_) > allowed;
+}
+
+auto HttpTransfer::tellSilence(MonotonicTime now) -> bool
+{
+    if (!hooks_.silent_)
+        return false;
+    silenceToldAt_ = now;
+    hooks_.silent_();
+    return true;
 }
 
 auto HttpTransfer::verdict() const -> Verdict
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -23,6 +23,8 @@
     [[nodiscard]] auto handle() const -> CURL * { return easy_.get(); }
     /// Whether nothing has come for longer than the call allows.
     [[nodiscard]] auto isSilent(MonotonicTime now) const -> bool;
+    /// Tells the hooks that nothing has come for too long; false when the call has to end.
+    auto tellSilence(MonotonicTime now) -> bool;
     /// Tells the hooks how libcurl ended the call.
     auto endWith(CURLcode code) -> void;
     /// Tells the hooks that the call was ended by \a error.
@@ -53,6 +55,7 @@
     std::size_t headBytes_ = 0;
     std::size_t bodyBytes_ = 0;
     MonotonicTime lastHeard_;
+    MonotonicTime silenceToldAt_;
     bool connected_ = false;
     bool headTold_ = false;
     /// Whether HttpCall::mayStart_ said no.
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -483,3 +483,15 @@
     handle(request, brokenConnection(2, Verdict::MayHaveRun));
     CHECK(request.isFinished());
 }
+
+// Guards against an attempt that never ends: its caller has left and its upstream stays silent.
+TEST(ForwardStateMachine, theCallerOfAnUnsafeRequestHasLeft_deadlinePassed_cancelsTheAttempt)
+{
+    auto request = makeStateMachine(RouteKind::Unsafe);
+    handle(request, Start{});
+    startAttempt(request, "u1");
+    handle(request, CallerDisconnected{});
+    CHECK(actions_.empty());
+    handle(request, DeadlinePassed{});
+    CHECK(find<action::CancelAttempt>() != nullptr);
+}
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -125,6 +125,24 @@
     CHECK(failure.code_ == Error::ConnectionSilent);
 }
 
+// Guards against a call that is ended for silence although its owner wants to wait (LOST).
+TEST(HttpClient, silenceWithAHook_start_isToldAgainAndAgainWhileTheCallGoesOn)
+{
+    auto server = RawServer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false);
+    auto silences = Watched<int>{};
+    auto outcome = Watched<std::optional<HttpOutcome>>{};
+    auto hooks = HttpCallHooks{};
+    hooks.silent_ = [&] { silences.change([](int &count) { ++count; }); };
+    hooks.ended_
+        = [&](const HttpOutcome &ended) { outcome.change([&](auto &value) { value = ended; }); };
+    const auto call = client_.start(callTo(server.address()), std::move(hooks));
+    CHECK(silences.waitFor([](int count) { return count >= 3; }));
+    CHECK_FALSE(outcome.get().has_value());
+    client_.cancel(call);
+    CHECK(outcome.waitFor([](const auto &value) { return value.has_value(); }));
+    CHECK(outcome.get()->error_ == Error::Cancelled);
+}
+
 /// Pattern: a server in trouble sends bytes that are no answer until the caller closes.
 TEST(HttpClient, aHeadWithoutEnd_fetch_endsAtTheLimit)
 {
