gateway, requests: Don't end an attempt for silence unless another may follow

RequestMachine ends the attempt only where another may follow, with the retry taken from the budget first, so that no other request can take it between the end and the next attempt. Otherwise it waits: an answer may come, and the deadline ends it. Once the caller has its answer or is gone, silence ends the attempt as before, since nobody waits for it.

Evidence: RequestMachine.noOtherAttemptMayFollow_upstreamSilent_goesOn and anotherAttemptMayFollow_upstreamSilent_isEndedWithItsRetryReserved.

--- a/packages/gateway/ActiveRequest.h
+++ b/packages/gateway/ActiveRequest.h
@@ -50,6 +50,7 @@
     auto perform(const request_action::CommitClaim &action) -> void;
     auto perform(const request_action::StartAttempt &action) -> void;
     auto perform(const request_action::CancelAttempt &action) -> void;
+    auto perform(const request_action::EndSilentAttempt &action) -> void;
     auto perform(const request_action::SettleClaim &action) -> void;
     auto perform(const request_action::ReturnPermit &action) -> void;
     auto perform(const request_action::Probe &action) -> void;
--- a/packages/gateway/ActiveRequestActions.cpp
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -161,7 +161,8 @@
         .ended_ =
             [self, attempt, isStopConfirmed = isStopConfirmed_](const HttpOutcome &outcome) {
                 self->attemptEnded(attempt, outcome, *isStopConfirmed);
-            }};
+            },
+        .silent_ = [self, attempt] { self->post(request_event::ResponseSilent{attempt}); }};
 }
 
 auto ActiveRequest::perform(const request_action::StartAttempt &action) -> void
@@ -238,6 +239,12 @@
     context_.client_.start(std::move(cancel), HttpCallHooks{recordStatus, nullptr, onCancelEnded});
 }
 
+auto ActiveRequest::perform(const request_action::EndSilentAttempt & /*action*/) -> void
+{
+    if (attemptCall_)
+        context_.client_.cancel(*attemptCall_, Error::ConnectionSilent);
+}
+
 auto ActiveRequest::perform(const request_action::ReturnPermit &action) -> void
 {
     if (!permit_)
--- a/packages/requests/RequestAction.h
+++ b/packages/requests/RequestAction.h
@@ -64,6 +64,13 @@
     RequestTarget target_;
 };
 
+/// Close the attempt's connection, whose upstream is silent. Ends with AttemptEnded and
+/// Error::ConnectionSilent.
+struct EndSilentAttempt
+{
+    AttemptId attempt_;
+};
+
 /// Commit the outcome of the claim. Answered by ClaimSettled.
 struct SettleClaim
 {
@@ -152,10 +159,10 @@
 /// One action that RequestMachine returns.
 using RequestAction = std::variant<
     request_action::TakePermit, request_action::CancelPermitRequest, request_action::CommitClaim,
-    request_action::StartAttempt, request_action::CancelAttempt, request_action::SettleClaim,
-    request_action::ReturnPermit, request_action::Probe, request_action::ReportCrash,
-    request_action::ClearSuspect, request_action::StartTimer, request_action::SendResponse,
-    request_action::StartStream, request_action::SendStreamData, request_action::EndStream,
-    request_action::SendError, request_action::RecordMismatchedResponse>;
+    request_action::StartAttempt, request_action::CancelAttempt, request_action::EndSilentAttempt,
+    request_action::SettleClaim, request_action::ReturnPermit, request_action::Probe,
+    request_action::ReportCrash, request_action::ClearSuspect, request_action::StartTimer,
+    request_action::SendResponse, request_action::StartStream, request_action::SendStreamData,
+    request_action::EndStream, request_action::SendError, request_action::RecordMismatchedResponse>;
 
 } // namespace lycheereach
--- a/packages/requests/RequestEvent.h
+++ b/packages/requests/RequestEvent.h
@@ -62,6 +62,13 @@
     std::string bytes_;
 };
 
+/// Nothing has come from the upstream of an attempt for as long as the policy allows; the attempt
+/// goes on.
+struct ResponseSilent
+{
+    AttemptId attempt_;
+};
+
 /// The connection of an attempt ended, also after CancelAttempt.
 struct AttemptEnded
 {
@@ -109,9 +116,9 @@
     = std::variant<request_event::Start, request_event::PermitGranted, request_event::PermitRefused,
                    request_event::ClaimAnswered, request_event::ClaimFailed,
                    request_event::ClaimSettled, request_event::ResponseHeadReceived,
-                   request_event::ResponseDataReceived, request_event::AttemptEnded,
-                   request_event::ProbeFinished, request_event::CrashReported,
-                   request_event::CallerDisconnected, request_event::DeadlinePassed,
-                   request_event::ShutdownStarted>;
+                   request_event::ResponseDataReceived, request_event::ResponseSilent,
+                   request_event::AttemptEnded, request_event::ProbeFinished,
+                   request_event::CrashReported, request_event::CallerDisconnected,
+                   request_event::DeadlinePassed, request_event::ShutdownStarted>;
 
 } // namespace lycheereach
--- a/packages/requests/RequestMachine.h
+++ b/packages/requests/RequestMachine.h
@@ -83,6 +83,7 @@
     auto on(const request_event::ClaimSettled &event) -> void;
     auto on(const request_event::ResponseHeadReceived &event) -> void;
     auto on(const request_event::ResponseDataReceived &event) -> void;
+    auto on(const request_event::ResponseSilent &event) -> void;
     auto on(const request_event::AttemptEnded &event) -> void;
     auto on(const request_event::ProbeFinished &event) -> void;
     auto on(const request_event::CrashReported &event) -> void;
@@ -109,6 +110,8 @@
     /// crash of the target was reported.
     auto retryOrGiveUp() -> void;
     [[nodiscard]] auto mayRetry() const -> bool;
+    /// Takes a retry from the budget, or the one that is reserved.
+    auto takeRetry() -> bool;
     /// Whether the caller of an interrupted stream has every token and lacks only its end.
     [[nodiscard]] auto lacksOnlyStreamEnd() const -> bool;
     /// Sends the end of the stream in place of the upstream.
@@ -149,6 +152,8 @@
     /// Names of the targets that failed this request.
     std::set<std::string> failedTargets_;
     std::uint32_t attemptCount_ = 0;
+    /// Whether a retry was taken from the budget and is not used yet.
+    bool hasReservedRetry_ = false;
     bool awaitingPermit_ = false;
     bool awaitingProbe_ = false;
     bool awaitingRuling_ = false;
--- a/packages/requests/RequestMachineAttempts.cpp
+++ b/packages/requests/RequestMachineAttempts.cpp
@@ -142,6 +142,19 @@
     emit(request_action::SendStreamData{bytes});
 }
 
+auto RequestMachine::on(const request_event::ResponseSilent &event) -> void
+{
+    if (!isCurrent(event.attempt_) || attempt_->cancelled_ || hasReservedRetry_)
+        return;
+    // Without another attempt the silent one is all that the caller has, and may yet go on.
+    if (!replied_) {
+        if (!properties_.repeatable_ || !mayRetry() || !callbacks_.tryTakeRetry_())
+            return;
+        hasReservedRetry_ = true;
+    }
+    emit(request_action::EndSilentAttempt{attempt_->id_});
+}
+
 auto RequestMachine::on(const request_event::AttemptEnded &event) -> void
 {
     if (!isCurrent(event.attempt_))
@@ -218,7 +231,7 @@
 {
     if (!std::exchange(awaitingProbe_, false))
         return;
-    if (event.alive_ && canResume() && mayRetry() && callbacks_.tryTakeRetry_())
+    if (event.alive_ && canResume() && mayRetry() && takeRetry())
         return resumeAttempt();
     returnPermit(event.alive_ ? PermitUse::Abandoned : PermitUse::Failed);
     if (event.alive_)
@@ -246,7 +259,7 @@
         return completeStream();
     const auto notRun = lastFailure_.verdict_ == Verdict::NotRun;
     const auto isRepeatAllowed = properties_.repeatable_ || (notRun && now_ < claimValidUntil_);
-    if (isRepeatAllowed && mayRetry() && callbacks_.tryTakeRetry_())
+    if (isRepeatAllowed && mayRetry() && takeRetry())
         return takePermit();
     if (claim_ == ClaimState::Held)
         settleClaim(notRun ? ClaimPhase::Released : ClaimPhase::Unknown, std::nullopt);
@@ -282,6 +295,11 @@
     return !replied_ && attemptCount_ < properties_.attemptLimit_ && now_ < properties_.deadline_;
 }
 
+auto RequestMachine::takeRetry() -> bool
+{
+    return std::exchange(hasReservedRetry_, false) || callbacks_.tryTakeRetry_();
+}
+
 auto RequestMachine::canResume() const -> bool
 {
     const auto &progress = attempt_->assembler_.progress();
--- a/packages/transport/HttpClient.cpp
+++ b/packages/transport/HttpClient.cpp
@@ -20,6 +20,7 @@
 constexpr auto silenceCheckPeriod = std::chrono::milliseconds(10);
 constexpr auto idlePollTimeout = std::chrono::seconds(1);
 constexpr long pooledConnections = 512;
+constexpr auto silentMessage = "nothing came within the time limit";
 
 auto initializeCurl() -> void
 {
@@ -86,11 +87,11 @@
         return id;
     }
 
-    auto cancel(HttpCallId id) -> void
+    auto cancel(HttpCallId id, Error reason) -> void
     {
         {
             const auto lock = std::scoped_lock(mutex_);
-            cancels_.push_back(id);
+            cancels_.emplace_back(id, reason);
         }
         curl_multi_wakeup(multi_);
     }
@@ -121,7 +122,7 @@
     auto takeCommands() -> bool
     {
         auto starts = std::vector<Start>{};
-        auto cancels = std::vector<HttpCallId>{};
+        auto cancels = std::vector<std::pair<HttpCallId, Error>>{};
         auto stopping = false;
         {
             const auto lock = std::scoped_lock(mutex_);
@@ -131,8 +132,9 @@
         }
         for (auto &start : starts)
             begin(std::move(start));
-        for (const auto id : cancels)
-            end(id, Error::Cancelled, "the call was cancelled");
+        for (const auto &[id, reason] : cancels)
+            end(id, reason,
+                reason == Error::ConnectionSilent ? silentMessage : "the call was cancelled");
         if (!stopping)
             return true;
         while (!transfers_.empty())
@@ -192,13 +194,13 @@
                 silent.push_back(id);
         }
         for (const auto id : silent)
-            end(id, Error::ConnectionSilent, "nothing came within the time limit");
+            end(id, Error::ConnectionSilent, silentMessage);
     }
 
     std::atomic<HttpCallId> lastId_ = 0;
     RankedMutex mutex_{LockRank::Transport};
     std::vector<Start> starts_;
-    std::vector<HttpCallId> cancels_;
+    std::vector<std::pair<HttpCallId, Error>> cancels_;
     bool stopping_ = false;
 
     CURLM *multi_ = nullptr;
@@ -219,9 +221,9 @@
     return impl_->start(std::move(call), std::move(hooks));
 }
 
-auto HttpClient::cancel(HttpCallId id) -> void
+auto HttpClient::cancel(HttpCallId id, Error reason) -> void
 {
-    impl_->cancel(id);
+    impl_->cancel(id, reason);
 }
 
 auto HttpClient::fetch(HttpCall call) -> Result<HttpResponse>
--- a/packages/transport/HttpClient.h
+++ b/packages/transport/HttpClient.h
@@ -2,6 +2,7 @@
 /// \brief An HTTP client on libcurl.
 #pragma once
 
+#include "base/ErrorCode.h"
 #include "base/Result.h"
 #include "transport/HttpCall.h"
 
@@ -25,8 +26,8 @@
 
     /// Starts a call; never blocks.
     auto start(HttpCall call, HttpCallHooks hooks) -> HttpCallId;
-    /// Closes the connection of a call, which ends with Error::Cancelled.
-    auto cancel(HttpCallId id) -> void;
+    /// Closes the connection of a call, which ends with \a reason.
+    auto cancel(HttpCallId id, Error reason = Error::Cancelled) -> void;
     /// Makes a call and waits for its whole answer; not from a hook.
     auto fetch(HttpCall call) -> Result<HttpResponse>;
 
--- a/tests/requests/FleetFake.cpp
+++ b/tests/requests/FleetFake.cpp
@@ -188,11 +188,25 @@
         if (!connections_[i].open_ || connections_[i].entry_ != entry)
             continue;
         connections_[i].silent_ = true;
-        endConnection(i, silently ? Error::ConnectionSilent : Error::ConnectionFailed,
-                      silently ? Duration(idleTimeout) : Duration(0));
+        if (silently)
+            reportSilence(i);
+        else
+            endConnection(i, Error::ConnectionFailed, 0ms);
     }
 }
 
+auto FleetFake::reportSilence(std::size_t index) -> void
+{
+    schedule(idleTimeout, [=, this] {
+        const auto &connection = connections_[index];
+        if (!connection.open_)
+            return;
+        postEvent(connection.entry_, 0ms,
+                  request_event::ResponseSilent{connection.start_.attempt_});
+        reportSilence(index);
+    });
+}
+
 auto FleetFake::endConnection(std::size_t index, Error error, Duration delay) -> void
 {
     auto &connection = connections_[index];
@@ -363,6 +377,14 @@
     }
 }
 
+auto FleetFake::perform(std::size_t, const request_action::EndSilentAttempt &action) -> void
+{
+    for (auto i = std::size_t{0}; i < connections_.size(); ++i) {
+        if (connections_[i].open_ && connections_[i].start_.attempt_ == action.attempt_)
+            endConnection(i, Error::ConnectionSilent, 1ms);
+    }
+}
+
 auto FleetFake::perform(std::size_t, const request_action::ReturnPermit &) -> void
 {
     --outstandingPermits_;
--- a/tests/requests/FleetFake.h
+++ b/tests/requests/FleetFake.h
@@ -135,6 +135,8 @@
     auto markClaimsUnknown(std::size_t entry, Duration delay) -> void;
     auto crashUpstream() -> void;
     auto closeConnectionsOf(std::size_t entry, bool silently) -> void;
+    /// Reports the silence of an open connection again and again, as the transport does.
+    auto reportSilence(std::size_t index) -> void;
     auto endConnection(std::size_t connection, Error error, Duration delay) -> void;
 
     auto perform(std::size_t entry, const request_action::TakePermit &action) -> void;
@@ -142,6 +144,7 @@
     auto perform(std::size_t entry, const request_action::CommitClaim &action) -> void;
     auto perform(std::size_t entry, const request_action::StartAttempt &action) -> void;
     auto perform(std::size_t entry, const request_action::CancelAttempt &action) -> void;
+    auto perform(std::size_t entry, const request_action::EndSilentAttempt &action) -> void;
     auto perform(std::size_t entry, const request_action::SettleClaim &action) -> void;
     auto perform(std::size_t entry, const request_action::ReturnPermit &action) -> void;
     auto perform(std::size_t entry, const request_action::Probe &action) -> void;
--- a/tests/requests/RequestMachineTest.cpp
+++ b/tests/requests/RequestMachineTest.cpp
@@ -196,3 +196,48 @@
     CHECK_EQUAL(502, sentProblem().status_);
     CHECK(sentProblem().verdict_ == Verdict::MayHaveRun);
 }
+
+// Guards against a request that is ended because its sound upstream is silent for a while, although
+// no other attempt may follow (LOST).
+TEST(RequestMachine, noOtherAttemptMayFollow_upstreamSilent_goesOn)
+{
+    enum class Obstacle { NotRepeatable, AttemptLimit, RetryBudget };
+    for (const auto obstacle :
+         {Obstacle::NotRepeatable, Obstacle::AttemptLimit, Obstacle::RetryBudget}) {
+        properties_.repeatable_ = obstacle != Obstacle::NotRepeatable;
+        properties_.idempotencyKey_
+            = obstacle == Obstacle::NotRepeatable ? IdempotencyKey("k") : IdempotencyKey();
+        properties_.attemptLimit_ = obstacle == Obstacle::AttemptLimit ? 1 : 3;
+        retryAllowed_ = obstacle != Obstacle::RetryBudget;
+        start();
+        grantPermit();
+        if (obstacle == Obstacle::NotRepeatable)
+            handleEvent(request_event::ClaimAnswered{{true, "", std::nullopt, std::nullopt, true}});
+        const auto id = findAction<request_action::StartAttempt>()->attempt_;
+        handleEvent(request_event::ResponseSilent{id});
+        CHECK(actions_.empty());
+        handleEvent(request_event::ResponseHeadReceived{
+            id, ResponseHead{200, "text/plain", RequestId("r"), id, std::nullopt}});
+        handleEvent(request_event::ResponseDataReceived{id, "answer"});
+        handleEvent(request_event::AttemptEnded{id, {}, Verdict::Ran, ""});
+        if (obstacle == Obstacle::NotRepeatable)
+            handleEvent(request_event::ClaimSettled{});
+        CHECK(findAction<request_action::SendResponse>() != nullptr);
+    }
+}
+
+// Guards against a silent attempt that is ended with a retry that another request takes meanwhile.
+TEST(RequestMachine, anotherAttemptMayFollow_upstreamSilent_isEndedWithItsRetryReserved)
+{
+    start();
+    grantPermit();
+    const auto id = findAction<request_action::StartAttempt>()->attempt_;
+    handleEvent(request_event::ResponseSilent{id});
+    CHECK(findAction<request_action::EndSilentAttempt>()->attempt_ == id);
+    retryAllowed_ = false;
+    handleEvent(
+        request_event::AttemptEnded{id, Error::ConnectionSilent, Verdict::MayHaveRun, "silent"});
+    CHECK(findAction<request_action::Probe>() != nullptr);
+    handleEvent(request_event::ProbeFinished{true});
+    CHECK(findAction<request_action::TakePermit>() != nullptr);
+}
