requests: Find the part of a prompt that crashes upstreams

Cause of this half: evidence at the wrong grain. The table knew a request by the digest of the whole, so each of them was new to it.

A fingerprint now stands for a whole request or for one part of its prompt (never the last, which belongs to the request), and one mechanism weighs both. The cause of a crash is what was in flight at it and at most other crashes; where a request and its parts are suspected alike it is the request, so the rule for a single repeated request holds as before. Causes are named once the crash has settled: reports of several entries, and what they know of sound parts, come in pieces. Crashes that share a suspect are no outage. Suspects and parts for each request are bounded.

The request paths don't give parts to the table yet.

--- a/packages/requests/SuspicionTable.cpp
+++ b/packages/requests/SuspicionTable.cpp
@@ -1,6 +1,7 @@
 #include "requests/SuspicionTable.h"
 
 #include "requests/Rendezvous.h"
+#include "requests/RequestFingerprint.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,14 +10,15 @@
 
 namespace {
 
-/// At least this many crashes within outageWindow, with no request in common, are an outage.
+/// At least this many crashes within outageWindow, with nothing in common, are an outage.
 constexpr auto outageCrashes = std::size_t{3};
 constexpr auto outageWindow = std::chrono::seconds(1);
 
 } // namespace
 
-SuspicionTable::SuspicionTable(Duration retention)
+SuspicionTable::SuspicionTable(Duration retention, Duration settleTime)
     : retention_(retention)
+    , settleTime_(settleTime)
 { }
 
 auto SuspicionTable::report(const CrashReport &report, MonotonicTime now)
@@ -31,17 +33,33 @@
     }
     unresolvedCrashes_.emplace(crash, now);
     for (const auto &fingerprint : report.fingerprints_) {
+        if (suspicions_.size() >= maxSuspects && !suspicions_.contains(fingerprint))
+            continue;
         auto &suspicion = suspicions_[fingerprint];
         suspicion.crashes_.insert(crash);
         suspicion.lastReportedAt_ = now;
     }
-    const auto cause = causeOf(crash);
-    if (!cause.empty()) {
+    return takeCauses(now);
+}
+
+auto SuspicionTable::takeCauses(MonotonicTime now) -> std::vector<std::string>
+{
+    auto settled = std::vector<CrashedTarget>{};
+    for (const auto &[crash, reportedAt] : unresolvedCrashes_) {
+        if (reportedAt + settleTime_ <= now)
+            settled.push_back(crash);
+    }
+    auto causes = std::vector<std::string>{};
+    for (const auto &crash : settled) {
+        auto cause = causeOf(crash, now);
+        if (cause.empty())
+            continue;
         block(cause, now);
-        return {cause};
+        causes.push_back(std::move(cause));
     }
-    resolveOutage(now);
-    return {};
+    if (causes.empty())
+        resolveOutage(now);
+    return causes;
 }
 
 auto SuspicionTable::containsBlocked(const CrashReport &report) const -> bool
@@ -64,7 +82,8 @@
 {
     auto recentCrashes = std::vector<CrashedTarget>{};
     for (const auto &[crash, at] : unresolvedCrashes_) {
-        if (at + outageWindow > now)
+        if (at + settleTime_ <= now && at + settleTime_ + outageWindow > now
+            && !sharesSuspect(crash))
             recentCrashes.push_back(crash);
     }
     if (recentCrashes.size() < outageCrashes)
@@ -73,17 +92,41 @@
         resolveCrash(crash, now);
 }
 
-auto SuspicionTable::causeOf(const CrashedTarget &crash) const -> std::string
+auto SuspicionTable::sharesSuspect(const CrashedTarget &crash) const -> bool
+{
+    return std::any_of(suspicions_.begin(), suspicions_.end(), [&](const auto &entry) {
+        const auto &crashes = entry.second.crashes_;
+        return crashes.size() > 1 && crashes.contains(crash);
+    });
+}
+
+auto SuspicionTable::causeOf(const CrashedTarget &crash, MonotonicTime now) const -> std::string
 {
-    auto cause = std::string{};
+    const auto hasSettled = [&](const CrashedTarget &other) {
+        const auto found = unresolvedCrashes_.find(other);
+        return found != unresolvedCrashes_.end() && found->second + settleTime_ <= now;
+    };
+    auto most = std::size_t{1};
+    auto candidates = std::vector<std::string>{};
     for (const auto &[fingerprint, suspicion] : suspicions_) {
-        if (suspicion.crashes_.size() < 2 || !suspicion.crashes_.contains(crash))
+        const auto &crashes = suspicion.crashes_;
+        if (!crashes.contains(crash))
+            continue;
+        const auto settled = std::count_if(crashes.begin(), crashes.end(), hasSettled);
+        const auto count = static_cast<std::size_t>(settled);
+        if (count < 2 || count < most)
             continue;
-        if (!cause.empty())
-            return {};
-        cause = fingerprint;
+        if (count > most)
+            candidates.clear();
+        most = count;
+        candidates.push_back(fingerprint);
     }
-    return cause;
+    const auto firstPart
+        = std::partition(candidates.begin(), candidates.end(),
+                         [](const auto &fingerprint) { return !isPartFingerprint(fingerprint); });
+    const auto wholeRequests = std::distance(candidates.begin(), firstPart);
+    const auto isUnique = candidates.size() == 1 || wholeRequests == 1;
+    return isUnique ? candidates.front() : std::string{};
 }
 
 auto SuspicionTable::block(const std::string &fingerprint, MonotonicTime now) -> void
@@ -135,6 +178,14 @@
         runningSuspects_.erase(found);
 }
 
+auto SuspicionTable::suspects() const -> std::set<std::string>
+{
+    auto fingerprints = std::set<std::string>{};
+    for (const auto &[fingerprint, suspicion] : suspicions_)
+        fingerprints.insert(fingerprint);
+    return fingerprints;
+}
+
 auto SuspicionTable::clearSuspicion(const std::string &fingerprint) -> void
 {
     suspicions_.erase(fingerprint);
--- a/packages/requests/SuspicionTable.h
+++ b/packages/requests/SuspicionTable.h
@@ -15,23 +15,31 @@
 
 namespace lycheereach {
 
-/// Every request in flight on a target that crashes becomes a suspect. Every entry keeps this table
-/// and receives every crash report before a suspect is dispatched again. The leaseholder of a
-/// target lets only one suspect at a time run there. A second crash therefore has only one suspect
-/// of the first among its requests: that one is the cause and is blocked, and the other suspects of
-/// both crashes are cleared. Every entry sends a suspect to the target that targetForSuspect()
-/// returns, so that two callers who send the same request at the same time crash one target, not
-/// two. Several crashes at about the same time with no request in common are an outage, which
-/// clears their suspects. Not thread-safe.
+/// Every request in flight on a target that crashes becomes a suspect, and so does every part of
+/// its prompt that is known by a fingerprint. Every entry keeps this table and receives every crash
+/// report before a suspect is dispatched again. The leaseholder of a target lets only one suspect
+/// at a time run there. A second crash therefore has only one suspect of the first among its
+/// requests: that one is the cause and is blocked, and the other suspects of both crashes are
+/// cleared. Where a whole request and parts of it are suspected alike, the request is the cause,
+/// since other requests with these parts may be sound. Every entry sends a suspect to the target
+/// that targetForSuspect() returns, so that two callers who send the same request at the same time
+/// crash one target, not two. Several crashes at about the same time with nothing in common are an
+/// outage, which clears their suspects. Not thread-safe.
 class SuspicionTable
 {
 public:
-    /// removeExpired() removes suspicions older than \a retention.
-    explicit SuspicionTable(Duration retention = std::chrono::minutes(10));
+    /// removeExpired() removes suspicions older than \a retention. For \a settleTime after the
+    /// first report of a crash no cause is named, so that the reports of other entries, and what
+    /// they know of sound suspects, arrive first.
+    explicit SuspicionTable(Duration retention = std::chrono::minutes(10),
+                            Duration settleTime = Duration::zero());
 
     /// Records a crash that this or another entry reported; repeated reports count once. Returns
     /// the fingerprints found to be the cause; the caller must commit a BlockRequest for each.
     auto report(const CrashReport &report, MonotonicTime now) -> std::vector<std::string>;
+    /// Returns the fingerprints found to be the cause of crashes that have settled since; the
+    /// caller must commit a BlockRequest for each.
+    auto takeCauses(MonotonicTime now) -> std::vector<std::string>;
     /// Replaces the blocked fingerprints with those of FleetState::blocked_.
     auto setBlocked(const std::set<std::string> &fingerprints, MonotonicTime now) -> void;
     [[nodiscard]] auto status(const std::string &fingerprint) const -> SuspicionStatus;
@@ -47,6 +55,11 @@
     /// Removes suspicions and crashes that are older than the retention time.
     auto removeExpired(MonotonicTime now) -> void;
     [[nodiscard]] auto suspectCount() const -> std::size_t { return suspicions_.size(); }
+    [[nodiscard]] auto suspects() const -> std::set<std::string>;
+
+    /// Suspects known at once; further ones are not recorded. Bounds the memory that callers can
+    /// use up with requests that are never alike.
+    static constexpr auto maxSuspects = std::size_t{4096};
 
 private:
     /// The name of a target and the epoch or incarnation that crashed.
@@ -66,9 +79,9 @@
         std::uint32_t count_ = 0;
     };
 
-    /// The only fingerprint in flight at both \a crash and an earlier one; empty when there is none
-    /// or more than one.
-    [[nodiscard]] auto causeOf(const CrashedTarget &crash) const -> std::string;
+    /// The fingerprint in flight at \a crash and at more other crashes that have settled than any
+    /// other; empty when there is none or more than one.
+    [[nodiscard]] auto causeOf(const CrashedTarget &crash, MonotonicTime now) const -> std::string;
     auto block(const std::string &fingerprint, MonotonicTime now) -> void;
     [[nodiscard]] auto containsBlocked(const CrashReport &report) const -> bool;
     /// Records that the cause of \a crash is known, and clears the requests suspected only of it.
@@ -76,7 +89,11 @@
     /// Resolves recent crashes when there are enough for an outage.
     auto resolveOutage(MonotonicTime now) -> void;
 
+    /// Whether some fingerprint was in flight at \a crash and at another unresolved one.
+    [[nodiscard]] auto sharesSuspect(const CrashedTarget &crash) const -> bool;
+
     Duration retention_;
+    Duration settleTime_;
     /// The suspects, by fingerprint.
     std::map<std::string, Suspicion> suspicions_;
     /// The suspect that runs at each target.
--- a/tests/requests/SuspicionTableTest.cpp
+++ b/tests/requests/SuspicionTableTest.cpp
@@ -1,5 +1,7 @@
 #include "requests/SuspicionTable.h"
 
+#include "requests/RequestFingerprint.h"
+
 #include <algorithm>
 #include <map>
 #include <random>
@@ -84,6 +86,123 @@
     CHECK_EQUAL(0U, table_.suspectCount());
 }
 
+TEST(SuspicionTable, suspects_asManyAsAreKept_furtherOnesAreNotRecorded)
+{
+    auto fingerprints = std::vector<std::string>{};
+    for (std::size_t index = 0; index < SuspicionTable::maxSuspects + 10; ++index)
+        fingerprints.push_back("r" + std::to_string(index));
+    crash("g1", fingerprints);
+    CHECK_EQUAL(SuspicionTable::maxSuspects, table_.suspectCount());
+}
+
+/// Requests that are never alike and share one part, which crashes what runs them.
+TEST_GROUP(PoisonPart)
+{
+    static constexpr auto settleTime = 200ms;
+
+    MonotonicTime now_ = MonotonicTime(1h);
+    SuspicionTable table_ = SuspicionTable(10min, settleTime);
+    std::string poison_ = partFingerprint("poison");
+    std::string subject_ = partFingerprint("subject");
+
+    auto report(const std::string &target, std::vector<std::string> fingerprints)
+        ->std::vector<std::string>
+    {
+        return table_.report({target, 1, std::move(fingerprints)}, now_);
+    }
+
+    auto settle()->std::vector<std::string>
+    {
+        now_ += settleTime;
+        return table_.takeCauses(now_);
+    }
+};
+
+// Guards against evidence at the grain of whole requests only: requests with one part in common,
+// each new by its digest, crash one upstream after the other (BUDGET).
+TEST(PoisonPart, twoCrashesWithOnePartInCommon_settled_blocksThePart)
+{
+    report("u1", {"request-1", poison_, partFingerprint("a")});
+    CHECK(settle().empty());
+    report("u2", {"request-2", poison_, partFingerprint("b")});
+    CHECK(settle() == std::vector<std::string>{poison_});
+    CHECK(table_.status(poison_) == SuspicionStatus::Blocked);
+    CHECK_EQUAL(0U, table_.suspectCount());
+}
+
+TEST(PoisonPart, theSameRequestCrashesTwice_settled_blocksTheRequestAndNotItsParts)
+{
+    report("u1", {"request-1", poison_, subject_});
+    report("u2", {"request-1", poison_, subject_});
+    CHECK(settle() == std::vector<std::string>{"request-1"});
+    CHECK(table_.status(poison_) == SuspicionStatus::Clear);
+}
+
+// Guards against a wrong guess: the entry that forwarded a sound request reports the second crash
+// before the one that forwarded the request to blame.
+TEST(PoisonPart, theReportsOfACrashComeInPieces_settled_blocksWhatAllOfThemHave)
+{
+    report("u1", {poison_, subject_});
+    settle();
+    CHECK(report("u2", {subject_}).empty());
+    now_ += settleTime / 2;
+    CHECK(report("u2", {poison_}).empty());
+    table_.clearSuspicion(subject_);
+    CHECK(settle() == std::vector<std::string>{poison_});
+}
+
+TEST(PoisonPart, aSecondCrashHasNotSettled_takeCauses_namesNone)
+{
+    report("u1", {poison_, subject_});
+    now_ += settleTime;
+    report("u2", {subject_});
+    CHECK(table_.takeCauses(now_).empty());
+    report("u2", {poison_});
+    CHECK(settle().empty());
+    CHECK(table_.status(subject_) == SuspicionStatus::Suspect);
+}
+
+// Guards against an outage that is seen where one part crashes several upstreams within a second.
+TEST(PoisonPart, threeCrashesAtOnceThatShareAPart_settled_areNoOutage)
+{
+    for (const auto *target : {"u1", "u2", "u3"})
+        report(target, {poison_, subject_, std::string("of ") + target});
+    CHECK(settle().empty());
+    table_.clearSuspicion(subject_);
+    CHECK(table_.takeCauses(now_) == std::vector<std::string>{poison_});
+}
+
+TEST(PoisonPart, crashesWithNothingInCommon_settled_areAnOutage)
+{
+    for (const auto *target : {"u1", "u2", "u3"})
+        report(target, {partFingerprint(target)});
+    CHECK(settle().empty());
+    CHECK_EQUAL(0U, table_.suspectCount());
+}
+
+TEST_GROUP(RequestFingerprint){};
+
+TEST(RequestFingerprint, theLastPart_partFingerprints_hasNone)
+{
+    CHECK(partFingerprints({}).empty());
+    CHECK(partFingerprints({"own"}).empty());
+    const auto fingerprints = partFingerprints({"a", "b", "a", "own"});
+    CHECK(fingerprints == (std::vector{partFingerprint("a"), partFingerprint("b")}));
+    CHECK(isPartFingerprint(fingerprints.front()));
+    CHECK_FALSE(isPartFingerprint(requestFingerprint("caller", "/x", "body")));
+}
+
+TEST(RequestFingerprint, aCallerSendsManyLongParts_partFingerprints_areBounded)
+{
+    const auto text = std::string(10000, 'x');
+    auto ids = std::vector<std::string>{};
+    for (auto index = 0; index < 500; ++index)
+        ids.push_back(text + std::to_string(index));
+    const auto fingerprints = partFingerprints({ids.begin(), ids.end()});
+    CHECK_EQUAL(maxPartFingerprints, fingerprints.size());
+    CHECK(fingerprints.front().size() < 64);
+}
+
 TEST_GROUP(PoisonRequest)
 {
     static constexpr auto neighbourCount = 39;
