--- /dev/null
+++ b/tests/platform/platform_fleet.py
@@ -0,0 +1,101 @@
+"""A fleet of lycheereach-platform processes on loopback addresses, for tests and measurements."""
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+
+NETWORK = "127.1"
+ZONES = ("zone-a", "zone-b", "zone-c")
+PEER_PORT, CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT = 7700, 8229, 8230, 8227, 8220
+REPORT_INTERVAL_S = 1.2
+
+
+def settings(name, ip, zone, seeds, data_dir, controls):
+    listen = (f'control = "{ip}:{CONTROL_PORT}"\ndirectory = "{ip}:{DIRECTORY_PORT}"' if data_dir else
+              f'front = "{ip}:{FRONT_PORT}"\nreadiness = "{ip}:{READY_PORT}"\n'
+              f'directory = "{ip}:{DIRECTORY_PORT}"')
+    lines = [f'nodeName = "{name}"', f'ip = "{ip}"', f'zone = "{zone}"', 'region = "region"',
+             f"internalPorts = [{PEER_PORT}, {PEER_PORT + 15}]",
+             "seeds = " + json.dumps([f"{seed}:{CONTROL_PORT}" for seed in seeds]),
+             "bootstrap = true", f"heartbeatMs = {int(REPORT_INTERVAL_S * 1000)}"]
+    if data_dir:
+        lines.append(f'dataDir = "{data_dir}"')
+    lines += ["[zones]"] + [f'{known} = "region"' for known in ZONES]
+    return "\n".join(lines + ["[listen]", listen, "[faultTolerance]", f"machines = {2 if controls >= 5 else 1}", ""])
+
+
+class Http:
+    """HTTP messages with a Content-Length, the only form that the simulated engines need."""
+
+    @staticmethod
+    async def read(reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        length = next((int(line.split(":")[1]) for line in head if line.lower().startswith("content-length")), 0)
+        return head[0], await reader.readexactly(length)
+
+    @staticmethod
+    async def call(address, method, path, body):
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        data = json.dumps(body).encode()
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
+                     f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n".encode() + data)
+        start, answer = await asyncio.wait_for(Http.read(reader), 2)
+        writer.close()
+        return int(start.split()[1]), answer
+
+
+class Fleet:
+    def __init__(self, options, folder):
+        self.options_, self.folder_, self.processes_ = options, folder, {}
+        self.controls_ = [f"{NETWORK}.{number % 3 + 1}.{number // 3 + 1}" for number in range(options.controls)]
+
+    def start(self):
+        for number, ip in enumerate(self.controls_):
+            self.spawn("control", f"control-{number}", ip, ZONES[number % 3])
+        for number in range(self.options_.entries):
+            self.spawn("entry", f"entry-{number}", self.entry(number), ZONES[number % 3])
+
+    def spawn(self, role, name, ip, zone):
+        data_dir = self.folder_ / name if role == "control" else None
+        if data_dir:
+            data_dir.mkdir(exist_ok=True)
+        path = self.folder_ / (name + ".toml")
+        path.write_text(settings(name, ip, zone, self.controls_[:3], data_dir, self.options_.controls))
+        log = open(self.folder_ / (name + ".log"), "a", encoding="utf-8")
+        self.processes_[name] = subprocess.Popen([self.options_.program, role], stdout=log, stderr=log,
+                                                 env=dict(os.environ, LYCHEEREACH_CONFIG=str(path)))
+
+    def readiness(self):
+        for number in range(self.options_.entries):
+            yield f"entry-{number}", f"{self.entry(number)}:{READY_PORT}"
+
+    @staticmethod
+    def entry(number):
+        return f"{NETWORK}.{number % 3 + 1}.{number // 3 + 20}"
+
+    def cpu_seconds(self):
+        used = {}
+        for name, process in self.processes_.items():
+            threads = pathlib.Path(f"/proc/{process.pid}/task").glob("*/schedstat")
+            used[name] = sum(int(thread.read_text().split()[0]) for thread in threads) / 1e9
+        return used
+
+    def stop(self):
+        for process in self.processes_.values():
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+
+
+async def publish(controls, configuration):
+    for attempt in range(40):
+        try:
+            status, _ = await Http.call(f"{controls[attempt % 3]}:{CONTROL_PORT}", "PUT", "/-/config", configuration)
+            if status == 200:
+                return
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass
+        await asyncio.sleep(0.2)
+    raise SystemExit("the configuration was not accepted")
