state: Forget blocked requests and bound their number

Blocked fingerprints stayed in the replicated state for good: whoever sent requests that crash upstreams made it grow, and a request that was mended stayed refused. UnblockRequest takes one out, and BlockRequest keeps the newest 1,000.

--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -64,6 +64,8 @@
     WrongAnswerDropped = 1709,
     RequestSuspected = 1710,
     RequestBlocked = 1711,
+    RequestUnblocked = 1712,
+    RequestCleared = 1713,
     ClaimCommitted = 1801,
     OutcomeStored = 1802,
     OutcomeUnknown = 1803,
--- a/packages/state/BlockRequest.h
+++ b/packages/state/BlockRequest.h
@@ -4,6 +4,7 @@
 
 #include "base/JsonCodec.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -12,7 +13,10 @@
 /// Command: refuse requests with this fingerprint, which kill upstreams.
 struct BlockRequest
 {
-    /// Of method, route and body.
+    /// Fingerprints blocked at once; when there are more, the oldest is no longer blocked.
+    static constexpr auto maxBlocked = std::size_t{1000};
+
+    /// Of a whole request or of one part of its prompt; see requests/RequestFingerprint.h.
     std::string fingerprint_;
     std::int64_t atMs_ = 0;
 
--- a/packages/state/ClaimCommands.cpp
+++ b/packages/state/ClaimCommands.cpp
@@ -116,9 +116,23 @@
 
 auto handle(CommandContext &context, const BlockRequest &command) -> CommandOutcome
 {
-    context.state_.blocked_[command.fingerprint_] = command.atMs_;
+    auto &blocked = context.state_.blocked_;
+    blocked[command.fingerprint_] = command.atMs_;
+    if (blocked.size() > BlockRequest::maxBlocked) {
+        const auto isOlder
+            = [](const auto &left, const auto &right) { return left.second < right.second; };
+        blocked.erase(std::min_element(blocked.begin(), blocked.end(), isOlder));
+    }
     context.sink_(Event{EventNumber::RequestBlocked, {{"reason", command.fingerprint_}}});
     return accepted();
 }
 
+auto handle(CommandContext &context, const UnblockRequest &command) -> CommandOutcome
+{
+    if (context.state_.blocked_.erase(command.fingerprint_) == 0)
+        return refused("the fingerprint is not blocked");
+    context.sink_(Event{EventNumber::RequestUnblocked, {{"reason", command.fingerprint_}}});
+    return accepted();
+}
+
 } // namespace lycheereach
--- a/packages/state/Command.cpp
+++ b/packages/state/Command.cpp
@@ -10,9 +10,9 @@
 
 /// The tags of the commands in the log, in the order of the variant; never reordered or reused.
 constexpr auto tags = std::to_array<const char *>(
-    {"apply", "zone", "drain", "entry", "entryPhase", "upstream", "upstreamLost", "group",
-     "groupPhase", "leaseholder", "claim", "settle", "expire", "block", "publish", "evacuate",
-     "confirm", "traffic", "retire"});
+    {"apply",   "zone",       "drain",       "entry",   "entryPhase", "upstream", "upstreamLost",
+     "group",   "groupPhase", "leaseholder", "claim",   "settle",     "expire",   "block",
+     "publish", "evacuate",   "confirm",     "traffic", "retire",     "unblock"});
 static_assert(tags.size() == std::variant_size_v<Command>);
 
 template <std::size_t Index>
--- a/packages/state/Command.h
+++ b/packages/state/Command.h
@@ -22,6 +22,7 @@
 #include "state/SetLeaseholder.h"
 #include "state/SettleClaim.h"
 #include "state/SetZone.h"
+#include "state/UnblockRequest.h"
 
 #include <string>
 #include <variant>
@@ -33,7 +34,7 @@
     = std::variant<ApplyDeclaration, SetZone, DrainUpstream, PutEntry, SetEntryPhase, PutUpstream,
                    LoseUpstream, FormGroup, SetGroupPhase, SetLeaseholder, ClaimRequest,
                    SettleClaim, ExpireClaims, BlockRequest, PublishDeclaration, EvacuateZone,
-                   ConfirmState, NoteTraffic, RetireUpstream>;
+                   ConfirmState, NoteTraffic, RetireUpstream, UnblockRequest>;
 
 /// \a command as JSON text for the log.
 auto encodeCommand(const Command &command) -> std::string;
--- a/packages/state/CommandHandlers.h
+++ b/packages/state/CommandHandlers.h
@@ -33,6 +33,7 @@
 auto handle(CommandContext &context, const SettleClaim &command) -> CommandOutcome;
 auto handle(CommandContext &context, const ExpireClaims &command) -> CommandOutcome;
 auto handle(CommandContext &context, const BlockRequest &command) -> CommandOutcome;
+auto handle(CommandContext &context, const UnblockRequest &command) -> CommandOutcome;
 auto handle(CommandContext &context, const PublishDeclaration &command) -> CommandOutcome;
 auto handle(CommandContext &context, const EvacuateZone &command) -> CommandOutcome;
 auto handle(CommandContext &context, const ConfirmState &command) -> CommandOutcome;
--- a/tests/state/ClaimCommandsTest.cpp
+++ b/tests/state/ClaimCommandsTest.cpp
@@ -92,3 +92,21 @@
     fixture_.run(*expiry);
     CHECK(fixture_.state().claims_.empty());
 }
+
+TEST(ClaimCommands, aBlockedFingerprint_unblocked_isForgotten)
+{
+    CHECK(fixture_.run(BlockRequest{"f", 1}).accepted_);
+    CHECK(fixture_.state().blocked_.contains("f"));
+    CHECK(fixture_.run(UnblockRequest{"f"}).accepted_);
+    CHECK(fixture_.state().blocked_.empty());
+    CHECK_FALSE(fixture_.run(UnblockRequest{"f"}).accepted_);
+}
+
+// Guards against state that grows with whatever callers send.
+TEST(ClaimCommands, moreFingerprintsThanAreKept_block_forgetsTheOldest)
+{
+    for (std::size_t at = 0; at <= BlockRequest::maxBlocked; ++at)
+        fixture_.run(BlockRequest{"f" + std::to_string(at), static_cast<std::int64_t>(at)});
+    CHECK_EQUAL(BlockRequest::maxBlocked, fixture_.state().blocked_.size());
+    CHECK_FALSE(fixture_.state().blocked_.contains("f0"));
+}
--- a/tests/state/CommandTest.cpp
+++ b/tests/state/CommandTest.cpp
@@ -22,6 +22,7 @@
     SettleClaim{IdempotencyKey("k"), RequestId("r"), ClaimPhase::Completed, StoredAnswer{200}},
     ExpireClaims{77},
     BlockRequest{"f", 5},
+    UnblockRequest{"f"},
     PublishDeclaration{3, StateFixture::declaration(), "{}"},
     EvacuateZone{ZoneName("z"), true},
     ConfirmState{},
