forward, serving, platform: Refuse what crashes upstreams on the platform's path too

Causes: nothing on this request path looked for such requests (only the gateway of packages/daemon did), and each of them was sent to a second upstream after it had crashed the first.

Now an entry collects what was in flight when connections to an upstream break, probes it, and reports a crash to every control process (CrashWatch). The control processes weigh the reports of all entries with SuspicionTable (CrashLedger); the leader tells the entries the suspects, which clear those that they have served, and has the cause blocked in the replicated state. Entries refuse it at once, as not run. Sound requests are protected by evidence: a part that was in an answer that went on for half a second is proven. While the cause is sought, requests with one suspect go to one upstream, and a request with an unproven part is not sent again after its upstream broke off. A planned leave, a reset of a living upstream, and crashes with nothing in common are no evidence. A cause is forgotten a minute after the last such request; neither a lost leader nor a restart forgets it sooner. All memory is bounded.

--- /dev/null
+++ b/packages/forward/CrashWatch.cpp
@@ -0,0 +1,239 @@
+#include "forward/CrashWatch.h"
+
+#include "requests/CrashMessages.h"
+#include "requests/CrashReport.h"
+#include "requests/RequestFingerprint.h"
+#include "state/FleetState.h"
+#include "transport/WorkerPool.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// All connections to a process that ends break within this time.
+constexpr auto collectionTime = std::chrono::milliseconds(25);
+/// A probe without a result after this time shows no crash.
+constexpr auto probeTimeLimit = std::chrono::seconds(2);
+/// Connections may break, and be reported, for this long after the first.
+constexpr auto caseLifetime = std::chrono::seconds(5);
+constexpr auto provenLifetime = std::chrono::seconds(60);
+/// As the suspicion itself lasts on the control processes.
+constexpr auto suspicionLifetime = std::chrono::minutes(10);
+constexpr auto refusalReportInterval = std::chrono::seconds(5);
+constexpr auto maxCases = std::size_t{256};
+constexpr auto maxProven = std::size_t{4096};
+constexpr auto maxSuspects = std::size_t{4096};
+
+} // namespace
+
+CrashWatch::CrashWatch(CrashWatchHooks hooks)
+    : hooks_(std::move(hooks))
+    , mutex_(LockRank::Targets)
+{ }
+
+auto CrashWatch::update(const FleetState &state) -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    std::erase_if(blocked_, [&](const auto &item) { return !state.blocked_.contains(item.first); });
+    for (const auto &[fingerprint, since] : state.blocked_)
+        blocked_.emplace(fingerprint, MonotonicTime{});
+}
+
+auto CrashWatch::isBlocked(const std::vector<std::string> &fingerprints) -> bool
+{
+    const auto now = hooks_.now_();
+    const auto lock = std::scoped_lock(mutex_);
+    if (blocked_.empty())
+        return false;
+    auto isAnyBlocked = false;
+    for (const auto &fingerprint : fingerprints) {
+        const auto found = blocked_.find(fingerprint);
+        if (found == blocked_.end())
+            continue;
+        isAnyBlocked = true;
+        if (now - found->second < refusalReportInterval)
+            continue;
+        found->second = now;
+        refused_.insert(fingerprint);
+    }
+    return isAnyBlocked;
+}
+
+auto CrashWatch::findSuspect(const std::vector<std::string> &fingerprints) const -> std::string
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found
+        = std::find_if(fingerprints.begin(), fingerprints.end(),
+                       [&](const auto &fingerprint) { return suspects_.contains(fingerprint); });
+    return found == fingerprints.end() ? std::string{} : *found;
+}
+
+auto CrashWatch::isProven(const std::string &fingerprint, MonotonicTime now) const -> bool
+{
+    const auto found = provenAt_.find(fingerprint);
+    return found != provenAt_.end() && now - found->second < provenLifetime;
+}
+
+auto CrashWatch::arePartsProven(const std::vector<std::string> &fingerprints) const -> bool
+{
+    const auto now = hooks_.now_();
+    const auto lock = std::scoped_lock(mutex_);
+    return std::all_of(fingerprints.begin(), fingerprints.end(), [&](const auto &fingerprint) {
+        return !isPartFingerprint(fingerprint) || isProven(fingerprint, now);
+    });
+}
+
+auto CrashWatch::prove(const std::string &fingerprint, MonotonicTime now) -> void
+{
+    auto &provenAt = provenAt_[fingerprint];
+    provenByTime_.erase({provenAt, fingerprint});
+    provenAt = now;
+    provenByTime_.emplace(now, fingerprint);
+    if (provenAt_.size() <= maxProven)
+        return;
+    provenAt_.erase(provenByTime_.begin()->second);
+    provenByTime_.erase(provenByTime_.begin());
+}
+
+auto CrashWatch::recordServed(const std::vector<std::string> &fingerprints) -> void
+{
+    const auto now = hooks_.now_();
+    const auto lock = std::scoped_lock(mutex_);
+    for (const auto &fingerprint : fingerprints) {
+        // A whole request is told by its digest, which hardly ever comes again.
+        if (isPartFingerprint(fingerprint))
+            prove(fingerprint, now);
+        if (suspects_.erase(fingerprint) != 0)
+            cleared_.insert(fingerprint);
+    }
+}
+
+auto CrashWatch::recordBroken(const ForwardTarget &target,
+                              const std::vector<std::string> &fingerprints) -> void
+{
+    const auto crashed = CrashedTarget{target.upstream_, target.incarnation_};
+    const auto now = hooks_.now_();
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (!cases_.contains(crashed) && cases_.size() >= maxCases)
+            return;
+        const auto [found, isNew]
+            = cases_.emplace(crashed, Case{target, now, std::nullopt, {}, nullptr});
+        auto &inFlight = found->second.fingerprints_;
+        for (const auto &fingerprint : fingerprints) {
+            if (inFlight.size() < crash_message::maxFingerprints && !isProven(fingerprint, now))
+                inFlight.insert(fingerprint);
+        }
+        if (!isNew)
+            return;
+    }
+    auto timer = hooks_.after_(collectionTime, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->report();
+    });
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (const auto found = cases_.find(crashed); found != cases_.end())
+            found->second.collectionTimer_ = std::move(timer);
+    }
+    hooks_.probe_(target, [weak = weak_from_this(), crashed](bool hasEnded) {
+        if (const auto self = weak.lock())
+            self->recordProbe(crashed, hasEnded);
+    });
+}
+
+auto CrashWatch::recordProbe(const CrashedTarget &crashed, bool hasEnded) -> void
+{
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (const auto found = cases_.find(crashed); found != cases_.end())
+            found->second.hasEnded_ = hasEnded;
+    }
+    report();
+}
+
+auto CrashWatch::takeDueCases(MonotonicTime now) -> std::vector<Case>
+{
+    auto due = std::vector<Case>{};
+    const auto lock = std::scoped_lock(mutex_);
+    for (auto &[crashed, open] : cases_) {
+        const auto isDue = open.hasEnded_.value_or(false) && !open.fingerprints_.empty()
+            && now - open.since_ >= collectionTime;
+        if (!isDue)
+            continue;
+        due.push_back(open);
+        open.fingerprints_.clear();
+        due.back().collectionTimer_.reset();
+    }
+    std::erase_if(cases_, [&](const auto &item) {
+        const auto age = now - item.second.since_;
+        const auto isNoCrash
+            = item.second.hasEnded_ ? !*item.second.hasEnded_ : age >= probeTimeLimit;
+        return isNoCrash || age >= caseLifetime;
+    });
+    return due;
+}
+
+auto CrashWatch::report() -> void
+{
+    for (const auto &crash : takeDueCases(hooks_.now_())) {
+        const auto isLeaving = hooks_.isLeaving_(crash.target_);
+        hooks_.event_(Event{EventNumber::RequestSuspected,
+                            {{"upstream", crash.target_.upstream_.text()},
+                             {"reason",
+                              std::to_string(crash.fingerprints_.size()) + " fingerprints in flight"
+                                  + (isLeaving ? " when it left as planned" : " when it ended")}}});
+        if (isLeaving)
+            continue;
+        const auto &fingerprints = crash.fingerprints_;
+        hooks_.send_(crash_message::report,
+                     encode(CrashReport{crash.target_.upstream_.text(),
+                                        crash.target_.incarnation_,
+                                        {fingerprints.begin(), fingerprints.end()}}));
+    }
+}
+
+auto CrashWatch::tick() -> void
+{
+    report();
+    const auto now = hooks_.now_();
+    auto cleared = std::set<std::string>{};
+    auto refused = std::set<std::string>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        cleared.swap(cleared_);
+        refused.swap(refused_);
+        std::erase_if(suspects_,
+                      [&](const auto &item) { return now - item.second >= suspicionLifetime; });
+    }
+    if (!cleared.empty())
+        hooks_.send_(crash_message::served, cleared);
+    if (!refused.empty())
+        hooks_.send_(crash_message::refused, refused);
+}
+
+auto CrashWatch::receive(const std::string &method, const Json &params) -> bool
+{
+    if (method != crash_message::suspects)
+        return false;
+    const auto now = hooks_.now_();
+    auto served = std::vector<std::string>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        for (auto &fingerprint : crash_message::readFingerprints(params)) {
+            if (isProven(fingerprint, now))
+                served.push_back(std::move(fingerprint));
+            else if (suspects_.size() < maxSuspects)
+                suspects_.insert_or_assign(std::move(fingerprint), now);
+        }
+    }
+    if (!served.empty())
+        hooks_.send_(crash_message::served, served);
+    return true;
+}
+
+} // namespace lycheereach
--- a/packages/forward/ForwardContext.h
+++ b/packages/forward/ForwardContext.h
@@ -12,6 +12,7 @@
 
 namespace lycheereach {
 
+class CrashWatch;
 class HttpClient;
 class TargetTable;
 class WorkerPool;
@@ -22,6 +23,7 @@
     ForwardSettings settings_;
     ForwardCodec codec_;
     TargetTable &targets_;
+    CrashWatch &crashes_;
     HttpClient &client_;
     WorkerPool &workers_;
     /// Whether the entry is shutting down; responses then carry `Connection: close`.
--- a/packages/forward/ForwardRequest.h
+++ b/packages/forward/ForwardRequest.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lycheereach {
 
@@ -37,6 +38,8 @@
     std::uint64_t expectedOutputTokens_ = 0;
     /// Id of the last event received by a caller that resumes a stream; nothing otherwise.
     std::optional<std::uint64_t> lastEventId_;
+    /// Of the whole request and of the parts of its prompt; see requests/RequestFingerprint.h.
+    std::vector<std::string> fingerprints_;
 
     auto operator==(const ForwardRequest &) const -> bool = default;
 };
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -1,6 +1,7 @@
 #include "forward/ForwardService.h"
 
 #include "control/ControlService.h"
+#include "forward/CrashWatch.h"
 #include "forward/ForwardedRequest.h"
 #include "forward/RouteIndex.h"
 #include "forward/TargetTable.h"
@@ -24,6 +25,9 @@
 /// election of a leader takes one to two seconds.
 constexpr auto startupRetryAfter = std::chrono::milliseconds(1500);
 
+/// Retry-After of a request that crashes upstreams; about as long as it takes to forget it.
+constexpr auto blockedRetryAfter = std::chrono::seconds(60);
+
 /// Picks a service of \a route with a probability proportional to its weight; empty without
 /// weights.
 auto pickService(const HttpRoute &route, std::uint64_t randomNumber) -> PoolName
@@ -71,6 +75,7 @@
         if (version != 0 && version != indexVersion_)
             index = std::make_shared<const RouteIndex>(state.declaration_);
         context_.targets_.update(state);
+        context_.crashes_.update(state);
     });
     const auto entries = context_.targets_.entryCount();
     {
@@ -98,6 +103,7 @@
 auto ForwardService::tick() -> void
 {
     releaseHeldRequests();
+    context_.crashes_.tick();
     for (const auto &target : context_.targets_.collectSuspects(context_.clock_()))
         context_.onGroupSuspected_(target.upstream_);
     for (const auto &target : context_.targets_.collectStalled(context_.clock_())) {
@@ -215,6 +221,14 @@
         }
     }
     recordFirstTraffic();
+    if (context_.crashes_.isBlocked(request.fingerprints_)) {
+        refuse(
+            request, unavailable,
+            "requests like this one, or with a part of its prompt, ended several upstreams; this "
+            "one was not run; send it without that part",
+            reply, blockedRetryAfter);
+        return;
+    }
     const auto service = pickService(*route, random_());
     const auto pool = index.findPool(service, request.model_);
     if (!pool) {
@@ -252,16 +266,16 @@
 }
 
 auto ForwardService::refuse(const ForwardRequest &request, std::uint16_t status,
-                            const std::string &reason, const std::shared_ptr<HttpReply> &reply)
-    -> void
+                            const std::string &reason, const std::shared_ptr<HttpReply> &reply,
+                            std::optional<Duration> retryAfter) -> void
 {
     context_.eventSink_(Event{EventNumber::RequestRefused,
                               {{"request", request.id_.text()},
                                {"status", std::to_string(status)},
                                {"verdict", "not-run"},
                                {"reason", reason}}});
-    auto refusal = ForwardRefusal{status, reason, std::nullopt};
-    if (status == unavailable)
+    auto refusal = ForwardRefusal{status, reason, retryAfter};
+    if (status == unavailable && !retryAfter)
         refusal.retryAfter_ = hasServed_ || isLeaving_ ? notReadyRetryAfter : startupRetryAfter;
     auto response = context_.codec_.writeRefusal_(refusal);
     if (isLeaving_)
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -59,7 +59,8 @@
 
 private:
     auto refuse(const ForwardRequest &request, std::uint16_t status, const std::string &reason,
-                const std::shared_ptr<HttpReply> &reply) -> void;
+                const std::shared_ptr<HttpReply> &reply,
+                std::optional<Duration> retryAfter = std::nullopt) -> void;
     auto forward(ForwardRequest request, const RouteIndex &index,
                  const std::shared_ptr<HttpReply> &reply) -> void;
     /// Forwards all held requests when the entry is ready; otherwise refuses the expired ones.
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// An upstream that is crashed by a request ends within this time of its first event.
+constexpr auto crashTimeLimit = std::chrono::milliseconds(500);
 constexpr std::uint16_t firstNonSuccessStatus = 300;
 constexpr std::uint16_t firstServerErrorStatus = 500;
 constexpr std::uint16_t badGateway = 502;
@@ -29,9 +31,11 @@
     return isStream(kind) && head_ && head_->status_ < firstNonSuccessStatus;
 }
 
-ForwardStateMachine::ForwardStateMachine(ForwardPlan plan, std::function<bool()> tryTakeRetry)
+ForwardStateMachine::ForwardStateMachine(ForwardPlan plan, std::function<bool()> tryTakeRetry,
+                                         std::function<bool()> mayCrash)
     : plan_(std::move(plan))
     , tryTakeRetry_(std::move(tryTakeRetry))
+    , mayCrash_(std::move(mayCrash))
     , lastEventId_(plan_.lastEventId_)
 { }
 
@@ -157,6 +161,8 @@
 {
     lastEventId_ = source.reader_.lastEventId();
     hasEventWithoutId_ = hasEventWithoutId_ || source.reader_.hasEventWithoutId();
+    if (!streamSince_)
+        streamSince_ = now_;
     const auto number = source.number_;
     if (std::exchange(headSent_, true))
         emit(forward_action::SendEvents{number, std::move(events)});
@@ -190,6 +196,7 @@
     const auto isOtherInstance = ended.head_ && ended.head_->isOtherInstance_;
     if (event.isRefused_ || isOtherInstance)
         ended.failureOutcome_ = TargetOutcome::Unavailable;
+    ended.isBroken_ = event.error_ && event.verdict_ == Verdict::MayHaveRun && !ended.isCancelled_;
     // An attempt without a connection has not reached an upstream.
     if (event.verdict_ == Verdict::NotRun && !ended.head_)
         ++unconnectedAttempts_;
@@ -247,7 +254,8 @@
         return;
     // A further attempt takes from the retry budget only once an earlier one may have reached an
     // upstream.
-    if (mayRetry(verdict) && (attemptsSent() == 0 || tryTakeRetry_())) {
+    if (mayRetry(verdict) && !mayHaveCrashedIts(attempt)
+        && (attemptsSent() == 0 || tryTakeRetry_())) {
         emit(forward_action::ChooseTarget{avoid_});
         return;
     }
@@ -275,6 +283,12 @@
     return !isExhausted && now_ < plan_.deadline_ && isRetrySafe(verdict);
 }
 
+auto ForwardStateMachine::mayHaveCrashedIts(const Attempt &attempt) const -> bool
+{
+    const auto hasGoneOn = streamSince_ && now_ - *streamSince_ >= crashTimeLimit;
+    return attempt.isBroken_ && !hasGoneOn && mayCrash_ && mayCrash_();
+}
+
 auto ForwardStateMachine::isRetrySafe(Verdict verdict) const -> bool
 {
     if (plan_.kind_ == RouteKind::ResumableStream)
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -30,8 +30,11 @@
 class ForwardStateMachine
 {
 public:
-    /// \a tryTakeRetry takes one retry from the retry budget; false when it is spent.
-    ForwardStateMachine(ForwardPlan plan, std::function<bool()> tryTakeRetry);
+    /// \a tryTakeRetry takes one retry from the retry budget; false when it is spent. \a mayCrash
+    /// tells whether the request may be what crashed an upstream that broke off; such a request is
+    /// not sent to another one. Without it no request may.
+    explicit ForwardStateMachine(ForwardPlan plan, std::function<bool()> tryTakeRetry,
+                                 std::function<bool()> mayCrash = nullptr);
 
     /// Handles \a event, which occurred at \a now; returns actions to carry out in order.
     auto handle(const ForwardEvent &event, MonotonicTime now) -> std::vector<ForwardAction>;
@@ -60,6 +63,8 @@
         ForwardTarget target_;
         EventStreamReader reader_;
         bool isCancelled_ = false;
+        /// Whether the upstream ended the connection after the request was sent.
+        bool isBroken_ = false;
         /// What a failure of the attempt shows about its target.
         TargetOutcome failureOutcome_ = TargetOutcome::Failed;
         /// Status and headers of the response, and the body unless it is a stream.
@@ -91,6 +96,8 @@
     /// Whether another attempt is allowed after one that ended with \a verdict, apart from the
     /// retry budget.
     [[nodiscard]] auto mayRetry(Verdict verdict) const -> bool;
+    /// Whether the upstream of \a attempt may have crashed because of this request.
+    [[nodiscard]] auto mayHaveCrashedIts(const Attempt &attempt) const -> bool;
     /// Whether the route and the events delivered so far permit sending the request again.
     [[nodiscard]] auto isRetrySafe(Verdict verdict) const -> bool;
     auto refuse(std::uint16_t status, std::string reason, std::optional<Duration> retryAfter)
@@ -102,6 +109,7 @@
 
     ForwardPlan plan_;
     std::function<bool()> tryTakeRetry_;
+    std::function<bool()> mayCrash_;
     MonotonicTime now_;
     std::vector<ForwardAction> actions_;
 
@@ -114,6 +122,8 @@
     std::optional<Attempt> other_;
     /// Id of the last event that the caller has received; nothing before the first.
     std::optional<std::uint64_t> lastEventId_;
+    /// When the first event was delivered.
+    std::optional<MonotonicTime> streamSince_;
     /// Whether an event without an id was delivered, so that the stream can't be resumed.
     bool hasEventWithoutId_ = false;
     std::set<UpstreamId> avoid_;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -1,6 +1,7 @@
 #include "forward/ForwardedRequest.h"
 
 #include "base/ErrorCode.h"
+#include "forward/CrashWatch.h"
 #include "forward/TargetTable.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpReply.h"
@@ -16,6 +17,9 @@
 
 /// Retry-After while no upstream accepts requests.
 constexpr auto noTargetRetryAfter = std::chrono::milliseconds(2000);
+/// A stream that has gone on for this long after its first event has not crashed its upstream.
+constexpr auto soundStreamTime = std::chrono::milliseconds(500);
+constexpr std::uint16_t firstNonSuccessStatus = 300;
 
 auto isStreaming(RouteKind kind) -> bool
 {
@@ -50,7 +54,8 @@
               .attemptLimit_ = routed_.route_.attemptLimit_,
               .lastEventId_ = routed_.request_.lastEventId_,
           },
-          [this] { return context_.tryTakeRetry_(routed_.service_); })
+          [this] { return context_.tryTakeRetry_(routed_.service_); },
+          [this] { return !context_.crashes_.arePartsProven(routed_.request_.fingerprints_); })
 { }
 
 ForwardedRequest::~ForwardedRequest() = default;
@@ -112,8 +117,12 @@
     const auto &initialLimit
         = routed_.request_.wasHeld_ ? settings.heldRequestLimit_ : settings.newRequestLimit_;
     const auto &admission = isRetry ? settings.retryLimit_ : initialLimit;
-    const auto target
-        = context_.targets_.choose(routed_.pool_, action.avoid_, admission, context_.clock_());
+    const auto suspect = context_.crashes_.findSuspect(routed_.request_.fingerprints_);
+    const auto now = context_.clock_();
+    auto &targets = context_.targets_;
+    const auto target = suspect.empty()
+        ? targets.choose(routed_.pool_, action.avoid_, admission, now)
+        : targets.chooseIsolated(routed_.pool_, action.avoid_, admission, suspect, now);
     if (target) {
         handle(forward_event::TargetChosen{*target});
         return;
@@ -164,17 +173,43 @@
             self->post(forward_event::AttemptData{attempt, std::string(part)});
             self->moveIfNoWholeEvent(attempt);
         },
-        [self, attempt](const HttpOutcome &outcome) {
+        [self, attempt, target](const HttpOutcome &outcome) {
+            self->recordIfBroken(target, outcome);
             self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
                                                    outcome.message_, outcome.isRefused_});
         },
         [self, target] { self->targetStalled(target); }};
 }
 
+auto ForwardedRequest::recordServed() -> void
+{
+    if (!std::exchange(isServedRecorded_, true))
+        context_.crashes_.recordServed(routed_.request_.fingerprints_);
+}
+
+auto ForwardedRequest::recordIfBroken(const ForwardTarget &target, const HttpOutcome &outcome)
+    -> void
+{
+    const auto isBroken
+        = outcome.error_ == Error::IncompleteAnswer && outcome.verdict_ == Verdict::MayHaveRun;
+    if (!isBroken)
+        return;
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (isServedRecorded_)
+            return;
+    }
+    context_.crashes_.recordBroken(target, routed_.request_.fingerprints_);
+}
+
 auto ForwardedRequest::handleProgress(std::uint32_t attempt) -> void
 {
     auto &call = calls_.at(attempt);
     call.progressAt_ = context_.clock_();
+    if (!streamSince_)
+        streamSince_ = call.progressAt_;
+    if (call.progressAt_ - *streamSince_ >= soundStreamTime)
+        recordServed();
     if (context_.targets_.recordProgress(call.target_, call.progressAt_))
         context_.onProgress_(call.target_.upstream_);
 }
@@ -235,11 +270,14 @@
 
 auto ForwardedRequest::perform(const forward_action::EndStream & /*action*/) -> void
 {
+    recordServed();
     reply_->finish();
 }
 
 auto ForwardedRequest::perform(const forward_action::SendResponse &action) -> void
 {
+    if (action.head_.status_ < firstNonSuccessStatus)
+        recordServed();
     reply_->send(HttpResponse{action.head_.status_, responseHeaders(action.head_), action.body_});
 }
 
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -68,6 +68,11 @@
         -> HttpCallHooks;
     /// Records that the target of \a attempt delivered complete events.
     auto handleProgress(std::uint32_t attempt) -> void;
+    /// Records that the request has not crashed its upstream.
+    auto recordServed() -> void;
+    /// Reports what was in flight at \a target, whose connection broke, if the request may have
+    /// crashed it.
+    auto recordIfBroken(const ForwardTarget &target, const HttpOutcome &outcome) -> void;
     /// As targetStalled(), when the stream of \a attempt sends bytes, but has completed no event
     /// within the timeout.
     auto moveIfNoWholeEvent(std::uint32_t attempt) -> void;
@@ -87,6 +92,10 @@
     std::map<std::uint32_t, Call> calls_;
     std::shared_ptr<Timer> deadlineTimer_;
     bool isDone_ = false;
+    /// When the first event of the stream was delivered; nothing before that.
+    std::optional<MonotonicTime> streamSince_;
+    /// Whether CrashWatch knows that the request was served.
+    bool isServedRecorded_ = false;
 };
 
 } // namespace lycheereach
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -1,6 +1,7 @@
 #include "forward/TargetTable.h"
 
 #include "forward/ColdRateShare.h"
+#include "requests/Rendezvous.h"
 #include "state/FleetState.h"
 
 #include <algorithm>
@@ -183,14 +184,40 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    ++best->netSinceLoad_;
-    if (best->inFlight_++ == 0) {
-        best->progressAt_ = now;
-        best->hasProgressed_ = false;
+    return reserve(*best, now);
+}
+
+auto TargetTable::reserve(TargetState &target, MonotonicTime now) -> ForwardTarget
+{
+    ++target.netSinceLoad_;
+    if (target.inFlight_++ == 0) {
+        target.progressAt_ = now;
+        target.hasProgressed_ = false;
     }
-    if (best->coldRateLimit_)
-        best->coldSentAt_.push_back(now);
-    return best->target_;
+    if (target.coldRateLimit_)
+        target.coldSentAt_.push_back(now);
+    return target.target_;
+}
+
+auto TargetTable::chooseIsolated(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                                 const AdmissionLimit &admission, const std::string &suspect,
+                                 MonotonicTime now) -> std::optional<ForwardTarget>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto found = targets_.find(pool);
+    if (found == targets_.end())
+        return std::nullopt;
+    auto names = std::vector<std::string>{};
+    for (auto &[id, target] : found->second) {
+        const auto isUsable = now >= target.unavailableUntil_ && !avoid.contains(id)
+            && isWithinColdLimit(target, now) && hasCapacity(target, admission, now);
+        if (isUsable)
+            names.push_back(id.text());
+    }
+    const auto index = rendezvousPick(suspect, names);
+    if (!index)
+        return std::nullopt;
+    return reserve(found->second.at(UpstreamId(names[*index])), now);
 }
 
 auto TargetTable::release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now)
--- a/packages/forward/TargetTable.h
+++ b/packages/forward/TargetTable.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace lycheereach {
@@ -40,6 +41,11 @@
     /// rate limit, so that the request is refused at once instead of delaying all that follow.
     auto choose(const PoolName &pool, const std::set<UpstreamId> &avoid,
                 const AdmissionLimit &admission, MonotonicTime now) -> std::optional<ForwardTarget>;
+    /// As choose(), for a request that may crash its upstream: all entries reserve the same
+    /// upstream for the same \a suspect, whatever its load.
+    auto chooseIsolated(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                        const AdmissionLimit &admission, const std::string &suspect,
+                        MonotonicTime now) -> std::optional<ForwardTarget>;
     /// As choose(), for a stream to move away from \a target: reserves only another upstream, and
     /// only one that has not stalled recently.
     auto chooseAlternative(const ForwardTarget &target, const AdmissionLimit &admission,
@@ -111,6 +117,8 @@
                      const AdmissionLimit &admission, MonotonicTime now,
                      const std::function<bool(const TargetState &)> &isUsable)
         -> std::optional<ForwardTarget>;
+    /// Counts one more request at \a target.
+    static auto reserve(TargetState &target, MonotonicTime now) -> ForwardTarget;
     /// Whether no stream of the engine \a target has progressed for \a stallLimit, or for the
     /// longer limit that applies before the first event.
     static auto isSilent(const TargetState &target, Duration stallLimit, MonotonicTime now) -> bool;
--- a/packages/requests/SuspicionTable.cpp
+++ b/packages/requests/SuspicionTable.cpp
@@ -39,7 +39,7 @@
         suspicion.crashes_.insert(crash);
         suspicion.lastReportedAt_ = now;
     }
-    return takeCauses(now);
+    return settleTime_ == Duration::zero() ? takeCauses(now) : std::vector<std::string>{};
 }
 
 auto SuspicionTable::takeCauses(MonotonicTime now) -> std::vector<std::string>
--- a/packages/requests/SuspicionTable.h
+++ b/packages/requests/SuspicionTable.h
@@ -34,8 +34,8 @@
     explicit SuspicionTable(Duration retention = std::chrono::minutes(10),
                             Duration settleTime = Duration::zero());
 
-    /// Records a crash that this or another entry reported; repeated reports count once. Returns
-    /// the fingerprints found to be the cause; the caller must commit a BlockRequest for each.
+    /// Records a crash that this or another entry reported; repeated reports count once. Without a
+    /// settle time returns what takeCauses() does, otherwise nothing.
     auto report(const CrashReport &report, MonotonicTime now) -> std::vector<std::string>;
     /// Returns the fingerprints found to be the cause of crashes that have settled since; the
     /// caller must commit a BlockRequest for each.
--- a/tests/forward/ForwardServiceTest.cpp
+++ b/tests/forward/ForwardServiceTest.cpp
@@ -1,5 +1,6 @@
 #include "forward/ForwardService.h"
 #include "control/ControlFleet.h"
+#include "forward/CrashWatch.h"
 #include "forward/TargetTable.h"
 #include "transport/HttpClient.h"
 #include "transport/KeptReply.h"
@@ -16,6 +17,7 @@
     ControlFleet fleet_ = ControlFleet(1, 1, 1);
     HttpClient client_;
     WorkerPool workers_{1};
+    CrashWatch crashes_{CrashWatchHooks{.now_ = [this] { return fleet_.now(); }}};
     TargetTable targets_{EntryId("e1"), ZoneName("a"), [] { return std::uint64_t{0}; }};
 
     auto setup()->void override
@@ -42,6 +44,7 @@
         return ForwardContext{.settings_ = {},
                               .codec_ = ForwardCodec{readRequest, nullptr, nullptr, writeRefusal},
                               .targets_ = targets_,
+                              .crashes_ = crashes_,
                               .client_ = client_,
                               .workers_ = workers_,
                               .eventSink_ = [](const Event &) {},
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -44,6 +44,20 @@
         return ForwardTarget{UpstreamId(id), 1, "127.0.0.1:1", PoolName("p"), {}};
     }
 
+    /// An attempt at u1 of a request that may be what crashes upstreams.
+    auto makeUnprovenStream()->ForwardStateMachine
+    {
+        const auto plan = ForwardPlan{.requestId_ = RequestId("r"),
+                                      .kind_ = RouteKind::ResumableStream,
+                                      .deadline_ = now_ + seconds(5),
+                                      .attemptLimit_ = 2};
+        auto request = ForwardStateMachine(
+            plan, [this] { return retries_++ < retryLimit_; }, [] { return true; });
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        return request;
+    }
+
     /// A stream of u1 that is silent after its first event, and an attempt at u2 beside it.
     auto makeMovingStream(std::uint32_t attemptLimit = 2)->ForwardStateMachine
     {
@@ -495,3 +509,37 @@
     handle(request, DeadlinePassed{});
     CHECK(find<action::CancelAttempt>() != nullptr);
 }
+
+// Guards against a request that crashes a second upstream within one attempt of its caller
+// (BUDGET).
+TEST(ForwardStateMachine, aRequestThatMayHaveCrashedItsUpstream_connectionBroken_isNotSentAgain)
+{
+    for (const auto hasBegun : {false, true}) {
+        auto request = makeUnprovenStream();
+        if (hasBegun) {
+            handle(request, ResponseHeadReceived{1, head(200)});
+            handle(request, AttemptData{1, "id: 1\ndata: a\n\n"});
+        }
+        handle(request, brokenConnection(1, Verdict::MayHaveRun));
+        CHECK(find<action::ChooseTarget>() == nullptr);
+        CHECK((find<action::AbortResponse>() != nullptr) == hasBegun);
+        CHECK(hasBegun || find<action::SendRefusal>()->refusal_.status_ == 502);
+        LONGS_EQUAL(0, retries_);
+    }
+}
+
+TEST(ForwardStateMachine, aRequestThatMayCrash_refusedOrLongBegun_isSentAgain)
+{
+    auto refused = makeUnprovenStream();
+    auto refusal = head(503, false);
+    refusal.notRun_ = true;
+    handle(refused, ResponseHeadReceived{1, refusal});
+    handle(refused, endedNormally());
+    CHECK(find<action::ChooseTarget>() != nullptr);
+    auto begun = makeUnprovenStream();
+    handle(begun, ResponseHeadReceived{1, head(200)});
+    handle(begun, AttemptData{1, "id: 1\ndata: a\n\n"});
+    now_ += seconds(1);
+    handle(begun, brokenConnection(1, Verdict::MayHaveRun));
+    CHECK(find<action::ChooseTarget>() != nullptr);
+}
--- a/tests/forward/SilentUpstreamTest.cpp
+++ b/tests/forward/SilentUpstreamTest.cpp
@@ -1,4 +1,5 @@
 #include "base/SystemClock.h"
+#include "forward/CrashWatch.h"
 #include "forward/ForwardContext.h"
 #include "forward/ForwardedRequest.h"
 #include "forward/RoutedRequest.h"
@@ -89,6 +90,7 @@
     WorkerPool timers_{1};
     std::shared_ptr<Timer> step_;
     TargetTable targets_{EntryId("e"), ZoneName("a"), [] { return std::uint64_t{0}; }};
+    CrashWatch crashes_{CrashWatchHooks{.now_ = readMonotonic}};
     std::unique_ptr<HttpFixture> silent_;
     std::unique_ptr<HttpFixture> refusing_;
     std::unique_ptr<ForwardContext> context_;
@@ -158,6 +160,7 @@
                               .codec_
                               = ForwardCodec{nullptr, writeRequest, parseHead, writeRefusal},
                               .targets_ = targets_,
+                              .crashes_ = crashes_,
                               .client_ = silent_->client_,
                               .workers_ = silent_->workers_,
                               .isLeaving_ = [] { return false; },
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -350,3 +350,29 @@
         ++reserved;
     LONGS_EQUAL(4, reserved);
 }
+
+// Guards against requests with one suspect that crash an upstream for each entry (BUDGET).
+TEST(TargetTable, severalEntriesWithOneSuspect_chooseIsolated_reserveTheSameUpstream)
+{
+    for (auto i = 3; i < 12; ++i)
+        addGroup("u" + std::to_string(i), "a");
+    const auto limit = ForwardSettings().newRequestLimit_;
+    auto other = TargetTable(EntryId("f"), ZoneName("b"), [] { return std::uint64_t{7}; });
+    table_.update(state_);
+    other.update(state_);
+    for (auto i = 0; i < 5; ++i)
+        static_cast<void>(other.choose(pool_, {}, limit, now_));
+    const auto first = *table_.chooseIsolated(pool_, {}, limit, "part-1", now_);
+    CHECK(other.chooseIsolated(pool_, {}, limit, "part-1", now_) == first);
+    const auto next = *table_.chooseIsolated(pool_, {first.upstream_}, limit, "part-1", now_);
+    CHECK(next != first);
+    CHECK(other.chooseIsolated(pool_, {first.upstream_}, limit, "part-1", now_) == next);
+}
+
+TEST(TargetTable, noUpstreamLeft_chooseIsolated_findsNone)
+{
+    const auto limit = ForwardSettings().newRequestLimit_;
+    const auto avoid = std::set{UpstreamId("u1"), UpstreamId("u2")};
+    CHECK_FALSE(table_.chooseIsolated(pool_, avoid, limit, "part-1", now_));
+    CHECK_FALSE(table_.chooseIsolated(PoolName("none"), {}, limit, "part-1", now_));
+}
--- a/tests/platform/RequestDialectTest.cpp
+++ b/tests/platform/RequestDialectTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/RequestDialect.h"
 
+#include "requests/RequestFingerprint.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lycheereach;
@@ -53,6 +55,21 @@
     CHECK(decoded.lastEventId_ == 12);
 }
 
+TEST(RequestDialect, callerRequestWithPromptParts_read_knowsAllPartsButTheLast)
+{
+    const auto fingerprintsFor = [](const char *parts) {
+        return requestDialect()
+            .parseRequest_(HttpRequest{"POST", "/a/", {{"X-Prefix-Hash", parts}}, "body"})
+            .fingerprints_;
+    };
+    const auto whole = requestFingerprint("", "/a/", "body");
+    CHECK(fingerprintsFor("5c:800,91:40,e4:250")
+          == (std::vector{partFingerprint("5c"), partFingerprint("91"), whole}));
+    CHECK(fingerprintsFor("5c:800") == std::vector{whole});
+    CHECK(fingerprintsFor("") == std::vector{whole});
+    CHECK(fingerprintsFor(",,:,").back() == whole);
+}
+
 TEST(RequestDialect, forwardedRequest_write_replacesOnlyHeadersSetByEntry)
 {
     const auto written = codec_.writeRequest_(codec_.parseRequest_(request()), parameters());
