forward, gateway, transport: Take a refusal of another request for no refusal of this one

Another operator's report: a faulty upstream wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" for requests that an upstream had run or was running (REFUSED), or such a request ran at a second one (TWICE). It could happen here: forward looked at "not run" before it compared the request id, and the new case of ForwardStateMachine failed before. The gateway compares first.

The id now comes first. A wrong answer also ends its call at once in both request paths, in the transport: cancelling later was too late where the answer was whole in one read, since the connection was back in the pool and gave each later request the answer of the one before. Unsafe requests and streams that may not be resumed use a connection of their own and were not exposed to the second half.

--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -131,13 +131,14 @@
     if (attempt == nullptr || attempt->isCancelled_)
         return;
     const auto &head = event.head_;
-    attempt->head_ = head;
-    if (head.notRun_)
-        return;
-    if (head.echoedRequestId_ != plan_.requestId_)
+    // A refusal of another request says nothing about this one.
+    if (head.echoedRequestId_ != plan_.requestId_) {
         reject(*attempt,
                "the answer carries the id of request '" + head.echoedRequestId_.text() + "'");
-    else if (head.status_ < firstNonSuccessStatus && !head.hasSignature_)
+        return;
+    }
+    attempt->head_ = head;
+    if (!head.notRun_ && head.status_ < firstNonSuccessStatus && !head.hasSignature_)
         reject(*attempt, "the answer bears no signature");
 }
 
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -178,7 +178,11 @@
             self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
                                                    outcome.message_, outcome.isRefused_});
         },
-        [self, target] { self->targetStalled(target); }};
+        [self, target] { self->targetStalled(target); },
+        [self](const HttpResponse &response) {
+            const auto head = self->context_.codec_.parseHead_(response);
+            return head.echoedRequestId_ == self->routed_.request_.id_;
+        }};
 }
 
 auto ForwardedRequest::recordServed() -> void
--- a/packages/gateway/ActiveRequestActions.cpp
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -162,7 +162,12 @@
             [self, attempt, isStopConfirmed = isStopConfirmed_](const HttpOutcome &outcome) {
                 self->attemptEnded(attempt, outcome, *isStopConfirmed);
             },
-        .silent_ = [self, attempt] { self->post(request_event::ResponseSilent{attempt}); }};
+        .silent_ = [self, attempt] { self->post(request_event::ResponseSilent{attempt}); },
+        .answersThisCall_ =
+            [self, attempt](const HttpResponse &response) {
+                const auto head = readResponseHead(response);
+                return head.request_ == self->request_.id_ && head.attempt_ == attempt;
+            }};
 }
 
 auto ActiveRequest::perform(const request_action::StartAttempt &action) -> void
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -59,6 +59,10 @@
     /// Called whenever nothing has come for as long as HttpCall allows; the call goes on. Without
     /// it the call ends with Error::ConnectionSilent.
     std::function<void()> silent_ = nullptr;
+    /// Whether a head is that of a response to this call; asked after head_. If not, the call ends
+    /// with Error::WrongAnswer and its connection is closed, since its own response may follow
+    /// there. Without it every head is.
+    std::function<bool(const HttpResponse &)> answersThisCall_ = nullptr;
 };
 
 } // namespace lycheereach
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -162,6 +162,10 @@
         endWith(Error::LeaseExpired, call_.address_ + ": the right to start ran out");
         return;
     }
+    if (isWrongAnswer_) {
+        endWith(Error::WrongAnswer, call_.address_ + ": the response answers another request");
+        return;
+    }
     const auto isTooLong = headBytes_ > call_.headLimitBytes_ || bodyBytes_ > call_.bodyLimitBytes_;
     const auto message = call_.address_ + ": "
         + (isTooLong ? "the answer is longer than is taken" : curl_easy_strerror(code));
@@ -202,6 +206,7 @@
     headTold_ = true;
     if (hooks_.head_)
         hooks_.head_(head_);
+    isWrongAnswer_ = hooks_.answersThisCall_ && !hooks_.answersThisCall_(head_);
 }
 
 auto HttpTransfer::takeBody(std::string_view part) -> void
@@ -219,7 +224,7 @@
     if (transfer.headBytes_ > transfer.call_.headLimitBytes_)
         return CURL_WRITEFUNC_ERROR;
     transfer.takeHeaderLine({data, size * count});
-    return size * count;
+    return transfer.isWrongAnswer_ ? CURL_WRITEFUNC_ERROR : size * count;
 }
 
 auto HttpTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -58,6 +58,8 @@
     MonotonicTime silenceToldAt_;
     bool connected_ = false;
     bool headTold_ = false;
+    /// Whether HttpCallHooks::answersThisCall_ said no.
+    bool isWrongAnswer_ = false;
     /// Whether HttpCall::mayStart_ said no.
     bool forbidden_ = false;
 };
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -189,6 +189,29 @@
     CHECK(find<action::ChooseTarget>() != nullptr);
 }
 
+// Guards against a request that is told "not run" (REFUSED), or sent to another upstream (TWICE),
+// because a faulty upstream writes an earlier refusal once more on a kept connection.
+TEST(ForwardStateMachine, aRefusalOfAnotherRequest_head_isNoRefusalOfThisOne)
+{
+    for (const auto isOtherInstance : {false, true}) {
+        auto request = makeStateMachine(RouteKind::Unsafe, 3);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        auto refusal = head(503, false);
+        refusal.notRun_ = true;
+        refusal.isOtherInstance_ = isOtherInstance;
+        refusal.echoedRequestId_ = RequestId("earlier");
+        handle(request, ResponseHeadReceived{1, refusal});
+        CHECK(find<action::CancelAttempt>() != nullptr);
+        handle(request,
+               AttemptEnded{1, make_error_code(Error::WrongAnswer), Verdict::MayHaveRun, ""});
+        CHECK(find<action::ChooseTarget>() == nullptr);
+        UNSIGNED_LONGS_EQUAL(502, find<action::SendRefusal>()->refusal_.status_);
+        CHECK(find<action::SendRefusal>()->verdict_ == Verdict::MayHaveRun);
+        CHECK(find<action::ReleaseTarget>()->outcome_ == TargetOutcome::Failed);
+    }
+}
+
 TEST(ForwardStateMachine, aSuccessWithoutSignature_head_isNeverForwarded)
 {
     auto request = makeStateMachine(RouteKind::Unsafe);
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -143,6 +143,29 @@
     CHECK(outcome.get()->error_ == Error::Cancelled);
 }
 
+// Guards against a connection that is used again although an answer of another request came on it,
+// so that each later request gets the answer of the one before.
+TEST(HttpClient, aResponseToAnotherCall_start_endsAndItsConnectionIsNotUsedAgain)
+{
+    auto fixture = HttpFixture([](const HttpRequest &, const std::shared_ptr<HttpReply> &reply) {
+        reply->send(HttpResponse{503, {}, reply->remoteAddress()});
+    });
+    const auto fetch = [&](bool answersThisCall) {
+        auto record = Watched<CallRecord>{};
+        auto hooks = HttpFixture::recordInto(record);
+        hooks.answersThisCall_ = [=](const HttpResponse &) { return answersThisCall; };
+        fixture.client_.start(fixture.call("GET", "/"), std::move(hooks));
+        const auto outcome = HttpFixture::outcomeOf(record);
+        CHECK((outcome.error_ == Error::WrongAnswer) == !answersThisCall);
+        CHECK(answersThisCall || outcome.verdict_ == Verdict::MayHaveRun);
+        return record.get().body_;
+    };
+    const auto first = fetch(true);
+    CHECK(fetch(true) == first);
+    CHECK(fetch(false).empty());
+    CHECK(fetch(true) != first);
+}
+
 /// Pattern: a server in trouble sends bytes that are no answer until the caller closes.
 TEST(HttpClient, aHeadWithoutEnd_fetch_endsAtTheLimit)
 {
