forward: Keep errors of upstreams out of begun streams

Three ways were open here, each shown by a case of ForwardStateMachine that failed before: a success that is no event stream was read as one, by the second upstream and by the first; and an error that an upstream writes into a stream, with or without its head, passed for events as soon as it had an empty line.

A response is a stream only if its content type, where it has one, says so; one that is not can't continue a begun stream. Text without any field of a server-sent event ends the attempt, and the stream goes on elsewhere after its last event. An error status of the next upstream was kept out before; that is now a case too.

--- a/packages/forward/EventStreamReader.cpp
+++ b/packages/forward/EventStreamReader.cpp
@@ -13,8 +13,11 @@
     pending_ += bytes;
     auto whole = std::string{};
     auto unread = std::string_view(pending_);
-    while (const auto length = firstEventLength(unread)) {
+    while (const auto length = hasForeignBytes_ ? 0 : firstEventLength(unread)) {
         const auto event = unread.substr(0, length);
+        hasForeignBytes_ = !isServerSentEvent(event);
+        if (hasForeignBytes_)
+            break;
         const auto id = parseServerSentEvent(event).id_;
         const auto isRepeated = id && lastEventId_ && *id <= *lastEventId_;
         if (!isRepeated)
@@ -31,6 +34,7 @@
 auto EventStreamReader::beginAttempt() -> void
 {
     pending_.clear();
+    hasForeignBytes_ = false;
 }
 
 } // namespace lycheereach
--- a/packages/forward/EventStreamReader.h
+++ b/packages/forward/EventStreamReader.h
@@ -23,6 +23,8 @@
     auto beginAttempt() -> void;
     /// Whether the bytes so far end with a complete event.
     [[nodiscard]] auto isAtEventBoundary() const -> bool { return pending_.empty(); }
+    /// Whether bytes came that are no event; they and all that follows are dropped.
+    [[nodiscard]] auto hasForeignBytes() const -> bool { return hasForeignBytes_; }
     /// Whether the incomplete event exceeds the size limit.
     [[nodiscard]] auto hasOverflowed() const -> bool { return pending_.size() > maxEventBytes; }
     [[nodiscard]] auto lastEventId() const -> std::optional<std::uint64_t> { return lastEventId_; }
@@ -36,6 +38,7 @@
     std::string pending_;
     std::optional<std::uint64_t> lastEventId_;
     bool hasEventWithoutId_ = false;
+    bool hasForeignBytes_ = false;
 };
 
 } // namespace lycheereach
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -28,7 +28,10 @@
 
 auto ForwardStateMachine::Attempt::isStreaming(RouteKind kind) const -> bool
 {
-    return isStream(kind) && head_ && head_->status_ < firstNonSuccessStatus;
+    if (!isStream(kind) || !head_ || head_->status_ >= firstNonSuccessStatus)
+        return false;
+    const auto contentType = head_->headers_.find("Content-Type");
+    return !contentType || contentType->starts_with("text/event-stream");
 }
 
 ForwardStateMachine::ForwardStateMachine(ForwardPlan plan, std::function<bool()> tryTakeRetry,
@@ -154,6 +157,8 @@
     auto events = attempt->reader_.feed(event.bytes_);
     if (attempt->reader_.hasOverflowed())
         reject(*attempt, "an event of the stream does not end");
+    if (attempt->reader_.hasForeignBytes())
+        reject(*attempt, "the stream has bytes that are no event");
     if (!events.empty() && !replied_)
         deliver(*attempt, std::move(events));
 }
--- a/packages/requests/ServerSentEvent.cpp
+++ b/packages/requests/ServerSentEvent.cpp
@@ -1,5 +1,7 @@
 #include "requests/ServerSentEvent.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace lycheereach {
@@ -75,6 +77,22 @@
     }
 }
 
+auto isServerSentEvent(std::string_view text) -> bool
+{
+    static constexpr auto fieldNames
+        = std::to_array<std::string_view>({"data", "event", "id", "retry"});
+    while (!text.empty()) {
+        const auto end = text.find('\n');
+        const auto line = withoutCarriageReturn(text.substr(0, end));
+        const auto name = line.substr(0, line.find(':'));
+        const auto isComment = line.starts_with(':');
+        if (isComment || std::find(fieldNames.begin(), fieldNames.end(), name) != fieldNames.end())
+            return true;
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    }
+    return false;
+}
+
 auto parseServerSentEvent(std::string_view text) -> ServerSentEvent
 {
     auto event = ServerSentEvent{};
--- a/packages/requests/ServerSentEvent.h
+++ b/packages/requests/ServerSentEvent.h
@@ -28,6 +28,9 @@
 /// The length of the first complete event in \a text, including the empty line that ends it; 0 when
 /// there is none yet.
 auto firstEventLength(std::string_view text) -> std::size_t;
+/// Whether \a text, up to an empty line, has a field or a comment of a server-sent event. Bytes
+/// that an upstream writes by mistake, such as the head of another response, have none.
+auto isServerSentEvent(std::string_view text) -> bool;
 /// Parses one event; comment lines and unknown fields are skipped.
 auto parseServerSentEvent(std::string_view text) -> ServerSentEvent;
 
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -566,3 +566,64 @@
     handle(begun, brokenConnection(1, Verdict::MayHaveRun));
     CHECK(find<action::ChooseTarget>() != nullptr);
 }
+
+// Guards against the text of an error in the middle of a stream, or an error that looks like the
+// end of it (MIXED, ORDER): the upstream that is to continue a begun stream answers otherwise.
+TEST(ForwardStateMachine, theNextUpstreamAnswersNoStream_ended_breaksTheStreamOff)
+{
+    auto notAStream = head(200);
+    notAStream.headers_.add("Content-Type", "application/json");
+    for (const auto &answer : {head(400), head(500), head(503, false), notAStream}) {
+        auto request = makeStateMachine(RouteKind::ResumableStream, 2);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        handle(request, ResponseHeadReceived{1, head(200)});
+        handle(request, AttemptData{1, "id: 1\ndata: a\n\nid: 2"});
+        handle(request, brokenConnection(1, Verdict::MayHaveRun));
+        startAttempt(request, "u2");
+        handle(request, ResponseHeadReceived{2, answer});
+        handle(request, AttemptData{2, "data: an error\n\n"});
+        CHECK(actions_.empty());
+        handle(request, AttemptEnded{2, {}, Verdict::Ran, ""});
+        CHECK(find<action::SendEvents>() == nullptr);
+        CHECK(find<action::EndStream>() == nullptr);
+        CHECK(find<action::AbortResponse>() != nullptr);
+    }
+}
+
+// Guards against an error, with or without its head, that is taken for an event of the stream
+// (MIXED): the upstream writes it into a stream without framing.
+TEST(ForwardStateMachine, bytesThatAreNoEvent_withinAStream_endTheAttempt)
+{
+    for (const auto *bytes :
+         {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull",
+          "{\"error\": \"out of memory\"}\n\n", "no event\n\nid: 9\ndata: z\n\n"}) {
+        auto request = makeStateMachine(RouteKind::ResumableStream, 2);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        handle(request, ResponseHeadReceived{1, head(200)});
+        handle(request, AttemptData{1, "id: 1\ndata: a\n\n"});
+        handle(request, AttemptData{1, bytes});
+        CHECK(find<action::SendEvents>() == nullptr);
+        CHECK(find<action::CancelAttempt>() != nullptr);
+        handle(request, brokenConnection(1, Verdict::MayHaveRun));
+        CHECK(find<action::ChooseTarget>() != nullptr);
+        startAttempt(request, "u2");
+        LONGS_EQUAL(1, *find<action::StartAttempt>()->lastEventId_);
+    }
+}
+
+TEST(ForwardStateMachine, aSuccessThatIsNoStream_onAStreamingRoute_isForwardedWhole)
+{
+    auto request = makeStateMachine(RouteKind::ResumableStream);
+    handle(request, Start{});
+    startAttempt(request, "u1");
+    auto answer = head(200);
+    answer.headers_.add("Content-Type", "application/json");
+    handle(request, ResponseHeadReceived{1, answer});
+    handle(request, AttemptData{1, "{\"whole\":"});
+    handle(request, AttemptData{1, " true}"});
+    CHECK(actions_.empty());
+    handle(request, endedNormally());
+    CHECK(find<action::SendResponse>()->body_ == "{\"whole\": true}");
+}
