--- a/packages/forward/ForwardContext.h
+++ b/packages/forward/ForwardContext.h
@@ -4,6 +4,7 @@
 
 #include "base/Event.h"
 #include "base/Time.h"
+#include "forward/DeclarationAge.h"
 #include "forward/ForwardCodec.h"
 #include "forward/ForwardSettings.h"
 
@@ -11,6 +12,7 @@
 
 namespace lycheereach {
 
+class CrashWatch;
 class HttpClient;
 class TargetTable;
 class WorkerPool;
@@ -21,10 +23,13 @@
     ForwardSettings settings_;
     ForwardCodec codec_;
     TargetTable &targets_;
+    CrashWatch &crashes_;
     HttpClient &client_;
     WorkerPool &workers_;
     /// Whether the entry is shutting down; responses then carry `Connection: close`.
     std::function<bool()> isLeaving_;
+    /// The version of the declaration that the entry obeys, and how long it has.
+    std::function<DeclarationAge()> declarationAge_;
     /// Takes one retry to a service from the retry budget; false when it is spent.
     std::function<bool(const PoolName &service)> tryTakeRetry_;
     /// Called with the first member of a group that may be stalled.
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -1,6 +1,7 @@
 #include "forward/ForwardedRequest.h"
 
 #include "base/ErrorCode.h"
+#include "forward/CrashWatch.h"
 #include "forward/TargetTable.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpReply.h"
@@ -16,6 +17,9 @@
 
 /// Retry-After while no upstream accepts requests.
 constexpr auto noTargetRetryAfter = std::chrono::milliseconds(2000);
+/// A stream that has gone on for this long after its first event has not crashed its upstream.
+constexpr auto soundStreamTime = std::chrono::milliseconds(500);
+constexpr std::uint16_t firstNonSuccessStatus = 300;
 
 auto isStreaming(RouteKind kind) -> bool
 {
@@ -50,7 +54,8 @@
               .attemptLimit_ = routed_.route_.attemptLimit_,
               .lastEventId_ = routed_.request_.lastEventId_,
           },
-          [this] { return context_.tryTakeRetry_(routed_.service_); })
+          [this] { return context_.tryTakeRetry_(routed_.service_); },
+          [this] { return !context_.crashes_.arePartsProven(routed_.request_.fingerprints_); })
 { }
 
 ForwardedRequest::~ForwardedRequest() = default;
@@ -90,14 +95,13 @@
 
 auto ForwardedRequest::targetStalled(const ForwardTarget &target) -> void
 {
-    {
-        const auto lock = std::scoped_lock(mutex_);
-        if (isDone_ || !callId_ || target_ != target)
-            return;
-    }
+    const auto lock = std::scoped_lock(mutex_);
+    if (isDone_ || !stateMachine_.mayMoveFrom(target))
+        return;
     const auto &admission = context_.settings_.retryLimit_;
-    if (context_.targets_.hasAlternative(target, admission, context_.clock_()))
-        post(forward_event::TargetStalled{});
+    auto alternative = context_.targets_.chooseAlternative(target, admission, context_.clock_());
+    if (alternative)
+        handle(forward_event::TargetStalled{std::move(*alternative)});
 }
 
 auto ForwardedRequest::handle(const ForwardEvent &event) -> void
@@ -113,8 +117,12 @@
     const auto &initialLimit
         = routed_.request_.wasHeld_ ? settings.heldRequestLimit_ : settings.newRequestLimit_;
     const auto &admission = isRetry ? settings.retryLimit_ : initialLimit;
-    const auto target
-        = context_.targets_.choose(routed_.pool_, action.avoid_, admission, context_.clock_());
+    const auto suspect = context_.crashes_.findSuspect(routed_.request_.fingerprints_);
+    const auto now = context_.clock_();
+    auto &targets = context_.targets_;
+    const auto target = suspect.empty()
+        ? targets.choose(routed_.pool_, action.avoid_, admission, now)
+        : targets.chooseIsolated(routed_.pool_, action.avoid_, admission, suspect, now);
     if (target) {
         handle(forward_event::TargetChosen{*target});
         return;
@@ -130,8 +138,6 @@
 
 auto ForwardedRequest::perform(const forward_action::StartAttempt &action) -> void
 {
-    target_ = action.target_;
-    progressAt_ = context_.clock_();
     const auto remaining = deadline_ - context_.clock_();
     const auto parameters = AttemptParameters{.target_ = action.target_,
                                               .workspace_ = routed_.workspace_,
@@ -148,7 +154,9 @@
                    .firstByteTimeout_ = isStream ? settings.firstEventTimeout_ : remaining,
                    .idleTimeout_ = isStream ? settings.streamIdleTimeout_ : remaining,
                    .freshConnection_ = kind == RouteKind::Unsafe || kind == RouteKind::Stream};
-    callId_ = context_.client_.start(std::move(http), hooksFor(action.attempt_, action.target_));
+    const auto id
+        = context_.client_.start(std::move(http), hooksFor(action.attempt_, action.target_));
+    calls_.insert_or_assign(action.attempt_, Call{action.target_, context_.clock_(), id});
 }
 
 auto ForwardedRequest::hooksFor(std::uint32_t attempt, const ForwardTarget &target) -> HttpCallHooks
@@ -163,36 +171,74 @@
         },
         [self, attempt](std::string_view part) {
             self->post(forward_event::AttemptData{attempt, std::string(part)});
-            self->cancelIfNoWholeEvent();
+            self->moveIfNoWholeEvent(attempt);
         },
-        [self, attempt](const HttpOutcome &outcome) {
+        [self, attempt, target](const HttpOutcome &outcome) {
+            self->recordIfBroken(target, outcome);
             self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
                                                    outcome.message_, outcome.isRefused_});
+        },
+        [self, target] { self->targetStalled(target); },
+        [self](const HttpResponse &response) {
+            const auto head = self->context_.codec_.parseHead_(response);
+            return head.echoedRequestId_ == self->routed_.request_.id_;
         }};
 }
 
-auto ForwardedRequest::handleProgress() -> void
+auto ForwardedRequest::recordServed() -> void
 {
-    progressAt_ = context_.clock_();
-    if (context_.targets_.recordProgress(target_, progressAt_))
-        context_.onProgress_(target_.upstream_);
+    if (!std::exchange(isServedRecorded_, true))
+        context_.crashes_.recordServed(routed_.request_.fingerprints_);
 }
 
-auto ForwardedRequest::cancelIfNoWholeEvent() -> void
+auto ForwardedRequest::recordIfBroken(const ForwardTarget &target, const HttpOutcome &outcome)
+    -> void
 {
-    const auto lock = std::scoped_lock(mutex_);
-    const auto &settings = context_.settings_;
-    const auto timeout
-        = std::max<Duration>(settings.firstEventTimeout_, settings.streamIdleTimeout_);
-    const auto isStalled = context_.clock_() - progressAt_ >= timeout;
-    if (!isDone_ && callId_ && isStreaming(routed_.route_.kind_) && isStalled)
-        context_.client_.cancel(*callId_);
+    const auto isBroken
+        = outcome.error_ == Error::IncompleteAnswer && outcome.verdict_ == Verdict::MayHaveRun;
+    if (!isBroken)
+        return;
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        if (isServedRecorded_)
+            return;
+    }
+    context_.crashes_.recordBroken(target, routed_.request_.fingerprints_);
+}
+
+auto ForwardedRequest::handleProgress(std::uint32_t attempt) -> void
+{
+    auto &call = calls_.at(attempt);
+    call.progressAt_ = context_.clock_();
+    if (!streamSince_)
+        streamSince_ = call.progressAt_;
+    if (call.progressAt_ - *streamSince_ >= soundStreamTime)
+        recordServed();
+    if (context_.targets_.recordProgress(call.target_, call.progressAt_))
+        context_.onProgress_(call.target_.upstream_);
+}
+
+auto ForwardedRequest::moveIfNoWholeEvent(std::uint32_t attempt) -> void
+{
+    if (!isStreaming(routed_.route_.kind_))
+        return;
+    auto target = ForwardTarget{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto &settings = context_.settings_;
+        const auto timeout
+            = std::max<Duration>(settings.firstEventTimeout_, settings.streamIdleTimeout_);
+        const auto &call = calls_.at(attempt);
+        if (context_.clock_() - call.progressAt_ < timeout)
+            return;
+        target = call.target_;
+    }
+    targetStalled(target);
 }
 
-auto ForwardedRequest::perform(const forward_action::CancelAttempt & /*action*/) -> void
+auto ForwardedRequest::perform(const forward_action::CancelAttempt &action) -> void
 {
-    if (callId_)
-        context_.client_.cancel(*callId_);
+    context_.client_.cancel(calls_.at(action.attempt_).id_);
 }
 
 auto ForwardedRequest::perform(const forward_action::ReleaseTarget &action) -> void
@@ -215,24 +261,27 @@
 
 auto ForwardedRequest::perform(const forward_action::BeginStream &action) -> void
 {
-    handleProgress();
+    handleProgress(action.attempt_);
     reply_->begin(
         HttpResponse{action.head_.status_, responseHeaders(action.head_), action.events_});
 }
 
 auto ForwardedRequest::perform(const forward_action::SendEvents &action) -> void
 {
-    handleProgress();
+    handleProgress(action.attempt_);
     reply_->write(action.events_, nullptr);
 }
 
 auto ForwardedRequest::perform(const forward_action::EndStream & /*action*/) -> void
 {
+    recordServed();
     reply_->finish();
 }
 
 auto ForwardedRequest::perform(const forward_action::SendResponse &action) -> void
 {
+    if (action.head_.status_ < firstNonSuccessStatus)
+        recordServed();
     reply_->send(HttpResponse{action.head_.status_, responseHeaders(action.head_), action.body_});
 }
 
@@ -247,8 +296,13 @@
 
 auto ForwardedRequest::perform(const forward_action::AbortResponse &action) -> void
 {
+    const auto declaration = context_.declarationAge_();
     emit(EventNumber::RequestRefused,
-         {{"verdict", "may-have-run"}, {"reason", "stream broken off: " + action.reason_}});
+         {{"verdict", "may-have-run"},
+          {"reason", "stream broken off: " + action.reason_},
+          {"upstream", calls_.empty() ? "" : calls_.rbegin()->second.target_.upstream_.text()},
+          {"version", std::to_string(declaration.version_)},
+          {"versionAgeMs", std::to_string(toMilliseconds(declaration.age_))}});
     reply_->abort();
 }
 
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -1,6 +1,7 @@
 #include "forward/TargetTable.h"
 
 #include "forward/ColdRateShare.h"
+#include "requests/Rendezvous.h"
 #include "state/FleetState.h"
 
 #include <algorithm>
@@ -146,13 +147,32 @@
     -> std::optional<ForwardTarget>
 {
     const auto lock = std::scoped_lock(mutex_);
+    return reserveBest(pool, avoid, admission, now, [](const TargetState &) { return true; });
+}
+
+auto TargetTable::chooseAlternative(const ForwardTarget &target, const AdmissionLimit &admission,
+                                    MonotonicTime now) -> std::optional<ForwardTarget>
+{
+    const auto lock = std::scoped_lock(mutex_);
+    const auto isUsable = [&](const TargetState &other) {
+        return other.target_.upstream_ != target.upstream_
+            && now - other.stalledAt_ >= stallHoldOff;
+    };
+    return reserveBest(target.pool_, {}, admission, now, isUsable);
+}
+
+auto TargetTable::reserveBest(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                              const AdmissionLimit &admission, MonotonicTime now,
+                              const std::function<bool(const TargetState &)> &isUsable)
+    -> std::optional<ForwardTarget>
+{
     const auto found = targets_.find(pool);
     if (found == targets_.end())
         return std::nullopt;
     TargetState *best = nullptr;
     auto bestRank = std::tuple<bool, bool, double, std::uint64_t>{};
     for (auto &[id, target] : found->second) {
-        if (now < target.unavailableUntil_ || !isWithinColdLimit(target, now)
+        if (now < target.unavailableUntil_ || !isUsable(target) || !isWithinColdLimit(target, now)
             || !hasCapacity(target, admission, now))
             continue;
         const auto rank = std::tuple(avoid.contains(id), now < target.deprioritizedUntil_,
@@ -164,30 +184,40 @@
     }
     if (best == nullptr)
         return std::nullopt;
-    ++best->netSinceLoad_;
-    if (best->inFlight_++ == 0) {
-        best->progressAt_ = now;
-        best->hasProgressed_ = false;
+    return reserve(*best, now);
+}
+
+auto TargetTable::reserve(TargetState &target, MonotonicTime now) -> ForwardTarget
+{
+    ++target.netSinceLoad_;
+    if (target.inFlight_++ == 0) {
+        target.progressAt_ = now;
+        target.hasProgressed_ = false;
     }
-    if (best->coldRateLimit_)
-        best->coldSentAt_.push_back(now);
-    return best->target_;
+    if (target.coldRateLimit_)
+        target.coldSentAt_.push_back(now);
+    return target.target_;
 }
 
-auto TargetTable::hasAlternative(const ForwardTarget &target, const AdmissionLimit &admission,
-                                 MonotonicTime now) -> bool
+auto TargetTable::chooseIsolated(const PoolName &pool, const std::set<UpstreamId> &avoid,
+                                 const AdmissionLimit &admission, const std::string &suspect,
+                                 MonotonicTime now) -> std::optional<ForwardTarget>
 {
     const auto lock = std::scoped_lock(mutex_);
-    const auto found = targets_.find(target.pool_);
+    const auto found = targets_.find(pool);
     if (found == targets_.end())
-        return false;
-    const auto isUsable = [&](auto &item) {
-        auto &other = item.second;
-        return item.first != target.upstream_ && now >= other.unavailableUntil_
-            && now - other.stalledAt_ >= stallHoldOff && isWithinColdLimit(other, now)
-            && hasCapacity(other, admission, now);
-    };
-    return std::any_of(found->second.begin(), found->second.end(), isUsable);
+        return std::nullopt;
+    auto names = std::vector<std::string>{};
+    for (auto &[id, target] : found->second) {
+        const auto isUsable = now >= target.unavailableUntil_ && !avoid.contains(id)
+            && isWithinColdLimit(target, now) && hasCapacity(target, admission, now);
+        if (isUsable)
+            names.push_back(id.text());
+    }
+    const auto index = rendezvousPick(suspect, names);
+    if (!index)
+        return std::nullopt;
+    return reserve(found->second.at(UpstreamId(names[*index])), now);
 }
 
 auto TargetTable::release(const ForwardTarget &target, TargetOutcome outcome, MonotonicTime now)
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -56,6 +56,13 @@
     std::function<void(const HttpResponse &)> head_;
     std::function<void(std::string_view)> part_;
     std::function<void(const HttpOutcome &)> ended_;
+    /// Called whenever nothing has come for as long as HttpCall allows; the call goes on. Without
+    /// it the call ends with Error::ConnectionSilent.
+    std::function<void()> silent_ = nullptr;
+    /// Whether a head is that of a response to this call; asked after head_. If not, the call ends
+    /// with Error::WrongAnswer and its connection is closed, since its own response may follow
+    /// there. Without it every head is.
+    std::function<bool(const HttpResponse &)> answersThisCall_ = nullptr;
 };
 
 } // namespace lycheereach
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -312,25 +312,67 @@
 
 /// Failure: many engines slow down at once, so that each step of every group takes longer than the
 /// timeout after which a group counts as stalled.
-TEST(TargetTable, allGroupsAreSilent_hasAlternative_findsNoneToMoveStreamsTo)
+TEST(TargetTable, allGroupsAreSilent_chooseAlternative_findsNoneToMoveStreamsTo)
 {
     const auto again = ForwardSettings().retryLimit_;
     const auto first = *table_.choose(pool_, {}, again, now_);
     const auto second = *table_.choose(pool_, {first.upstream_}, again, now_);
     table_.recordProgress(first, now_);
     table_.recordProgress(second, now_);
-    CHECK(table_.hasAlternative(first, again, now_));
+    const auto alternative = table_.chooseAlternative(first, again, now_);
+    CHECK(alternative == second);
+    table_.release(*alternative, TargetOutcome::Responded, now_);
     now_ += milliseconds(400);
     LONGS_EQUAL(2, table_.collectStalled(now_).size());
-    CHECK_FALSE(table_.hasAlternative(first, again, now_));
-    CHECK_FALSE(table_.hasAlternative(second, again, now_));
+    CHECK_FALSE(table_.chooseAlternative(first, again, now_));
+    CHECK_FALSE(table_.chooseAlternative(second, again, now_));
 }
 
-TEST(TargetTable, theOtherGroupFailedARequest_hasAlternative_stillFindsIt)
+TEST(TargetTable, theOtherGroupFailedARequest_chooseAlternative_stillFindsIt)
 {
     const auto again = ForwardSettings().retryLimit_;
     const auto first = *table_.choose(pool_, {}, again, now_);
     const auto second = *table_.choose(pool_, {first.upstream_}, again, now_);
     table_.release(second, TargetOutcome::Failed, now_);
-    CHECK(table_.hasAlternative(first, again, now_));
+    CHECK(table_.chooseAlternative(first, again, now_) == second);
+}
+
+// Guards against moving all streams of a silent group to another one that has room for a few of
+// them only, so that the rest is broken off (LOST).
+TEST(TargetTable, theOtherGroupIsColdAndLimited_chooseAlternative_reservesItUpToItsLimit)
+{
+    state_.upstreams_[UpstreamId("u2")].announced_.cold_ = true;
+    table_.update(state_);
+    const auto again = ForwardSettings().retryLimit_;
+    const auto first = ForwardTarget{UpstreamId("u1"), 1, "u1:1", pool_, ZoneName("a")};
+    auto reserved = 0;
+    while (reserved < 100 && table_.chooseAlternative(first, again, now_))
+        ++reserved;
+    LONGS_EQUAL(4, reserved);
+}
+
+// Guards against requests with one suspect that crash an upstream for each entry (BUDGET).
+TEST(TargetTable, severalEntriesWithOneSuspect_chooseIsolated_reserveTheSameUpstream)
+{
+    for (auto i = 3; i < 12; ++i)
+        addGroup("u" + std::to_string(i), "a");
+    const auto limit = ForwardSettings().newRequestLimit_;
+    auto other = TargetTable(EntryId("f"), ZoneName("b"), [] { return std::uint64_t{7}; });
+    table_.update(state_);
+    other.update(state_);
+    for (auto i = 0; i < 5; ++i)
+        static_cast<void>(other.choose(pool_, {}, limit, now_));
+    const auto first = *table_.chooseIsolated(pool_, {}, limit, "part-1", now_);
+    CHECK(other.chooseIsolated(pool_, {}, limit, "part-1", now_) == first);
+    const auto next = *table_.chooseIsolated(pool_, {first.upstream_}, limit, "part-1", now_);
+    CHECK(next != first);
+    CHECK(other.chooseIsolated(pool_, {first.upstream_}, limit, "part-1", now_) == next);
+}
+
+TEST(TargetTable, noUpstreamLeft_chooseIsolated_findsNone)
+{
+    const auto limit = ForwardSettings().newRequestLimit_;
+    const auto avoid = std::set{UpstreamId("u1"), UpstreamId("u2")};
+    CHECK_FALSE(table_.chooseIsolated(pool_, avoid, limit, "part-1", now_));
+    CHECK_FALSE(table_.chooseIsolated(PoolName("none"), {}, limit, "part-1", now_));
 }
