forward: Let neither attempt of a moved stream take the sound one down

While two attempts of a request are open, callers would see: - a stream broken off, since an attempt that delivered an event and then bytes that are no event cancelled the other one first; - 502 although the silent upstream had answered whole and not as a stream: the answer was dropped because another attempt was open.

--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -59,7 +59,7 @@
 {
     if (replied_) {
         emit(forward_action::ReleaseTarget{event.target_, "", Verdict::NotRun,
-                                           TargetOutcome::Responded});
+                                           TargetOutcome::Unused});
         return;
     }
     startAttempt(event.target_);
@@ -89,7 +89,7 @@
 
 auto ForwardStateMachine::attemptsSent() const -> std::uint32_t
 {
-    return attempts_ - unconnectedAttempts_;
+    return attempts_ - unsentAttempts_;
 }
 
 auto ForwardStateMachine::find(std::uint32_t number) -> Attempt *
@@ -159,7 +159,9 @@
         reject(*attempt, "an event of the stream does not end");
     if (attempt->reader_.hasForeignBytes())
         reject(*attempt, "the stream has bytes that are no event");
-    if (!events.empty() && !replied_)
+    // A rejected attempt must not take the place of a sound one.
+    const auto isDropped = attempt->isCancelled_ && other_;
+    if (!events.empty() && !replied_ && !isDropped)
         deliver(*attempt, std::move(events));
 }
 
@@ -167,6 +169,7 @@
 {
     lastEventId_ = source.reader_.lastEventId();
     hasEventWithoutId_ = hasEventWithoutId_ || source.reader_.hasEventWithoutId();
+    source.hasDelivered_ = true;
     if (!streamSince_)
         streamSince_ = now_;
     const auto number = source.number_;
@@ -193,19 +196,24 @@
         return;
     auto ended = take(*found);
     const auto failure = failureOf(ended, event);
-    const auto hasOther = attempt_ && !attempt_->isCancelled_;
-    // Beside another attempt only a complete stream ends the request.
-    if (failure.empty() && (!hasOther || ended.isStreaming(plan_.kind_))) {
+    const auto isWholeAnswer = failure.empty() && !ended.isStreaming(plan_.kind_);
+    // Beside another attempt only a success ends the request.
+    const auto isSuccess = ended.head_ && ended.head_->status_ < firstNonSuccessStatus;
+    if (failure.empty() && (!hasOtherAttempt() || isSuccess)) {
         attemptSucceeded(std::move(ended));
         return;
     }
+    if (isWholeAnswer)
+        reserve_ = ended;
     const auto isOtherInstance = ended.head_ && ended.head_->isOtherInstance_;
     if (event.isRefused_ || isOtherInstance)
         ended.failureOutcome_ = TargetOutcome::Unavailable;
     ended.isBroken_ = event.error_ && event.verdict_ == Verdict::MayHaveRun && !ended.isCancelled_;
     // An attempt without a connection has not reached an upstream.
-    if (event.verdict_ == Verdict::NotRun && !ended.head_)
-        ++unconnectedAttempts_;
+    if (event.verdict_ == Verdict::NotRun && !ended.head_) {
+        ++unsentAttempts_;
+        unconnectedAttempts_ += ended.isCancelled_ ? 0 : 1;
+    }
     const auto notRun = event.verdict_ == Verdict::NotRun || (ended.head_ && ended.head_->notRun_);
     attemptFailed(std::move(ended), failure.empty() ? "an earlier attempt is still open" : failure,
                   notRun ? Verdict::NotRun : Verdict::MayHaveRun);
@@ -226,6 +234,9 @@
     const auto isStreaming = attempt.isStreaming(plan_.kind_);
     if (isStreaming && !attempt.reader_.isAtEventBoundary())
         return "the upstream ended the stream within an event";
+    // Beside another attempt, an end without events does not show that the stream is complete.
+    if (isStreaming && !attempt.hasDelivered_ && (hasOtherAttempt() || !headSent_))
+        return "the upstream ended the stream without an event";
     if (headSent_ && !isStreaming)
         return "the upstream did not go on with the stream: status "
             + std::to_string(head->status_);
@@ -255,9 +266,13 @@
     emit(forward_action::ReleaseTarget{attempt.target_, failure, verdict, attempt.failureOutcome_});
     verdict_ = combine(verdict_, verdict);
     avoid_.insert(attempt.target_.upstream_);
-    const auto hasOther = attempt_ && !attempt_->isCancelled_;
-    if (replied_ || hasOther)
+    if (replied_ || hasOtherAttempt())
+        return;
+    if (reserve_ && !headSent_) {
+        replied_ = true;
+        emit(forward_action::SendResponse{*reserve_->head_, std::move(reserve_->body_)});
         return;
+    }
     // A further attempt takes from the retry budget only once an earlier one may have reached an
     // upstream.
     if (mayRetry(verdict) && !mayHaveCrashedIts(attempt)
@@ -319,7 +334,7 @@
 {
     if (!attempt_ || !mayMoveFrom(attempt_->target_) || !tryTakeRetry_()) {
         emit(forward_action::ReleaseTarget{event.alternative_, "", Verdict::NotRun,
-                                           TargetOutcome::Responded});
+                                           TargetOutcome::Unused});
         return;
     }
     startAttempt(event.alternative_);
@@ -338,14 +353,18 @@
         cancelAll();
         return;
     }
+    giveUp(gatewayTimeout, "the time for the request has passed");
+}
+
+auto ForwardStateMachine::giveUp(std::uint16_t statusIfRun, const std::string &reason) -> void
+{
     const auto mayHaveRun = attempt_ || verdict_ != Verdict::NotRun;
-    const auto reason = std::string("the time for the request has passed");
     if (headSent_) {
         replied_ = true;
         emit(forward_action::AbortResponse{reason});
     } else {
         verdict_ = mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
-        refuse(mayHaveRun ? gatewayTimeout : serviceUnavailable, reason, std::nullopt);
+        refuse(mayHaveRun ? statusIfRun : serviceUnavailable, reason, std::nullopt);
     }
     cancelAll();
 }
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -63,6 +63,7 @@
         ForwardTarget target_;
         EventStreamReader reader_;
         bool isCancelled_ = false;
+        bool hasDelivered_ = false;
         /// Whether the upstream ended the connection after the request was sent.
         bool isBroken_ = false;
         /// What a failure of the attempt shows about its target.
@@ -106,6 +107,14 @@
     auto reject(Attempt &attempt, std::string reason) -> void;
     auto cancel(Attempt &attempt) -> void;
     auto cancelAll() -> void;
+    /// Breaks the stream off, or refuses the request with \a statusIfRun when it may have run, for
+    /// \a reason; cancels all attempts.
+    auto giveUp(std::uint16_t statusIfRun, const std::string &reason) -> void;
+    /// Whether an attempt is open, beside one that has ended, and not cancelled.
+    [[nodiscard]] auto hasOtherAttempt() const -> bool
+    {
+        return attempt_ && !attempt_->isCancelled_;
+    }
 
     ForwardPlan plan_;
     std::function<bool()> tryTakeRetry_;
@@ -114,12 +123,15 @@
     std::vector<ForwardAction> actions_;
 
     std::uint32_t attempts_ = 0;
-    /// Attempts that established no connection.
+    /// Attempts of which no byte was sent, and those of them that failed to connect.
+    std::uint32_t unsentAttempts_ = 0;
     std::uint32_t unconnectedAttempts_ = 0;
     std::optional<Attempt> attempt_;
     /// The second open attempt: an earlier one at a silent upstream, or one that was cancelled
     /// because attempt_ continues the stream.
     std::optional<Attempt> other_;
+    /// An ended attempt with a whole answer that is no stream; sent if the open one fails.
+    std::optional<Attempt> reserve_;
     /// Id of the last event that the caller has received; nothing before the first.
     std::optional<std::uint64_t> lastEventId_;
     /// When the first event was delivered.
--- a/packages/forward/TargetOutcome.h
+++ b/packages/forward/TargetOutcome.h
@@ -8,6 +8,8 @@
 enum class TargetOutcome {
     /// The target responded.
     Responded,
+    /// No request was sent to the target after all.
+    Unused,
     /// The attempt failed; further attempts at the target may succeed.
     Failed,
     /// The target can't serve this entry's requests: nothing listens at its address, another
--- a/packages/forward/TargetTable.cpp
+++ b/packages/forward/TargetTable.cpp
@@ -230,6 +230,8 @@
     --known->netSinceLoad_;
     if (known->inFlight_ > 0)
         --known->inFlight_;
+    if (outcome == TargetOutcome::Unused && known->coldRateLimit_ && !known->coldSentAt_.empty())
+        known->coldSentAt_.pop_back();
     if (outcome == TargetOutcome::Failed)
         known->deprioritizedUntil_ = std::max(known->deprioritizedUntil_, now + failureHoldOff);
     if (outcome == TargetOutcome::Unavailable)
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -627,3 +627,78 @@
     handle(request, endedNormally());
     CHECK(find<action::SendResponse>()->body_ == "{\"whole\": true}");
 }
+
+// Guards against a sound attempt that is cancelled for the sake of one that is itself rejected
+// (LOST).
+TEST(ForwardStateMachine, theOtherUpstreamSendsAnEventAndForeignBytes_data_goesOnAtTheSilentOne)
+{
+    auto request = makeMovingStream();
+    handle(request, ResponseHeadReceived{2, head(200)});
+    handle(request, AttemptData{2, "id: 2\ndata: b\n\nno event\n\n"});
+    LONGS_EQUAL(1, actions_.size());
+    CHECK(find<action::CancelAttempt>()->attempt_ == 2);
+    handle(request, brokenConnection(2, Verdict::MayHaveRun));
+    CHECK(find<action::AbortResponse>() == nullptr);
+    handle(request, AttemptData{1, "id: 2\ndata: b\n\n"});
+    CHECK(find<action::SendEvents>() != nullptr);
+}
+
+// Guards against a whole answer that is dropped because another attempt is open and then fails.
+TEST(ForwardStateMachine, theSilentUpstreamAnswersWhole_ended_isForwarded)
+{
+    for (const auto status : {200, 404}) {
+        auto request = makeStateMachine(RouteKind::ResumableStream);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        handle(request, TargetStalled{target("u2")});
+        auto answer = head(static_cast<std::uint16_t>(status));
+        answer.headers_.add("Content-Type", "application/json");
+        handle(request, ResponseHeadReceived{1, answer});
+        handle(request, AttemptData{1, "{}"});
+        handle(request, endedNormally());
+        if (status == 404) {
+            CHECK(find<action::SendResponse>() == nullptr);
+            handle(request, brokenConnection(2, Verdict::MayHaveRun));
+        }
+        STRCMP_EQUAL("{}", find<action::SendResponse>()->body_.c_str());
+    }
+}
+
+// Guards against a stream that looks complete without its rest (ORDER), and a sound attempt that is
+// cancelled for it: the other upstream closes before its first event.
+TEST(ForwardStateMachine, theOtherUpstreamEndsWithoutAnEvent_ended_goesOnAtTheSilentOne)
+{
+    auto request = makeMovingStream();
+    handle(request, ResponseHeadReceived{2, head(200)});
+    handle(request, AttemptEnded{2, {}, Verdict::Ran, ""});
+    CHECK(find<action::EndStream>() == nullptr);
+    CHECK(find<action::CancelAttempt>() == nullptr);
+    handle(request, AttemptData{1, "id: 2\ndata: b\n\n"});
+    handle(request, endedNormally());
+    CHECK(find<action::EndStream>() != nullptr);
+}
+
+// Guards against an empty success where a stream was broken off before its first event.
+TEST(ForwardStateMachine, aStreamWithoutAnyEvent_ended_isNoAnswer)
+{
+    auto request = makeStateMachine(RouteKind::Stream);
+    handle(request, Start{});
+    startAttempt(request, "u1");
+    handle(request, ResponseHeadReceived{1, head(200)});
+    handle(request, endedNormally());
+    CHECK(find<action::SendResponse>() == nullptr);
+    UNSIGNED_LONGS_EQUAL(502, find<action::SendRefusal>()->refusal_.status_);
+}
+
+// Guards against attempts that were cancelled before they were connected and count as failed ones.
+TEST(ForwardStateMachine, manyOtherAttemptsAreCancelledBeforeTheyConnect_ended_leaveRetries)
+{
+    auto request = makeMovingStream(9);
+    for (auto number = 2U; number < 7; ++number) {
+        handle(request, AttemptData{1, "id: " + std::to_string(number) + "\ndata: b\n\n"});
+        handle(request,
+               AttemptEnded{number, make_error_code(Error::Cancelled), Verdict::NotRun, ""});
+        handle(request, TargetStalled{target("u2")});
+        CHECK(find<action::StartAttempt>() != nullptr);
+    }
+}
--- a/tests/forward/TargetTableTest.cpp
+++ b/tests/forward/TargetTableTest.cpp
@@ -376,3 +376,17 @@
     CHECK_FALSE(table_.chooseIsolated(pool_, avoid, limit, "part-1", now_));
     CHECK_FALSE(table_.chooseIsolated(PoolName("none"), {}, limit, "part-1", now_));
 }
+
+// Guards against reservations that are never used and leave no room at a cold upstream.
+TEST(TargetTable, unusedReservationsAtAColdUpstream_choose_stillFindsIt)
+{
+    state_.upstreams_[UpstreamId("u2")].announced_.cold_ = true;
+    table_.update(state_);
+    const auto again = ForwardSettings().retryLimit_;
+    const auto first = ForwardTarget{UpstreamId("u1"), 1, "u1:1", pool_, ZoneName("a")};
+    for (auto i = 0; i < 20; ++i) {
+        const auto reserved = table_.chooseAlternative(first, again, now_);
+        CHECK(reserved.has_value());
+        table_.release(*reserved, TargetOutcome::Unused, now_);
+    }
+}
