forward: Keep a request that may crash upstreams at one of them while it is silent

It now stays where it is until its first event. The case failed before: the second attempt was started.

--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -326,8 +326,11 @@
 
 auto ForwardStateMachine::mayMoveFrom(const ForwardTarget &target) const -> bool
 {
+    // Before its first event a request may still be about to crash its upstream.
+    const auto mayCrashAnother = !streamSince_ && mayCrash_ && mayCrash_();
     return plan_.kind_ == RouteKind::ResumableStream && !replied_ && attempt_ && !other_
-        && !attempt_->isCancelled_ && attempt_->target_ == target && mayRetry(Verdict::MayHaveRun);
+        && !attempt_->isCancelled_ && attempt_->target_ == target && mayRetry(Verdict::MayHaveRun)
+        && !mayCrashAnother;
 }
 
 auto ForwardStateMachine::on(const forward_event::TargetStalled &event) -> void
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -690,6 +690,16 @@
     UNSIGNED_LONGS_EQUAL(502, find<action::SendRefusal>()->refusal_.status_);
 }
 
+// Guards against a request that may crash upstreams and runs at two of them at once (BUDGET).
+TEST(ForwardStateMachine, aRequestThatMayCrash_targetStalledBeforeItsFirstEvent_staysWhereItIs)
+{
+    auto request = makeUnprovenStream();
+    CHECK_FALSE(request.mayMoveFrom(target("u1")));
+    handle(request, TargetStalled{target("u2")});
+    CHECK(find<action::StartAttempt>() == nullptr);
+    CHECK(find<action::ReleaseTarget>()->outcome_ == TargetOutcome::Unused);
+}
+
 // Guards against attempts that were cancelled before they were connected and count as failed ones.
 TEST(ForwardStateMachine, manyOtherAttemptsAreCancelledBeforeTheyConnect_ended_leaveRetries)
 {
