forward, platform: Answer or break off what is open when an entry's grace period ends

The entry now gives each such request its 502 or 503, breaks off begun streams, and logs each with its cause and age.

--- a/packages/forward/ForwardEvent.h
+++ b/packages/forward/ForwardEvent.h
@@ -73,14 +73,20 @@
 struct DeadlinePassed
 { };
 
+/// The process is about to end.
+struct EntryStops
+{ };
+
 } // namespace lycheereach::forward_event
 
 namespace lycheereach {
 
 /// One input of ForwardStateMachine.
-using ForwardEvent = std::variant<
-    forward_event::Start, forward_event::TargetChosen, forward_event::NoTargetAvailable,
-    forward_event::ResponseHeadReceived, forward_event::AttemptData, forward_event::AttemptEnded,
-    forward_event::TargetStalled, forward_event::CallerDisconnected, forward_event::DeadlinePassed>;
+using ForwardEvent
+    = std::variant<forward_event::Start, forward_event::TargetChosen,
+                   forward_event::NoTargetAvailable, forward_event::ResponseHeadReceived,
+                   forward_event::AttemptData, forward_event::AttemptEnded,
+                   forward_event::TargetStalled, forward_event::CallerDisconnected,
+                   forward_event::DeadlinePassed, forward_event::EntryStops>;
 
 } // namespace lycheereach
--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -110,13 +110,7 @@
         context_.eventSink_(
             Event{EventNumber::GroupStalled,
                   {{"upstream", target.upstream_.text()}, {"reason", "no stream of it moved"}}});
-        auto requests = std::vector<std::shared_ptr<ForwardedRequest>>{};
-        {
-            const auto lock = std::scoped_lock(mutex_);
-            for (const auto &[key, request] : activeRequests_)
-                requests.push_back(request);
-        }
-        for (const auto &request : requests)
+        for (const auto &request : activeRequests())
             request->targetStalled(target);
     }
 }
@@ -312,6 +306,21 @@
     isLeaving_ = true;
 }
 
+auto ForwardService::activeRequests() const -> std::vector<std::shared_ptr<ForwardedRequest>>
+{
+    auto requests = std::vector<std::shared_ptr<ForwardedRequest>>{};
+    const auto lock = std::scoped_lock(mutex_);
+    for (const auto &[key, request] : activeRequests_)
+        requests.push_back(request);
+    return requests;
+}
+
+auto ForwardService::endRemainingRequests() -> void
+{
+    for (const auto &request : activeRequests())
+        request->post(forward_event::EntryStops{});
+}
+
 auto ForwardService::timeSinceProgress(const UpstreamId &upstream) const -> std::optional<Duration>
 {
     return context_.targets_.timeSinceProgress(upstream, context_.clock_());
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lycheereach {
 
@@ -45,6 +46,8 @@
     auto handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void;
     /// Begins a planned shutdown of the entry.
     auto beginShutdown() -> void;
+    /// Answers or breaks off every request in progress, since the process is about to end.
+    auto endRemainingRequests() -> void;
     /// Time since \a upstream last sent events of a stream; nothing when it never did.
     [[nodiscard]] auto timeSinceProgress(const UpstreamId &upstream) const
         -> std::optional<Duration>;
@@ -73,6 +76,7 @@
     auto indexIfReady() -> std::shared_ptr<const RouteIndex>;
     /// Records in the replicated state, once, that the fleet has had traffic.
     auto recordFirstTraffic() -> void;
+    [[nodiscard]] auto activeRequests() const -> std::vector<std::shared_ptr<ForwardedRequest>>;
     auto removeFinished(const ForwardedRequest *request) -> void;
     auto tryTakeRetry(const PoolName &service) -> bool;
     [[nodiscard]] auto declarationAge() const -> DeclarationAge;
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -359,6 +359,12 @@
     giveUp(gatewayTimeout, "the time for the request has passed");
 }
 
+auto ForwardStateMachine::on(const forward_event::EntryStops &) -> void
+{
+    if (!replied_)
+        giveUp(badGateway, "the entry stops before the answer is complete");
+}
+
 auto ForwardStateMachine::giveUp(std::uint16_t statusIfRun, const std::string &reason) -> void
 {
     const auto mayHaveRun = attempt_ || verdict_ != Verdict::NotRun;
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -54,6 +54,7 @@
     auto on(const forward_event::TargetStalled &event) -> void;
     auto on(const forward_event::CallerDisconnected &event) -> void;
     auto on(const forward_event::DeadlinePassed &event) -> void;
+    auto on(const forward_event::EntryStops &event) -> void;
 
     /// An attempt whose connection is open.
     struct Attempt
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -712,3 +712,15 @@
         CHECK(find<action::StartAttempt>() != nullptr);
     }
 }
+
+TEST(ForwardStateMachine, theEntryStops_event_answersOrBreaksOff)
+{
+    auto waiting = makeStateMachine(RouteKind::Safe);
+    handle(waiting, Start{});
+    startAttempt(waiting, "u1");
+    handle(waiting, EntryStops{});
+    UNSIGNED_LONGS_EQUAL(502, find<action::SendRefusal>()->refusal_.status_);
+    auto begun = makeMovingStream();
+    handle(begun, EntryStops{});
+    CHECK(find<action::AbortResponse>() != nullptr);
+}
