--- a/tests/serving/CrashLedgerTest.cpp
+++ b/tests/serving/CrashLedgerTest.cpp
@@ -54,7 +54,7 @@
         send(crash_message::report, encode(CrashReport{upstream, 1, fingerprints}));
     }
 
-    auto run(Duration duration)->void
+    auto runFor(Duration duration)->void
     {
         for (auto elapsed = Duration(0); elapsed < duration; elapsed += 50ms) {
             fleet_.run(50ms);
@@ -77,12 +77,12 @@
 TEST(CrashLedger, aCrash_report_tellsEveryEntryTheSuspectsOnce)
 {
     report("u1", {poison_, subject_});
-    run(1s);
+    runFor(1s);
     CHECK(told_.size() >= 2);
     const auto first = told_.size();
     for (const auto &[entry, suspects] : told_)
         LONGS_EQUAL(2, suspects.size());
-    run(1s);
+    runFor(1s);
     LONGS_EQUAL(first, told_.size());
 }
 
@@ -90,9 +90,9 @@
 TEST(CrashLedger, twoCrashesWithOnePartInCommon_tick_blocksThePartAtEveryEntry)
 {
     report("u1", {poison_, "request-1"});
-    run(200ms);
+    runFor(200ms);
     report("u2", {poison_, "request-2"});
-    run(600ms);
+    runFor(600ms);
     CHECK(isBlocked(poison_));
 }
 
@@ -100,13 +100,13 @@
 TEST(CrashLedger, anEntryHasServedASuspect_tick_blocksTheOtherOne)
 {
     report("u1", {poison_, subject_});
-    run(50ms);
+    runFor(50ms);
     send(crash_message::served, Json{subject_});
-    run(150ms);
+    runFor(150ms);
     report("u2", {poison_, subject_});
-    run(50ms);
+    runFor(50ms);
     send(crash_message::served, Json{subject_});
-    run(600ms);
+    runFor(600ms);
     CHECK(isBlocked(poison_));
     CHECK_FALSE(isBlocked(subject_));
 }
@@ -115,24 +115,24 @@
 TEST(CrashLedger, theLeaderIsLostBetweenTwoCrashes_tick_blocksThePart)
 {
     report("u1", {poison_, "request-1"});
-    run(200ms);
+    runFor(200ms);
     const auto leader = *fleet_.leader();
     ledgers_[leader].reset();
     fleet_.stop(leader);
     report("u2", {poison_, "request-2"});
     CHECK(fleet_.runUntil([&] { return fleet_.leader().has_value(); }));
-    run(3s);
+    runFor(3s);
     CHECK(isBlocked(poison_));
 }
 
 TEST(CrashLedger, requestsWithABlockedPartStillCome_tick_keepsItBlocked)
 {
     report("u1", {poison_});
-    run(200ms);
+    runFor(200ms);
     report("u2", {poison_});
-    run(1s);
+    runFor(1s);
     for (auto i = 0; i < 30; ++i) {
-        run(5s);
+        runFor(5s);
         send(crash_message::refused, Json{poison_});
         CHECK(isBlocked(poison_));
     }
@@ -141,11 +141,11 @@
 TEST(CrashLedger, noRequestWithABlockedPartComesAnyMore_tick_unblocksIt)
 {
     report("u1", {poison_});
-    run(200ms);
+    runFor(200ms);
     report("u2", {poison_});
-    run(50s);
+    runFor(50s);
     CHECK(isBlocked(poison_));
-    run(20s);
+    runFor(20s);
     CHECK_FALSE(isBlocked(poison_));
 }
 
@@ -153,9 +153,9 @@
 TEST(CrashLedger, theLeaderStartsAgain_tick_forgetsNothingTooEarly)
 {
     report("u1", {poison_});
-    run(200ms);
+    runFor(200ms);
     report("u2", {poison_});
-    run(40s);
+    runFor(40s);
     const auto leader = *fleet_.leader();
     ledgers_[leader].reset();
     fleet_.stop(leader);
@@ -163,7 +163,7 @@
     fleet_.start(leader);
     ledgers_[leader] = makeLedger(leader);
     send(crash_message::refused, Json{poison_});
-    run(40s);
+    runFor(40s);
     CHECK(isBlocked(poison_));
 }
 
@@ -175,6 +175,6 @@
         for (const auto &params : {Json(), Json(1), Json::object(), Json{1, Json::array()}})
             send(method, params);
     }
-    run(1s);
+    runFor(1s);
     CHECK(told_.empty());
 }
