transport: Order accepting and closing in a listener of our own

RESTinio binds its accepts to the plain executor of the context, which no setting or trait makes a strand, so with several workers neither close_sync nor close_async is ordered with them. Its acceptor also ended at the first error: after one accept without a free file descriptor, callers could connect and were never answered, for the life of the server.

TcpListener takes the place of RESTinio's acceptor; RESTinio still makes and serves the connections. A mutex orders closing with the start of the next accept, as in PeerNetwork, so closing waits for no worker and there is no further thread. A failed accept is tried again after 100 ms.

The headers of Asio stand behind standard ones in TcpListener.h: in front of them Asio 1.22 doesn't see std::aligned_alloc and allocates otherwise than in other sources, which crashed the optimised test.

--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "transport/HttpServer.h"
 
 #include "transport/HookGate.h"
+#include "transport/TcpListener.h"
 #include "transport/WorkerPool.h"
 
 #include <restinio/all.hpp>
@@ -399,6 +400,51 @@
     using connection_state_listener_t = ClosedListener; // NOLINT(readability-identifier-naming)
 };
 
+/// Serves accepted connections. Takes the place of restinio::http_server_t, whose acceptor is not
+/// safe to close while one of several workers accepts.
+class Connections
+{
+public:
+    using Settings = restinio::server_settings_t<ServerTraits>;
+
+    Connections(asio::io_context &context, Settings settings)
+        : factory_(shareSettings(context, settings), settings.socket_options_setter())
+    { }
+
+    /// Serves the requests on \a socket; one call at a time.
+    auto serve(asio::ip::tcp::socket socket) -> void
+    {
+        auto error = std::error_code{};
+        const auto remote = socket.remote_endpoint(error);
+        if (!error)
+            socket.set_option(asio::ip::tcp::no_delay(true), error);
+        if (error) // The caller is gone already.
+            return;
+        const auto connection
+            = factory_.create_new_connection(std::move(socket), remote, LifetimeMonitor{nullptr});
+        connection->init();
+    }
+
+private:
+    using Factory = restinio::impl::connection_factory_t<ServerTraits>;
+    using SharedSettings = restinio::impl::connection_settings_t<ServerTraits>;
+    /// Without a limit on connections it takes a limiter and ignores it.
+    using LifetimeMonitor
+        = restinio::connection_count_limit_types<ServerTraits>::lifetime_monitor_t;
+    using MethodsMapper = ServerTraits::http_methods_mapper_t;
+
+    static auto shareSettings(asio::io_context &context, Settings &settings)
+        -> std::shared_ptr<SharedSettings>
+    {
+        settings.ensure_valid_connection_state_listener();
+        return std::make_shared<SharedSettings>(
+            settings, restinio::impl::create_parser_settings<MethodsMapper>(),
+            settings.timer_factory()->create(context));
+    }
+
+    Factory factory_;
+};
+
 } // namespace
 
 class HttpServer::Impl
@@ -426,30 +472,29 @@
         if (error)
             return error;
         const auto lock = std::scoped_lock(mutex_);
-        try {
-            server_ = std::make_unique<Server>(restinio::external_io_context(context_),
-                                               serverSettings(address));
-            server_->open_sync();
-        } catch (const std::system_error &failure) {
-            error = {failure.code().value(), std::system_category()};
-        }
-        return error;
+        if (listener_)
+            listener_->close();
+        auto connections = std::make_shared<Connections>(context_, connectionSettings());
+        listener_ = std::make_shared<TcpListener>(
+            context_, [connections = std::move(connections)](asio::ip::tcp::socket socket) {
+                connections->serve(std::move(socket));
+            });
+        error = listener_->listen({address, settings_.port_});
+        port_ = listener_->port();
+        return {error.value(), std::system_category()};
     }
 
     auto stopListening() -> void
     {
         const auto lock = std::scoped_lock(mutex_);
-        if (server_)
-            server_->close_sync();
+        if (listener_)
+            listener_->close();
     }
 
     [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
 
 private:
-    using Server = restinio::http_server_t<ServerTraits>;
-
-    auto serverSettings(const asio::ip::address &address)
-        -> restinio::server_settings_t<ServerTraits>
+    auto connectionSettings() -> Connections::Settings
     {
         auto limits = restinio::incoming_http_msg_limits_t{};
         limits.max_url_size(headerLimitBytes);
@@ -457,22 +502,13 @@
         limits.max_field_value_size(headerLimitBytes);
         limits.max_field_count(headerCountLimit);
         limits.max_body_size(settings_.bodyLimitBytes_ * hardBodyLimitFactor);
-        auto result = restinio::server_settings_t<ServerTraits>{};
-        result.address(address)
-            .protocol(address.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4())
-            .port(settings_.port_)
-            .incoming_http_msg_limits(limits)
+        auto result = Connections::Settings{};
+        result.incoming_http_msg_limits(limits)
             .max_pipelined_requests(pipelinedRequests)
             .timer_manager(timeoutCheckPeriod)
             .read_next_http_message_timelimit(settings_.idleTimeout_)
             .write_http_response_timelimit(settings_.idleTimeout_)
             .handle_request_timeout(settings_.handleTimeout_)
-            .socket_options_setter([](restinio::socket_options_t &options) {
-                options.set_option(asio::ip::tcp::no_delay(true));
-            })
-            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
-                port_ = acceptor.local_endpoint().port();
-            })
             .connection_state_listener(std::make_shared<ClosedListener>(core_))
             .request_handler([core = core_](const restinio::request_handle_t &request) {
                 return core->handle(request);
@@ -484,7 +520,7 @@
     HttpServerSettings settings_;
     std::shared_ptr<ServerCore> core_;
     std::mutex mutex_;
-    std::unique_ptr<Server> server_;
+    std::shared_ptr<TcpListener> listener_;
     std::atomic<std::uint16_t> port_ = 0;
 };
 
--- /dev/null
+++ b/packages/transport/TcpListener.cpp
@@ -0,0 +1,89 @@
+#include "transport/TcpListener.h"
+
+#include <chrono>
+#include <utility>
+
+namespace lycheereach {
+
+namespace {
+
+/// The wait after a failed accept, for example for want of file descriptors.
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
+
+} // namespace
+
+TcpListener::TcpListener(asio::io_context &context, Accepted accepted)
+    : accepted_(std::move(accepted))
+    , acceptor_(context)
+    , retryTimer_(context)
+{ }
+
+auto TcpListener::listen(const asio::ip::tcp::endpoint &endpoint) -> std::error_code
+{
+    if (const auto error = open(endpoint)) {
+        close();
+        return error;
+    }
+    acceptNext();
+    return {};
+}
+
+auto TcpListener::close() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto ignored = std::error_code{};
+    acceptor_.close(ignored);
+    retryTimer_.cancel();
+}
+
+auto TcpListener::port() const -> std::uint16_t
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return port_;
+}
+
+auto TcpListener::open(const asio::ip::tcp::endpoint &endpoint) -> std::error_code
+{
+    const auto lock = std::scoped_lock(mutex_);
+    auto error = std::error_code{};
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (!error)
+        port_ = acceptor_.local_endpoint(error).port();
+    return error;
+}
+
+auto TcpListener::acceptNext() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    if (!acceptor_.is_open())
+        return;
+    acceptor_.async_accept(
+        [self = shared_from_this()](const std::error_code &error, asio::ip::tcp::socket socket) {
+            if (error) {
+                self->retryAccept();
+                return;
+            }
+            self->accepted_(std::move(socket));
+            self->acceptNext();
+        });
+}
+
+auto TcpListener::retryAccept() -> void
+{
+    const auto lock = std::scoped_lock(mutex_);
+    if (!acceptor_.is_open())
+        return;
+    retryTimer_.expires_after(acceptRetryDelay);
+    retryTimer_.async_wait([self = shared_from_this()](const std::error_code &error) {
+        if (!error)
+            self->acceptNext();
+    });
+}
+
+} // namespace lycheereach
--- /dev/null
+++ b/packages/transport/TcpListener.h
@@ -0,0 +1,48 @@
+/// \file
+/// \brief Accepting TCP connections.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <system_error>
+
+// Behind a standard header: in front of it Asio 1.22 allocates otherwise than in other sources.
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace lycheereach {
+
+/// Accepts connections on the workers of a context until it is closed. Thread-safe: accepting and
+/// closing are ordered. A pending accept keeps it alive.
+class TcpListener : public std::enable_shared_from_this<TcpListener>
+{
+public:
+    /// Takes a connection on a worker, one at a time.
+    using Accepted = std::function<void(asio::ip::tcp::socket)>;
+
+    TcpListener(asio::io_context &context, Accepted accepted);
+
+    /// Listens, once; the error says why it can't, for example address in use.
+    auto listen(const asio::ip::tcp::endpoint &endpoint) -> std::error_code;
+    /// Further connections are refused from the return on. Waits for no worker.
+    auto close() -> void;
+    /// The port in use after listen().
+    [[nodiscard]] auto port() const -> std::uint16_t;
+
+private:
+    auto open(const asio::ip::tcp::endpoint &endpoint) -> std::error_code;
+    auto acceptNext() -> void;
+    auto retryAccept() -> void;
+
+    Accepted accepted_;
+    /// Guards the acceptor and the timer, which Asio doesn't.
+    mutable std::mutex mutex_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer retryTimer_;
+    std::uint16_t port_ = 0;
+};
+
+} // namespace lycheereach
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -3,8 +3,22 @@
 #include "base/ErrorCode.h"
 #include "transport/HttpFixture.h"
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <chrono>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,6 +34,28 @@
     reply->send(std::move(response));
 }
 
+/// Keeps the process from opening file descriptors.
+class NoFreeDescriptors
+{
+public:
+    NoFreeDescriptors()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &before_);
+        const auto lowestFree = ::dup(STDIN_FILENO);
+        ::close(lowestFree);
+        auto limit = before_;
+        limit.rlim_cur = static_cast<rlim_t>(lowestFree);
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+
+    ~NoFreeDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+    NoFreeDescriptors(const NoFreeDescriptors &) = delete;
+    auto operator=(const NoFreeDescriptors &) -> NoFreeDescriptors & = delete;
+
+private:
+    rlimit before_{};
+};
+
 } // namespace
 
 TEST_GROUP(HttpServer)
@@ -174,6 +210,51 @@
     CHECK(record_.get().body_ == "late");
 }
 
+// Guards against a data race: the acceptor was closed while a worker accepted.
+TEST(HttpServer, callersThatConnect_noMoreListening_isOrderedWithAccepting)
+{
+    constexpr auto rounds = 20;
+    constexpr auto callers = 32;
+    for (auto round = 0; round < rounds; ++round) {
+        auto ended = Watched<int>{};
+        serve(echo);
+        auto call = http_->call("GET", "/");
+        call.freshConnection_ = true;
+        for (auto caller = 0; caller < callers; ++caller) {
+            auto hooks = HttpCallHooks{};
+            hooks.ended_ = [&](const HttpOutcome &) { ended.change([](int &count) { ++count; }); };
+            http_->client_.start(call, std::move(hooks));
+        }
+        CHECK(ended.waitFor([&](int count) { return count > round; }));
+        http_->server_.stopListening();
+        CHECK(http_->client_.fetch(call).failure().verdict_ == Verdict::NotRun);
+        CHECK(ended.waitFor([](int count) { return count == callers; }));
+        http_.reset();
+    }
+}
+
+// Guards against a server that took no more connections after one failed accept.
+TEST(HttpServer, noFreeDescriptors_laterFreed_takesTheConnection)
+{
+    using namespace std::string_view_literals;
+    serve(echo);
+    auto context = asio::io_context{};
+    auto socket = asio::ip::tcp::socket(context, asio::ip::tcp::v4());
+    const auto patience = timeval{5, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    {
+        const auto exhausted = NoFreeDescriptors();
+        socket.connect({asio::ip::address_v4::loopback(), http_->server_.port()});
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    asio::write(socket, asio::buffer("GET / HTTP/1.1\r\nHost: here\r\n\r\n"sv));
+    constexpr auto statusLine = "HTTP/1.1 200 OK"sv;
+    auto answer = std::string(statusLine.size(), ' ');
+    CHECK(::recv(socket.native_handle(), answer.data(), answer.size(), MSG_WAITALL)
+          == static_cast<ssize_t>(statusLine.size()));
+    CHECK(answer == statusLine);
+}
+
 TEST(HttpServer, theCallerCloses_onClosed_isTold)
 {
     serve(keepReply());
