requests, forward: Move the proven fingerprints out of CrashWatch

Callers see no change. Requests of the gateway's path also need to know with which parts of prompts a request ended well recently, so that a crash of their upstream does not make sound parts suspects. One class in requests serves both paths; what it does was in CrashWatch before. The tests of forward and requests passed unchanged.

--- a/packages/forward/CrashWatch.cpp
+++ b/packages/forward/CrashWatch.cpp
@@ -20,12 +20,10 @@
 constexpr auto probeTimeLimit = std::chrono::seconds(2);
 /// Connections may break, and be reported, for this long after the first.
 constexpr auto caseLifetime = std::chrono::seconds(5);
-constexpr auto provenLifetime = std::chrono::seconds(60);
 /// As the suspicion itself lasts on the control processes.
 constexpr auto suspicionLifetime = std::chrono::minutes(10);
 constexpr auto refusalReportInterval = std::chrono::seconds(5);
 constexpr auto maxCases = std::size_t{256};
-constexpr auto maxProven = std::size_t{4096};
 constexpr auto maxSuspects = std::size_t{4096};
 
 } // namespace
@@ -72,33 +70,15 @@
     return found == fingerprints.end() ? std::string{} : *found;
 }
 
-auto CrashWatch::isProven(const std::string &fingerprint, MonotonicTime now) const -> bool
-{
-    const auto found = provenAt_.find(fingerprint);
-    return found != provenAt_.end() && now - found->second < provenLifetime;
-}
-
 auto CrashWatch::arePartsProven(const std::vector<std::string> &fingerprints) const -> bool
 {
     const auto now = hooks_.now_();
     const auto lock = std::scoped_lock(mutex_);
     return std::all_of(fingerprints.begin(), fingerprints.end(), [&](const auto &fingerprint) {
-        return !isPartFingerprint(fingerprint) || isProven(fingerprint, now);
+        return !isPartFingerprint(fingerprint) || proven_.contains(fingerprint, now);
     });
 }
 
-auto CrashWatch::prove(const std::string &fingerprint, MonotonicTime now) -> void
-{
-    auto &provenAt = provenAt_[fingerprint];
-    provenByTime_.erase({provenAt, fingerprint});
-    provenAt = now;
-    provenByTime_.emplace(now, fingerprint);
-    if (provenAt_.size() <= maxProven)
-        return;
-    provenAt_.erase(provenByTime_.begin()->second);
-    provenByTime_.erase(provenByTime_.begin());
-}
-
 auto CrashWatch::recordServed(const std::vector<std::string> &fingerprints) -> void
 {
     const auto now = hooks_.now_();
@@ -106,7 +86,7 @@
     for (const auto &fingerprint : fingerprints) {
         // A whole request is told by its digest, which hardly ever comes again.
         if (isPartFingerprint(fingerprint))
-            prove(fingerprint, now);
+            proven_.prove(fingerprint, now);
         if (suspects_.erase(fingerprint) != 0)
             cleared_.insert(fingerprint);
     }
@@ -125,7 +105,8 @@
             = cases_.emplace(crashed, Case{target, now, std::nullopt, {}, nullptr});
         auto &inFlight = found->second.fingerprints_;
         for (const auto &fingerprint : fingerprints) {
-            if (inFlight.size() < crash_message::maxFingerprints && !isProven(fingerprint, now))
+            if (inFlight.size() < crash_message::maxFingerprints
+                && !proven_.contains(fingerprint, now))
                 inFlight.insert(fingerprint);
         }
         if (!isNew)
@@ -225,7 +206,7 @@
     {
         const auto lock = std::scoped_lock(mutex_);
         for (auto &fingerprint : crash_message::readFingerprints(params)) {
-            if (isProven(fingerprint, now))
+            if (proven_.contains(fingerprint, now))
                 served.push_back(std::move(fingerprint));
             else if (suspects_.size() < maxSuspects)
                 suspects_.insert_or_assign(std::move(fingerprint), now);
--- a/packages/forward/CrashWatch.h
+++ b/packages/forward/CrashWatch.h
@@ -5,6 +5,7 @@
 #include "base/RankedMutex.h"
 #include "base/Time.h"
 #include "forward/CrashWatchHooks.h"
+#include "requests/ProvenFingerprints.h"
 
 #include <cstdint>
 #include <map>
@@ -70,8 +71,6 @@
     };
 
     auto recordProbe(const CrashedTarget &crashed, bool hasEnded) -> void;
-    [[nodiscard]] auto isProven(const std::string &fingerprint, MonotonicTime now) const -> bool;
-    auto prove(const std::string &fingerprint, MonotonicTime now) -> void;
     /// Reports the cases that are due.
     auto report() -> void;
     /// Cases with something to report; drops those that are no crash or old.
@@ -80,9 +79,7 @@
     CrashWatchHooks hooks_;
     mutable RankedMutex mutex_;
     std::map<CrashedTarget, Case> cases_;
-    /// When a request with a fingerprint last ended well, and the same by time.
-    std::map<std::string, MonotonicTime> provenAt_;
-    std::set<std::pair<MonotonicTime, std::string>> provenByTime_;
+    ProvenFingerprints proven_;
     /// Fingerprints that control suspects, and since when.
     std::map<std::string, MonotonicTime> suspects_;
     /// Suspects with which a request has ended well; to be sent.
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -3,6 +3,7 @@
 #include "base/ErrorCode.h"
 #include "forward/CrashWatch.h"
 #include "forward/TargetTable.h"
+#include "requests/ProvenFingerprints.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpReply.h"
 #include "transport/WorkerPool.h"
@@ -17,8 +18,6 @@
 
 /// Retry-After while no upstream accepts requests.
 constexpr auto noTargetRetryAfter = std::chrono::milliseconds(2000);
-/// A stream that has gone on for this long after its first event has not crashed its upstream.
-constexpr auto soundStreamTime = std::chrono::milliseconds(500);
 constexpr std::uint16_t firstNonSuccessStatus = 300;
 
 auto isStreaming(RouteKind kind) -> bool
@@ -212,7 +211,7 @@
     call.progressAt_ = context_.clock_();
     if (!streamSince_)
         streamSince_ = call.progressAt_;
-    if (call.progressAt_ - *streamSince_ >= soundStreamTime)
+    if (call.progressAt_ - *streamSince_ >= ProvenFingerprints::soundStreamTime)
         recordServed();
     if (context_.targets_.recordProgress(call.target_, call.progressAt_))
         context_.onProgress_(call.target_.upstream_);
