requests: Find a part to blame although each request is sent again

Callers of an entry that sends a request again after a crash saw upstreams crash two by two: of unlike requests with one part in common, each was found to be the cause of its own two crashes, and the part was cleared each time. SuspicionTable now remembers the parts that were in flight at several crashes of a blocked request. They are no suspects and are sent anywhere, but one more crash with such a part, before a request with it ends well, names the part. The settle time moves here, since the gateway needs it as well.

--- a/packages/requests/SuspicionTable.cpp
+++ b/packages/requests/SuspicionTable.cpp
@@ -113,7 +113,7 @@
         if (!crashes.contains(crash))
             continue;
         const auto settled = std::count_if(crashes.begin(), crashes.end(), hasSettled);
-        const auto count = static_cast<std::size_t>(settled);
+        const auto count = static_cast<std::size_t>(settled) + partsOfBlocked_.count(fingerprint);
         if (count < 2 || count < most)
             continue;
         if (count > most)
@@ -137,10 +137,27 @@
         return;
     const auto crashes = std::move(found->second.crashes_);
     suspicions_.erase(found);
+    if (isPartFingerprint(fingerprint))
+        partsOfBlocked_.erase(fingerprint);
+    else
+        keepPartsOf(crashes, now);
     for (const auto &crash : crashes)
         resolveCrash(crash, now);
 }
 
+auto SuspicionTable::keepPartsOf(const std::set<CrashedTarget> &crashes, MonotonicTime now) -> void
+{
+    for (const auto &[fingerprint, suspicion] : suspicions_) {
+        if (!isPartFingerprint(fingerprint) || partsOfBlocked_.size() >= maxSuspects)
+            continue;
+        const auto shared = std::count_if(crashes.begin(), crashes.end(), [&](const auto &crash) {
+            return suspicion.crashes_.contains(crash);
+        });
+        if (shared > 1)
+            partsOfBlocked_[fingerprint] = now;
+    }
+}
+
 auto SuspicionTable::setBlocked(const std::set<std::string> &fingerprints, MonotonicTime now)
     -> void
 {
@@ -156,6 +173,17 @@
     return suspicions_.contains(fingerprint) ? SuspicionStatus::Suspect : SuspicionStatus::Clear;
 }
 
+auto SuspicionTable::status(const std::vector<std::string> &fingerprints) const -> SuspicionStatus
+{
+    const auto isAny = [&](SuspicionStatus wanted) {
+        return std::any_of(fingerprints.begin(), fingerprints.end(),
+                           [&](const auto &fingerprint) { return status(fingerprint) == wanted; });
+    };
+    if (isAny(SuspicionStatus::Blocked))
+        return SuspicionStatus::Blocked;
+    return isAny(SuspicionStatus::Suspect) ? SuspicionStatus::Suspect : SuspicionStatus::Clear;
+}
+
 auto SuspicionTable::tryStart(const std::string &target, const std::string &fingerprint) -> bool
 {
     const auto currentRuling = status(fingerprint);
@@ -186,9 +214,10 @@
     return fingerprints;
 }
 
-auto SuspicionTable::clearSuspicion(const std::string &fingerprint) -> void
+auto SuspicionTable::clearSuspicion(const std::string &fingerprint) -> bool
 {
-    suspicions_.erase(fingerprint);
+    const auto wasPartOfBlocked = partsOfBlocked_.erase(fingerprint) != 0;
+    return suspicions_.erase(fingerprint) != 0 || wasPartOfBlocked;
 }
 
 auto SuspicionTable::removeExpired(MonotonicTime now) -> void
@@ -196,6 +225,8 @@
     std::erase_if(suspicions_, [&](const auto &entry) {
         return entry.second.lastReportedAt_ + retention_ < now;
     });
+    std::erase_if(partsOfBlocked_,
+                  [&](const auto &entry) { return entry.second + retention_ < now; });
     std::erase_if(unresolvedCrashes_,
                   [&](const auto &entry) { return entry.second + retention_ < now; });
     std::erase_if(resolvedCrashes_,
--- a/packages/requests/SuspicionTable.h
+++ b/packages/requests/SuspicionTable.h
@@ -21,17 +21,20 @@
 /// at a time run there. A second crash therefore has only one suspect of the first among its
 /// requests: that one is the cause and is blocked, and the other suspects of both crashes are
 /// cleared. Where a whole request and parts of it are suspected alike, the request is the cause,
-/// since other requests with these parts may be sound. Every entry sends a suspect to the target
-/// that targetForSuspect() returns, so that two callers who send the same request at the same time
-/// crash one target, not two. Several crashes at about the same time with nothing in common are an
-/// outage, which clears their suspects. Not thread-safe.
+/// since other requests with these parts may be sound; but when a part was in flight at one more
+/// crash before a request with it ended well, the part is the cause. Every entry sends a suspect to
+/// the target that targetForSuspect() returns, so that two callers who send the same request at the
+/// same time crash one target, not two. Several crashes at about the same time with nothing in
+/// common are an outage, which clears their suspects. Not thread-safe.
 class SuspicionTable
 {
 public:
+    static constexpr auto defaultRetention = std::chrono::minutes(10);
+
     /// removeExpired() removes suspicions older than \a retention. For \a settleTime after the
     /// first report of a crash no cause is named, so that the reports of other entries, and what
     /// they know of sound suspects, arrive first.
-    explicit SuspicionTable(Duration retention = std::chrono::minutes(10),
+    explicit SuspicionTable(Duration retention = defaultRetention,
                             Duration settleTime = Duration::zero());
 
     /// Records a crash that this or another entry reported; repeated reports count once. Without a
@@ -43,6 +46,10 @@
     /// Replaces the blocked fingerprints with those of FleetState::blocked_.
     auto setBlocked(const std::set<std::string> &fingerprints, MonotonicTime now) -> void;
     [[nodiscard]] auto status(const std::string &fingerprint) const -> SuspicionStatus;
+    /// The status of a request: blocked when any of \a fingerprints is blocked, suspect when any is
+    /// suspect.
+    [[nodiscard]] auto status(const std::vector<std::string> &fingerprints) const
+        -> SuspicionStatus;
 
     /// For the leaseholder of \a target: whether the request may start there. A request that is not
     /// suspected always may. A suspect may when no other suspect runs there, and is then counted as
@@ -50,8 +57,9 @@
     auto tryStart(const std::string &target, const std::string &fingerprint) -> bool;
     /// For the leaseholder of \a target: records that the request no longer runs there.
     auto finishRun(const std::string &target, const std::string &fingerprint) -> void;
-    /// Clears the request's suspicion, as it was answered completely.
-    auto clearSuspicion(const std::string &fingerprint) -> void;
+    /// Clears the suspicion, as a request with \a fingerprint was answered completely. Returns
+    /// whether there was anything to clear.
+    auto clearSuspicion(const std::string &fingerprint) -> bool;
     /// Removes suspicions and crashes that are older than the retention time.
     auto removeExpired(MonotonicTime now) -> void;
     [[nodiscard]] auto suspectCount() const -> std::size_t { return suspicions_.size(); }
@@ -60,6 +68,9 @@
     /// Suspects known at once; further ones are not recorded. Bounds the memory that callers can
     /// use up with requests that are never alike.
     static constexpr auto maxSuspects = std::size_t{4096};
+    /// A settle time that is enough for the reports of all entries about one crash, and for their
+    /// answers about the suspects.
+    static constexpr auto fleetSettleTime = std::chrono::milliseconds(120);
 
 private:
     /// The name of a target and the epoch or incarnation that crashed.
@@ -83,6 +94,8 @@
     /// other; empty when there is none or more than one.
     [[nodiscard]] auto causeOf(const CrashedTarget &crash, MonotonicTime now) const -> std::string;
     auto block(const std::string &fingerprint, MonotonicTime now) -> void;
+    /// Remembers the parts that were in flight at several of \a crashes, whose cause is a request.
+    auto keepPartsOf(const std::set<CrashedTarget> &crashes, MonotonicTime now) -> void;
     [[nodiscard]] auto containsBlocked(const CrashReport &report) const -> bool;
     /// Records that the cause of \a crash is known, and clears the requests suspected only of it.
     auto resolveCrash(const CrashedTarget &crash, MonotonicTime now) -> void;
@@ -102,6 +115,9 @@
     std::map<CrashedTarget, MonotonicTime> unresolvedCrashes_;
     /// Crashes whose cause is known, and when it was found.
     std::map<CrashedTarget, MonotonicTime> resolvedCrashes_;
+    /// Parts that a blocked request may have crashed upstreams with, and since when. They are no
+    /// suspects, but count as in flight at one more crash.
+    std::map<std::string, MonotonicTime> partsOfBlocked_;
     /// Fingerprints of blocked requests.
     std::set<std::string> blocked_;
 };
--- a/packages/serving/CrashLedger.cpp
+++ b/packages/serving/CrashLedger.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-constexpr auto suspicionRetention = std::chrono::minutes(10);
-/// Enough for the reports of all entries about one crash, and for their answers about the suspects.
-constexpr auto settleTime = std::chrono::milliseconds(120);
 constexpr auto proposalInterval = std::chrono::milliseconds(500);
 /// A cause for which no request was refused for this long is forgotten; several reports of entries
 /// fit into it.
@@ -31,7 +28,7 @@
     : control_(control)
     , hooks_(std::move(hooks))
     , mutex_(LockRank::Leaseholder)
-    , table_(suspicionRetention, settleTime)
+    , table_(SuspicionTable::defaultRetention, SuspicionTable::fleetSettleTime)
 { }
 
 auto CrashLedger::receive(const std::string &method, const Json &params) -> bool
--- a/tests/requests/SuspicionTableTest.cpp
+++ b/tests/requests/SuspicionTableTest.cpp
@@ -138,6 +138,33 @@
     CHECK(table_.status(poison_) == SuspicionStatus::Clear);
 }
 
+// Guards against entries that send each request once more: of unlike requests with one part in
+// common each was found to be the cause of its two crashes, and the part never.
+TEST(PoisonPart, aBlockedRequestHadIt_anotherRequestWithItCrashes_blocksThePart)
+{
+    report("u1", {"request-1", poison_, subject_});
+    report("u2", {"request-1", poison_, subject_});
+    CHECK(settle() == std::vector<std::string>{"request-1"});
+    CHECK(table_.clearSuspicion(subject_));
+    report("u3", {"request-2", poison_, subject_});
+    CHECK(settle() == std::vector<std::string>{poison_});
+    CHECK(table_.status(subject_) == SuspicionStatus::Clear);
+}
+
+TEST(PoisonPart, aBlockedRequestHadIt_servedOrLongAgo_anotherCrashBlocksNothing)
+{
+    report("u1", {"request-1", poison_, subject_});
+    report("u2", {"request-1", poison_, subject_});
+    CHECK(settle() == std::vector<std::string>{"request-1"});
+    table_.clearSuspicion(subject_);
+    report("u3", {"request-2", subject_});
+    CHECK(settle().empty());
+    now_ += 11min;
+    table_.removeExpired(now_);
+    report("u4", {"request-3", poison_});
+    CHECK(settle().empty());
+}
+
 // Guards against a wrong guess: the entry that forwarded a sound request reports the second crash
 // before the one that forwarded the request to blame.
 TEST(PoisonPart, theReportsOfACrashComeInPieces_settled_blocksWhatAllOfThemHave)
