gateway, requests, daemon: Refuse parts of prompts that crash upstreams

Callers whose chat requests share a message that crashes upstreams, for example a system message, crashed two upstreams with each request: an entry of the gateway reported the digest of the whole request only, so that unlike requests were each new to it. A request now has one fingerprint for its digest and one for each message but the last. A crash reports all of them and a request that ends well clears them; parts with which one ended well in the last minute, or a stream has gone on for half a second, are not reported, and an entry that gets a report clears those it knows to be sound. So that these answers count, causes are named and a crash is ruled on once its reports have settled (120 ms), and a block is proposed until it is committed. A request that was blocked while it waited for a permit is refused when it gets one. Messages between entries keep their form; crash.served is read as a text or a list.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -327,11 +327,13 @@
     }));
     timers_.push_back(workers_.every(servingTick, [this] {
         leaseholder_->tick();
-        suspicion_.tick();
         settler_.tick();
         budgets_.tick();
     }));
-    timers_.push_back(workers_.every(queueTick, [this] { broker_.tick(); }));
+    timers_.push_back(workers_.every(queueTick, [this] {
+        broker_.tick();
+        suspicion_.tick();
+    }));
     timers_.push_back(workers_.every(eventTick, [this] { recorder_.flush(); }));
 }
 
--- a/packages/gateway/ActiveRequestActions.cpp
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -62,19 +62,20 @@
     for (const auto &name : action.failedTargets_)
         permitRequest.choiceRequest_.excludedGroups_.emplace(name);
     if (action.withoutOtherSuspects_)
-        permitRequest.suspectFingerprint_ = request_.digest_;
-    const auto onPermitAnswered
-        = [self = shared_from_this()](const Result<BrokeredPermit> &result) {
-              if (!result) {
-                  self->post(request_event::PermitRefused{result.failure()});
-                  return;
-              }
-              const auto &choice = result->choice_;
-              self->permit_ = *result;
-              self->post(request_event::PermitGranted{
-                  RequestTarget{choice.group_.text(), choice.epoch_, choice.address_},
-                  result->validUntil_});
-          };
+        permitRequest.suspectFingerprint_
+            = context_.suspicion_.findSuspect(request_.fingerprints_).value_or(request_.digest_);
+    const auto onPermitAnswered = [self
+                                   = shared_from_this()](const Result<BrokeredPermit> &result) {
+        if (!result) {
+            self->post(request_event::PermitRefused{result.failure()});
+            return;
+        }
+        const auto &choice = result->choice_;
+        self->permit_ = *result;
+        self->post(request_event::PermitGranted{
+            RequestTarget{choice.group_.text(), choice.epoch_, choice.address_},
+            result->validUntil_, self->context_.suspicion_.ruling(self->request_.fingerprints_)});
+    };
     context_.broker_.request(std::move(permitRequest), onPermitAnswered);
 }
 
@@ -277,7 +278,7 @@
 {
     context_.broker_.ejectGroup(GroupId(action.target_.name_));
     context_.suspicion_.reportCrash(action.target_.name_, action.target_.epoch_,
-                                    action.fingerprint_,
+                                    action.fingerprints_,
                                     [self = shared_from_this()](SuspicionStatus suspicion) {
                                         self->post(request_event::CrashReported{suspicion});
                                     });
@@ -285,7 +286,7 @@
 
 auto ActiveRequest::perform(const request_action::ClearSuspect &action) -> void
 {
-    context_.suspicion_.requestServed(action.fingerprint_);
+    context_.suspicion_.requestServed(action.fingerprints_);
 }
 
 } // namespace lycheereach
--- a/packages/gateway/CallerRequest.h
+++ b/packages/gateway/CallerRequest.h
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lycheereach {
 
@@ -36,6 +37,8 @@
     IdempotencyKey claimKey_;
     /// requestDigest() of method, pool with target, and body.
     std::string digest_;
+    /// The digest, then one for each chat message but the last.
+    std::vector<std::string> fingerprints_;
     /// Whether it may run more than once.
     bool repeatable_ = true;
     ResponseFraming answerKind_ = ResponseFraming::HttpBody;
--- a/packages/gateway/RequestReader.cpp
+++ b/packages/gateway/RequestReader.cpp
@@ -1,6 +1,7 @@
 #include "gateway/RequestReader.h"
 
 #include "requests/RequestDigest.h"
+#include "requests/RequestFingerprint.h"
 #include "requests/RouteTable.h"
 #include "state/FleetState.h"
 #include "transport/HttpRequest.h"
@@ -128,6 +129,19 @@
     return Nothing{};
 }
 
+auto fingerprintsOf(const CallerRequest &callerRequest) -> std::vector<std::string>
+{
+    auto fingerprints = std::vector{callerRequest.digest_};
+    if (!callerRequest.chat_)
+        return fingerprints;
+    auto messages = std::vector<std::string>{};
+    for (const auto &message : callerRequest.chat_->body_.at("messages"))
+        messages.push_back(Json{message.at("role"), message.at("content")}.dump());
+    const auto parts = partFingerprints({messages.begin(), messages.end()});
+    fingerprints.insert(fingerprints.end(), parts.begin(), parts.end());
+    return fingerprints;
+}
+
 } // namespace
 
 auto readCallerRequest(const HttpRequest &request, const Declaration &declaration, RequestId id,
@@ -159,6 +173,7 @@
         return result.failure();
     const auto routeName = callerRequest.pool_.text() + callerRequest.target_;
     callerRequest.digest_ = requestDigest(callerRequest.method_, routeName, callerRequest.body_);
+    callerRequest.fingerprints_ = fingerprintsOf(callerRequest);
     return callerRequest;
 }
 
--- a/packages/gateway/RequestService.cpp
+++ b/packages/gateway/RequestService.cpp
@@ -151,7 +151,7 @@
     const auto policy = context_.control_.readState([&](const FleetState &state) {
         return policyFor(state.declaration_, zone_, request.pool_, UpstreamId());
     });
-    const auto suspicion = context_.suspicion_.ruling(request.digest_);
+    const auto suspicion = context_.suspicion_.ruling(request.fingerprints_);
     const auto id = request.id_;
     const auto onFinished = [this](const RequestId &ended) {
         const auto lock = std::scoped_lock(mutex_);
--- a/packages/gateway/SuspicionService.cpp
+++ b/packages/gateway/SuspicionService.cpp
@@ -2,6 +2,8 @@
 
 #include "control/ControlService.h"
 #include "gateway/CrashNotice.h"
+#include "requests/CrashMessages.h"
+#include "requests/RequestFingerprint.h"
 #include "transport/WorkerPool.h"
 
 #include <mutex>
@@ -13,6 +15,7 @@
 
 /// An entry that takes longer to acknowledge a crash won't hold a live state lease for long.
 constexpr auto acknowledgementTimeout = std::chrono::milliseconds(1500);
+constexpr auto proposalInterval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -25,6 +28,7 @@
     , eventSink_(std::move(eventSink))
     , clock_(std::move(clock))
     , mutex_(LockRank::Requests)
+    , table_(SuspicionTable::defaultRetention, SuspicionTable::fleetSettleTime)
 { }
 
 auto SuspicionService::stateChanged() -> void
@@ -34,30 +38,58 @@
         for (const auto &[fingerprint, since] : state.blocked_)
             blocked.insert(fingerprint);
         const auto lock = std::scoped_lock(mutex_);
+        std::erase_if(pendingBlocks_,
+                      [&](const auto &item) { return blocked.contains(item.first); });
+        for (const auto &[fingerprint, proposedAt] : pendingBlocks_)
+            blocked.insert(fingerprint);
         table_.setBlocked(blocked, clock_());
     });
 }
 
 auto SuspicionService::tick() -> void
 {
-    auto timedOut = std::vector<PendingReport>{};
+    auto finished = std::vector<PendingReport>{};
     {
         const auto lock = std::scoped_lock(mutex_);
         const auto now = clock_();
         table_.removeExpired(now);
+        for (auto &cause : table_.takeCauses(now))
+            pendingBlocks_.emplace(std::move(cause), now - proposalInterval);
         for (auto report = pendingReports_.begin(); report != pendingReports_.end();) {
-            if (now < report->second.timeoutAt_) {
+            const auto isAcknowledged
+                = report->second.unacknowledgedBy_.empty() && now >= report->second.settledAt_;
+            if (!isAcknowledged && now < report->second.timeoutAt_) {
                 ++report;
                 continue;
             }
-            timedOut.push_back(std::move(report->second));
+            finished.push_back(std::move(report->second));
             report = pendingReports_.erase(report);
         }
     }
-    for (auto &report : timedOut)
+    proposeBlocks();
+    for (auto &report : finished)
         finishReport(std::move(report));
 }
 
+auto SuspicionService::proposeBlocks() -> void
+{
+    auto due = std::vector<std::string>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto now = clock_();
+        for (auto &[fingerprint, proposedAt] : pendingBlocks_) {
+            if (now - proposedAt < proposalInterval)
+                continue;
+            proposedAt = now;
+            due.push_back(fingerprint);
+        }
+    }
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto atMs = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    for (const auto &fingerprint : due)
+        control_.propose(BlockRequest{fingerprint, atMs}, nullptr);
+}
+
 auto SuspicionService::otherEntries() const -> std::set<EntryId>
 {
     auto entries = control_.liveEntries();
@@ -66,104 +98,125 @@
 }
 
 auto SuspicionService::reportCrash(const std::string &target, Epoch epoch,
-                                   const std::string &fingerprint, RulingCallback done) -> void
+                                   const std::vector<std::string> &fingerprints,
+                                   RulingCallback done) -> void
 {
-    const auto crash = CrashReport{target, epoch, {fingerprint}};
-    eventSink_(Event{EventNumber::RequestSuspected, {{"group", target}, {"reason", fingerprint}}});
-    recordCrash(crash);
-    auto report = PendingReport{fingerprint, otherEntries(), clock_() + acknowledgementTimeout,
-                                std::move(done)};
-    const auto receivers = report.unacknowledgedBy_;
-    if (receivers.empty()) {
-        finishReport(std::move(report));
-        return;
-    }
-    auto notice = CrashNotice{.report_ = crash};
+    const auto now = clock_();
+    auto notice = CrashNotice{.report_ = CrashReport{target, epoch, fingerprints}};
+    auto &suspects = notice.report_.fingerprints_;
+    const auto receivers = otherEntries();
     {
         const auto lock = std::scoped_lock(mutex_);
+        std::erase_if(suspects, [&](const auto &item) { return proven_.contains(item, now); });
+        table_.report(notice.report_, now);
         notice.number_ = ++lastReportNumber_;
-        pendingReports_[notice.number_] = std::move(report);
+        pendingReports_[notice.number_]
+            = PendingReport{fingerprints, receivers, now + SuspicionTable::fleetSettleTime,
+                            now + acknowledgementTimeout, std::move(done)};
     }
+    for (const auto &fingerprint : suspects)
+        eventSink_(
+            Event{EventNumber::RequestSuspected, {{"group", target}, {"reason", fingerprint}}});
     for (const auto &entry : receivers)
-        send_(entry, "crash.report", encode(notice));
-}
-
-auto SuspicionService::recordCrash(const CrashReport &crash) -> void
-{
-    auto fingerprintsToBlock = std::vector<std::string>{};
-    {
-        const auto lock = std::scoped_lock(mutex_);
-        fingerprintsToBlock = table_.report(crash, clock_());
-    }
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    const auto atMs = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-    for (const auto &fingerprint : fingerprintsToBlock)
-        control_.propose(BlockRequest{fingerprint, atMs}, nullptr);
+        send_(entry, crash_message::report, encode(notice));
 }
 
 auto SuspicionService::receive(const EntryId &from, const std::string &method, const Json &params)
     -> bool
 {
-    if (method == "crash.report") {
+    if (method == crash_message::report) {
         if (const auto notice = decode<CrashNotice>(params)) {
-            recordCrash(notice->report_);
+            {
+                const auto lock = std::scoped_lock(mutex_);
+                table_.report(notice->report_, clock_());
+            }
+            clearProven(notice->report_.fingerprints_);
             send_(from, "crash.known", Json{{"number", notice->number_}});
         }
         return true;
     }
     if (method == "crash.known") {
-        if (params.is_object() && params.contains("number") && params["number"].is_number())
-            handleAcknowledgement(params["number"].get<std::uint64_t>(), from);
-        return true;
-    }
-    if (method == "crash.served") {
-        if (params.is_string()) {
+        if (params.is_object() && params.contains("number") && params["number"].is_number()) {
             const auto lock = std::scoped_lock(mutex_);
-            table_.clearSuspicion(params.get<std::string>());
+            const auto found = pendingReports_.find(params["number"].get<std::uint64_t>());
+            if (found != pendingReports_.end())
+                found->second.unacknowledgedBy_.erase(from);
         }
         return true;
     }
+    if (method == crash_message::served) {
+        const auto lock = std::scoped_lock(mutex_);
+        for (const auto &fingerprint : crash_message::readFingerprints(params))
+            table_.clearSuspicion(fingerprint);
+        return true;
+    }
     return false;
 }
 
-auto SuspicionService::handleAcknowledgement(std::uint64_t number, const EntryId &from) -> void
+auto SuspicionService::finishReport(PendingReport report) -> void
 {
-    auto complete = PendingReport{};
+    workers_.post([done = std::move(report.done_), suspicion = ruling(report.fingerprints_)] {
+        done(suspicion);
+    });
+}
+
+auto SuspicionService::clearProven(const std::vector<std::string> &fingerprints) -> void
+{
+    auto proven = std::vector<std::string>{};
     {
         const auto lock = std::scoped_lock(mutex_);
-        const auto found = pendingReports_.find(number);
-        if (found == pendingReports_.end())
-            return;
-        found->second.unacknowledgedBy_.erase(from);
-        if (!found->second.unacknowledgedBy_.empty())
-            return;
-        complete = std::move(found->second);
-        pendingReports_.erase(found);
+        for (const auto &fingerprint : fingerprints) {
+            if (!proven_.contains(fingerprint, clock_()))
+                continue;
+            table_.clearSuspicion(fingerprint);
+            proven.push_back(fingerprint);
+        }
     }
-    finishReport(std::move(complete));
+    sendServed(proven);
 }
 
-auto SuspicionService::finishReport(PendingReport report) -> void
+auto SuspicionService::sendServed(const std::vector<std::string> &fingerprints) -> void
 {
-    workers_.post([done = std::move(report.done_), suspicion = ruling(report.fingerprint_)] {
-        done(suspicion);
-    });
+    if (fingerprints.empty())
+        return;
+    // One message each, which entries of earlier versions read too.
+    for (const auto &entry : otherEntries()) {
+        for (const auto &fingerprint : fingerprints)
+            send_(entry, crash_message::served, fingerprint);
+    }
 }
 
-auto SuspicionService::requestServed(const std::string &fingerprint) -> void
+auto SuspicionService::requestServed(const std::vector<std::string> &fingerprints) -> void
 {
+    auto cleared = std::vector<std::string>{};
     {
         const auto lock = std::scoped_lock(mutex_);
-        table_.clearSuspicion(fingerprint);
+        for (const auto &fingerprint : fingerprints) {
+            // A whole request is told by its digest, which hardly ever comes again.
+            if (isPartFingerprint(fingerprint))
+                proven_.prove(fingerprint, clock_());
+            if (table_.clearSuspicion(fingerprint))
+                cleared.push_back(fingerprint);
+        }
     }
-    for (const auto &entry : otherEntries())
-        send_(entry, "crash.served", fingerprint);
+    sendServed(cleared);
+}
+
+auto SuspicionService::ruling(const std::vector<std::string> &fingerprints) const -> SuspicionStatus
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return table_.status(fingerprints);
 }
 
-auto SuspicionService::ruling(const std::string &fingerprint) const -> SuspicionStatus
+auto SuspicionService::findSuspect(const std::vector<std::string> &fingerprints) const
+    -> std::optional<std::string>
 {
     const auto lock = std::scoped_lock(mutex_);
-    return table_.status(fingerprint);
+    for (const auto &fingerprint : fingerprints) {
+        if (table_.status(fingerprint) == SuspicionStatus::Suspect)
+            return fingerprint;
+    }
+    return std::nullopt;
 }
 
 auto SuspicionService::admit(const std::string &target, const std::string &fingerprint) -> bool
--- a/packages/gateway/SuspicionService.h
+++ b/packages/gateway/SuspicionService.h
@@ -7,12 +7,15 @@
 #include "base/RankedMutex.h"
 #include "base/Time.h"
 #include "requests/CrashReport.h"
+#include "requests/ProvenFingerprints.h"
 #include "requests/SuspicionTable.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace lycheereach {
 
@@ -34,17 +37,22 @@
 
     /// Updates the blocked requests from the replicated state. Call it after every change.
     auto stateChanged() -> void;
-    /// Finishes reports that were not acknowledged in time, and forgets old suspicions. Call it
-    /// regularly.
+    /// Blocks the causes of crashes that have settled, finishes reports, and forgets old
+    /// suspicions. Call it several times within SuspicionTable::fleetSettleTime.
     auto tick() -> void;
     /// Handles a message of a peer; false when \a method belongs to another service.
     auto receive(const EntryId &from, const std::string &method, const Json &params) -> bool;
-    /// Tells every entry that \a fingerprint was in flight when \a target crashed.
-    auto reportCrash(const std::string &target, Epoch epoch, const std::string &fingerprint,
-                     RulingCallback done) -> void;
-    /// A suspect ran to the end, so every entry clears it.
-    auto requestServed(const std::string &fingerprint) -> void;
-    [[nodiscard]] auto ruling(const std::string &fingerprint) const -> SuspicionStatus;
+    /// Tells every entry that a request with \a fingerprints was in flight when \a target crashed.
+    /// Leaves out the parts with which a request ended well recently at this entry.
+    auto reportCrash(const std::string &target, Epoch epoch,
+                     const std::vector<std::string> &fingerprints, RulingCallback done) -> void;
+    /// A request with \a fingerprints ran to the end, so every entry clears those suspected.
+    auto requestServed(const std::vector<std::string> &fingerprints) -> void;
+    [[nodiscard]] auto ruling(const std::vector<std::string> &fingerprints) const
+        -> SuspicionStatus;
+    /// The first of \a fingerprints that is suspected.
+    [[nodiscard]] auto findSuspect(const std::vector<std::string> &fingerprints) const
+        -> std::optional<std::string>;
     /// At the leaseholder of \a target: whether \a fingerprint may start there; see
     /// SuspicionTable::admit().
     auto admit(const std::string &target, const std::string &fingerprint) -> bool;
@@ -52,18 +60,22 @@
     auto leave(const std::string &target, const std::string &fingerprint) -> void;
 
 private:
-    /// A crash report that other entries have yet to acknowledge.
+    /// A crash report that has not settled, or that other entries have yet to acknowledge.
     struct PendingReport
     {
-        std::string fingerprint_;
+        std::vector<std::string> fingerprints_;
         std::set<EntryId> unacknowledgedBy_;
+        MonotonicTime settledAt_;
         MonotonicTime timeoutAt_;
         RulingCallback done_;
     };
 
-    /// Adds \a crash to the table and proposes to block the requests that caused it.
-    auto recordCrash(const CrashReport &crash) -> void;
-    auto handleAcknowledgement(std::uint64_t number, const EntryId &from) -> void;
+    /// Tells every entry which of \a fingerprints are proven at this one.
+    auto clearProven(const std::vector<std::string> &fingerprints) -> void;
+    /// Tells every other entry that requests with \a fingerprints ended well.
+    auto sendServed(const std::vector<std::string> &fingerprints) -> void;
+    /// Proposes to block the causes that are not blocked yet in the replicated state.
+    auto proposeBlocks() -> void;
     /// Calls the callback of the report with the ruling, on a worker thread.
     auto finishReport(PendingReport report) -> void;
     /// The live entries without this one.
@@ -80,6 +92,9 @@
     /// By message number.
     std::map<std::uint64_t, PendingReport> pendingReports_;
     std::uint64_t lastReportNumber_ = 0;
+    ProvenFingerprints proven_;
+    /// Causes that the replicated state does not have as blocked yet, and when that was proposed.
+    std::map<std::string, MonotonicTime> pendingBlocks_;
 };
 
 } // namespace lycheereach
--- a/packages/requests/CrashMessages.cpp
+++ b/packages/requests/CrashMessages.cpp
@@ -6,6 +6,8 @@
 {
     constexpr auto maxLength = std::size_t{64};
     auto fingerprints = std::vector<std::string>{};
+    if (params.is_string())
+        return readFingerprints(Json::array({params}));
     if (!params.is_array())
         return fingerprints;
     for (const auto &item : params) {
--- a/packages/requests/CrashMessages.h
+++ b/packages/requests/CrashMessages.h
@@ -22,8 +22,8 @@
 /// Further fingerprints of a message are not read.
 constexpr auto maxFingerprints = std::size_t{512};
 
-/// The texts of the list \a params, without those that are too long for a fingerprint; empty when
-/// it is no list.
+/// The texts of the list \a params, or the only text that it is, without those that are too long
+/// for a fingerprint; empty when it is neither.
 auto readFingerprints(const Json &params) -> std::vector<std::string>;
 
 } // namespace lycheereach::crash_message
--- a/packages/requests/RequestAction.h
+++ b/packages/requests/RequestAction.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace lycheereach::request_action {
 
@@ -95,14 +96,14 @@
 struct ReportCrash
 {
     RequestTarget target_;
-    std::string fingerprint_;
+    std::vector<std::string> fingerprints_;
 };
 
-/// Clear the request's suspicion, as it was answered completely.
+/// Clear what may be suspected of the request, as it was answered completely or for long enough.
 struct ClearSuspect
 {
     RequestTarget target_;
-    std::string fingerprint_;
+    std::vector<std::string> fingerprints_;
 };
 
 /// Pass DeadlinePassed to the machine at this time.
--- a/packages/requests/RequestEvent.h
+++ b/packages/requests/RequestEvent.h
@@ -24,6 +24,8 @@
     RequestTarget target_;
     /// An attempt under this permit must start before this time.
     MonotonicTime validUntil_;
+    /// The ruling on the request now; it may have changed while the request waited.
+    SuspicionStatus ruling_ = SuspicionStatus::Clear;
 };
 
 /// Answer to TakePermit: no permit is granted, and failure_ tells why.
--- a/packages/requests/RequestMachine.cpp
+++ b/packages/requests/RequestMachine.cpp
@@ -1,9 +1,18 @@
 #include "requests/RequestMachine.h"
 
+#include <string_view>
 #include <utility>
 
 namespace lycheereach {
 
+namespace {
+
+constexpr auto blockedMessage = std::string_view(
+    "requests with this method, path and body, or with one of the messages before the last, "
+    "crashed upstreams and are refused; change the request");
+
+} // namespace
+
 RequestMachine::RequestMachine(RequestProperties properties, RequestCallbacks callbacks)
     : properties_(std::move(properties))
     , callbacks_(std::move(callbacks))
@@ -53,10 +62,7 @@
         return replyWithError({Error::InvalidArgument,
                                "this call must not run twice; send an Idempotency-Key with it"});
     if (properties_.suspicion_ == SuspicionStatus::Blocked)
-        return replyWithError(
-            {Error::RequestBlocked,
-             "requests with this method, path and body crashed upstreams and are refused; "
-             "change the request"});
+        return replyWithError({Error::RequestBlocked, std::string(blockedMessage)});
     if (draining_)
         return replyWithError(
             {Error::ShuttingDown, "this entry is stopping; send to another entry"});
@@ -68,6 +74,8 @@
     if (!std::exchange(awaitingPermit_, false))
         return;
     permit_ = event;
+    if (!replied_ && event.ruling_ == SuspicionStatus::Blocked)
+        return refuseBlocked();
     if (replied_ || !requiresClaim() || claim_ == ClaimState::Held)
         return startAttempt();
     claim_ = ClaimState::Requested;
@@ -75,6 +83,14 @@
     emit(request_action::CommitClaim{});
 }
 
+auto RequestMachine::refuseBlocked() -> void
+{
+    returnPermit(PermitUse::Unused);
+    if (claim_ == ClaimState::Held)
+        settleClaim(ClaimPhase::Released, std::nullopt);
+    replyWithError({Error::RequestBlocked, std::string(blockedMessage)});
+}
+
 auto RequestMachine::on(const request_event::PermitRefused &event) -> void
 {
     if (!std::exchange(awaitingPermit_, false))
--- a/packages/requests/RequestMachine.h
+++ b/packages/requests/RequestMachine.h
@@ -73,6 +73,9 @@
         bool refused_ = false;
         std::uint16_t status_ = 0;
         std::string contentType_;
+        /// When the first bytes of the response arrived.
+        std::optional<MonotonicTime> streamSince_;
+        bool partsCleared_ = false;
     };
 
     auto on(const request_event::Start &event) -> void;
@@ -99,12 +102,18 @@
     auto resumeAttempt() -> void;
     auto openAttempt(const RequestTarget &target, MonotonicTime validUntil) -> StartAttempt;
     auto returnPermit(PermitUse use) -> void;
+    /// Returns the permit of a request that was found to crash upstreams while it waited.
+    auto refuseBlocked() -> void;
     auto cancelAttempt() -> void;
     auto sendToCaller(const std::string &bytes) -> void;
     [[nodiscard]] auto isCurrent(const AttemptId &attempt) const -> bool;
     /// Why the ended attempt has no complete response; not set when it has one.
     auto failureOf(const request_event::AttemptEnded &event) -> std::optional<Failure>;
     auto attemptSucceeded() -> void;
+    /// Clears what may be suspected of the request, since it was answered completely.
+    auto clearSuspicion() -> void;
+    /// Clears the parts of a prompt whose stream has gone on for long enough.
+    auto clearPartsOfSoundStream() -> void;
     auto attemptFailed(const request_event::AttemptEnded &event, Failure failure) -> void;
     /// Retries the request or reports the last failure. Called after the permit was returned and a
     /// crash of the target was reported.
--- a/packages/requests/RequestMachineAttempts.cpp
+++ b/packages/requests/RequestMachineAttempts.cpp
@@ -1,9 +1,13 @@
 // The part of RequestMachine that runs and retries attempts.
 #include "requests/RequestMachine.h"
 
+#include "requests/ProvenFingerprints.h"
+#include "requests/RequestFingerprint.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <functional>
 #include <string_view>
 #include <utility>
 
@@ -11,6 +15,7 @@
 
 namespace {
 
+constexpr auto firstNonSuccessStatus = 300;
 constexpr auto minErrorStatus = 400;
 constexpr auto minServerErrorStatus = 500;
 /// The finish chunk for a stream that the upstream interrupted after its last token; doneEvent ends
@@ -128,6 +133,7 @@
         sendToCaller(bytes);
     if (assembler.failure())
         return cancelAttempt();
+    clearPartsOfSoundStream();
     if (assembler.streaming() && assembler.complete())
         reply(request_action::EndStream{});
 }
@@ -198,8 +204,7 @@
 {
     verdict_ = Verdict::Ran;
     returnPermit(PermitUse::Completed);
-    if (suspect_)
-        emit(request_action::ClearSuspect{attempt_->target_, properties_.digest_});
+    clearSuspicion();
     const auto &assembler = attempt_->assembler_;
     if (assembler.streaming())
         return reply(request_action::EndStream{});
@@ -209,6 +214,30 @@
     replyWhenSettled(request_action::SendResponse{answer, Verdict::Ran, false});
 }
 
+auto RequestMachine::clearSuspicion() -> void
+{
+    auto fingerprints = properties_.fingerprints_;
+    // An upstream may refuse a request before its parts could crash it.
+    if (attempt_->status_ >= firstNonSuccessStatus)
+        std::erase_if(fingerprints, isPartFingerprint);
+    if (!fingerprints.empty())
+        emit(request_action::ClearSuspect{attempt_->target_, std::move(fingerprints)});
+}
+
+auto RequestMachine::clearPartsOfSoundStream() -> void
+{
+    if (!attempt_->streamSince_)
+        attempt_->streamSince_ = now_;
+    const auto isSound = attempt_->assembler_.streaming()
+        && now_ - *attempt_->streamSince_ >= ProvenFingerprints::soundStreamTime;
+    if (!isSound || std::exchange(attempt_->partsCleared_, true))
+        return;
+    auto parts = properties_.fingerprints_;
+    std::erase_if(parts, std::not_fn(isPartFingerprint));
+    if (!parts.empty())
+        emit(request_action::ClearSuspect{attempt_->target_, std::move(parts)});
+}
+
 auto RequestMachine::attemptFailed(const request_event::AttemptEnded &event, Failure failure)
     -> void
 {
@@ -237,7 +266,7 @@
     if (event.alive_)
         return retryOrGiveUp();
     awaitingRuling_ = true;
-    emit(request_action::ReportCrash{attempt_->target_, properties_.digest_});
+    emit(request_action::ReportCrash{attempt_->target_, properties_.fingerprints_});
 }
 
 auto RequestMachine::on(const request_event::CrashReported &event) -> void
--- a/packages/requests/RequestProperties.h
+++ b/packages/requests/RequestProperties.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lycheereach {
 
@@ -23,9 +24,12 @@
     IdempotencyKey idempotencyKey_;
     /// requestDigest() of method, route and body.
     std::string digest_;
+    /// What is reported when an upstream crashes on the request: the digest, and the fingerprints
+    /// of the parts of its prompt.
+    std::vector<std::string> fingerprints_;
     /// How the end of a complete response is recognized.
     ResponseFraming framing_ = ResponseFraming::HttpBody;
-    /// The ruling of the suspicion table on the digest.
+    /// The ruling of the suspicion table on the fingerprints.
     SuspicionStatus suspicion_ = SuspicionStatus::Clear;
     /// The caller's `max_tokens`.
     std::optional<std::uint64_t> maxTokens_;
--- a/tests/requests/FleetFake.cpp
+++ b/tests/requests/FleetFake.cpp
@@ -79,6 +79,7 @@
 auto FleetFake::send(RequestProperties properties) -> std::size_t
 {
     properties.deadline_ = now_ + 2s;
+    properties.suspicion_ = suspicions_.status(properties.fingerprints_);
     const auto index = entries_.size();
     auto callbacks
         = RequestCallbacks{[] { return true; }, [this] { return ++nextSequenceNumber_; }};
@@ -171,6 +172,12 @@
         if (connection.open_)
             crashedUpstream = connection.upstream_;
     }
+    crashUpstream(crashedUpstream);
+}
+
+auto FleetFake::crashUpstream(std::size_t crashedUpstream) -> void
+{
+    ++upstreamCrashes_;
     upstreams_[crashedUpstream].alive_ = false;
     for (auto i = std::size_t{0}; i < connections_.size(); ++i) {
         if (connections_[i].open_ && connections_[i].upstream_ == crashedUpstream)
@@ -317,6 +324,10 @@
     }
     if (connection.start_.resumeAttempt_.empty())
         ++runCounts_[nameOf(entries_[connection.entry_].properties_)];
+    const auto &fingerprints = entries_[connection.entry_].properties_.fingerprints_;
+    if (std::find(fingerprints.begin(), fingerprints.end(), crashingFingerprint_)
+        != fingerprints.end())
+        return crashUpstream(connection.upstream_);
     sendResponse(index);
 }
 
@@ -397,12 +408,21 @@
     postEvent(entry, 2ms, request_event::ProbeFinished{alive});
 }
 
-auto FleetFake::perform(std::size_t entry, const request_action::ReportCrash &) -> void
+auto FleetFake::perform(std::size_t entry, const request_action::ReportCrash &action) -> void
 {
-    postEvent(entry, 2ms, request_event::CrashReported{SuspicionStatus::Suspect});
+    suspicions_.report({action.target_.name_, action.target_.epoch_, action.fingerprints_}, now_);
+    schedule(settleTime, [=, this] {
+        suspicions_.takeCauses(now_);
+        const auto &fingerprints = entries_[entry].properties_.fingerprints_;
+        deliverEvent(entry, request_event::CrashReported{suspicions_.status(fingerprints)});
+    });
 }
 
-auto FleetFake::perform(std::size_t, const request_action::ClearSuspect &) -> void { }
+auto FleetFake::perform(std::size_t, const request_action::ClearSuspect &action) -> void
+{
+    for (const auto &fingerprint : action.fingerprints_)
+        suspicions_.clearSuspicion(fingerprint);
+}
 
 auto FleetFake::perform(std::size_t entry, const request_action::StartTimer &action) -> void
 {
--- a/tests/requests/FleetFake.h
+++ b/tests/requests/FleetFake.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "requests/RequestMachine.h"
+#include "requests/SuspicionTable.h"
 
 #include <cstdint>
 #include <functional>
@@ -61,6 +62,11 @@
     /// of the entry.
     auto send(RequestProperties properties) -> std::size_t;
 
+    /// From now on every run of a request with \a fingerprint crashes its upstream.
+    auto crashOn(const std::string &fingerprint) -> void { crashingFingerprint_ = fingerprint; }
+    [[nodiscard]] auto upstreamCrashes() const -> std::uint32_t { return upstreamCrashes_; }
+    [[nodiscard]] auto suspicions() const -> const SuspicionTable & { return suspicions_; }
+
     [[nodiscard]] auto now() const -> MonotonicTime { return now_; }
     /// Not set when the caller received no reply.
     [[nodiscard]] auto reply(std::size_t entry) const -> std::optional<FakeReply>;
@@ -81,6 +87,9 @@
     static auto answerTo(const RequestProperties &properties) -> std::string;
 
 private:
+    /// After a crash, until its report is ruled on.
+    static constexpr auto settleTime = std::chrono::milliseconds(2);
+
     struct Entry
     {
         RequestProperties properties_;
@@ -133,7 +142,9 @@
     auto injectFault(std::size_t entry) -> void;
     /// Marks the unsettled claims of an entry as unknown, as when its lease has expired.
     auto markClaimsUnknown(std::size_t entry, Duration delay) -> void;
+    /// Crashes the upstream of the latest open connection.
     auto crashUpstream() -> void;
+    auto crashUpstream(std::size_t upstream) -> void;
     auto closeConnectionsOf(std::size_t entry, bool silently) -> void;
     /// Reports the silence of an open connection again and again, as the transport does.
     auto reportSilence(std::size_t index) -> void;
@@ -188,6 +199,9 @@
     bool loseNextClaimAnswer_ = false;
     bool refuseNextPermit_ = false;
     std::uint32_t lateDispatches_ = 0;
+    std::string crashingFingerprint_;
+    std::uint32_t upstreamCrashes_ = 0;
+    SuspicionTable suspicions_ = SuspicionTable(std::chrono::minutes(10), settleTime);
 };
 
 } // namespace lycheereach
--- a/tests/requests/RequestMachineTest.cpp
+++ b/tests/requests/RequestMachineTest.cpp
@@ -1,5 +1,7 @@
 #include "requests/RequestMachine.h"
 
+#include "requests/RequestFingerprint.h"
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +23,7 @@
     {
         properties_.request_ = RequestId("r");
         properties_.digest_ = "digest";
+        properties_.fingerprints_ = {"digest", partFingerprint("system")};
         properties_.deadline_ = now_ + 10s;
     }
 
@@ -131,6 +134,62 @@
     CHECK(sentProblem().verdict_ == Verdict::NotRun);
 }
 
+// Guards against a request that waits for a permit and crashes one more upstream after its kind was
+// found to crash them.
+TEST(RequestMachine, aRequestBlockedWhileItWaits_permitGranted_isRefusedAndReturnsThePermit)
+{
+    start();
+    handleEvent(request_event::PermitGranted{{"g", 1, "a"}, now_ + 1s, SuspicionStatus::Blocked});
+    CHECK(findAction<request_action::StartAttempt>() == nullptr);
+    CHECK(findAction<request_action::ReturnPermit>()->use_ == PermitUse::Unused);
+    CHECK(sentProblem().code_ == Error::RequestBlocked);
+    CHECK(sentProblem().verdict_ == Verdict::NotRun);
+    CHECK(machine_->finished());
+}
+
+TEST(RequestMachine, anAnswer_complete_clearsAllFingerprintsOnlyIfItIsASuccess)
+{
+    for (const auto status : {std::uint16_t{200}, std::uint16_t{404}}) {
+        start();
+        grantPermit();
+        const auto id = findAction<request_action::StartAttempt>()->attempt_;
+        handleEvent(request_event::ResponseHeadReceived{
+            id, ResponseHead{status, "text/plain", RequestId("r"), id, std::nullopt}});
+        handleEvent(request_event::AttemptEnded{id});
+        const auto cleared = findAction<request_action::ClearSuspect>()->fingerprints_;
+        if (status == 200)
+            CHECK(cleared == properties_.fingerprints_);
+        else
+            CHECK(cleared == std::vector<std::string>{"digest"});
+    }
+}
+
+// Guards against sound parts that are suspected because a long stream broke off before any request
+// with them had ended.
+TEST(RequestMachine, aStreamThatGoesOnForLong_moreData_clearsThePartsOnce)
+{
+    properties_.framing_ = ResponseFraming::ChatStream;
+    start();
+    grantPermit();
+    const auto id = findAction<request_action::StartAttempt>()->attempt_;
+    handleEvent(request_event::ResponseHeadReceived{
+        id, ResponseHead{200, "text/event-stream", RequestId("r"), id, std::nullopt}});
+    auto clearedCount = 0;
+    for (auto number = 1; number <= 4; ++number, now_ += 250ms) {
+        handleEvent(request_event::ResponseDataReceived{
+            id,
+            "id: " + std::to_string(number)
+                + "\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"},\"index\":0}]}\n\n"});
+        const auto *cleared = findAction<request_action::ClearSuspect>();
+        if (cleared == nullptr)
+            continue;
+        CHECK_EQUAL(3, number);
+        CHECK(cleared->fingerprints_ == std::vector{partFingerprint("system")});
+        ++clearedCount;
+    }
+    CHECK_EQUAL(1, clearedCount);
+}
+
 TEST(RequestMachine, callsThatMayNotStart_start_areRefused)
 {
     properties_.repeatable_ = false;
--- a/tests/requests/RequestMatrixTest.cpp
+++ b/tests/requests/RequestMatrixTest.cpp
@@ -16,6 +16,7 @@
     properties.repeatable_ = framing != ResponseFraming::HttpBody;
     properties.idempotencyKey_ = properties.repeatable_ ? IdempotencyKey() : IdempotencyKey("key");
     properties.digest_ = "digest";
+    properties.fingerprints_ = {"digest"};
     properties.framing_ = framing;
     return properties;
 }
