requests: Build SuspicionTable with Clang

Callers see no change. The lint of the change that keeps the parts of blocked requests failed: a lambda captured a structured binding, which Clang refuses in C++20 and GCC takes. The lambda now captures a reference to the member instead; the same tests of SuspicionTable cover it.

--- a/packages/requests/SuspicionTable.cpp
+++ b/packages/requests/SuspicionTable.cpp
@@ -150,8 +150,9 @@
     for (const auto &[fingerprint, suspicion] : suspicions_) {
         if (!isPartFingerprint(fingerprint) || partsOfBlocked_.size() >= maxSuspects)
             continue;
+        const auto &inFlightAt = suspicion.crashes_;
         const auto shared = std::count_if(crashes.begin(), crashes.end(), [&](const auto &crash) {
-            return suspicion.crashes_.contains(crash);
+            return inFlightAt.contains(crash);
         });
         if (shared > 1)
             partsOfBlocked_[fingerprint] = now;
