gateway, serving, forward: Forget blocked fingerprints in the daemon's fleet too

Callers whose prompt was blocked once were refused for ever by the entries of a daemon's fleet, also after its engines had been repaired: nothing there proposed UnblockRequest. Entries now tell each other at most every 5 s of refusals, and the leader unblocks what nobody refused for 60 s, as CrashLedger does; the rule moves from there into BlockExpiry, so that both paths share it. An entry counts from when it first sees a block, so a restart or a new leader forgets nothing too early. A test keeps a part blocked for two minutes of refusals and sees it unblocked after a minute without; it was not run on the code before, which has no such call.

--- a/packages/forward/CrashWatch.cpp
+++ b/packages/forward/CrashWatch.cpp
@@ -1,5 +1,6 @@
 #include "forward/CrashWatch.h"
 
+#include "requests/BlockExpiry.h"
 #include "requests/CrashMessages.h"
 #include "requests/CrashReport.h"
 #include "requests/RequestFingerprint.h"
@@ -22,7 +23,6 @@
 constexpr auto caseLifetime = std::chrono::seconds(5);
 /// As the suspicion itself lasts on the control processes.
 constexpr auto suspicionLifetime = std::chrono::minutes(10);
-constexpr auto refusalReportInterval = std::chrono::seconds(5);
 constexpr auto maxCases = std::size_t{256};
 constexpr auto maxSuspects = std::size_t{4096};
 
@@ -53,7 +53,7 @@
         if (found == blocked_.end())
             continue;
         isAnyBlocked = true;
-        if (now - found->second < refusalReportInterval)
+        if (now - found->second < BlockExpiry::refusalReportInterval)
             continue;
         found->second = now;
         refused_.insert(fingerprint);
--- a/packages/gateway/RequestService.cpp
+++ b/packages/gateway/RequestService.cpp
@@ -152,6 +152,8 @@
         return policyFor(state.declaration_, zone_, request.pool_, UpstreamId());
     });
     const auto suspicion = context_.suspicion_.ruling(request.fingerprints_);
+    if (suspicion == SuspicionStatus::Blocked)
+        context_.suspicion_.requestRefused(request.fingerprints_);
     const auto id = request.id_;
     const auto onFinished = [this](const RequestId &ended) {
         const auto lock = std::scoped_lock(mutex_);
--- a/packages/gateway/SuspicionService.cpp
+++ b/packages/gateway/SuspicionService.cpp
@@ -38,6 +38,9 @@
         for (const auto &[fingerprint, since] : state.blocked_)
             blocked.insert(fingerprint);
         const auto lock = std::scoped_lock(mutex_);
+        blockExpiry_.update(blocked, clock_());
+        std::erase_if(refusalToldAt_,
+                      [&](const auto &item) { return !blocked.contains(item.first); });
         std::erase_if(pendingBlocks_,
                       [&](const auto &item) { return blocked.contains(item.first); });
         for (const auto &[fingerprint, proposedAt] : pendingBlocks_)
@@ -67,6 +70,7 @@
         }
     }
     proposeBlocks();
+    proposeUnblocks();
     for (auto &report : finished)
         finishReport(std::move(report));
 }
@@ -90,6 +94,42 @@
         control_.propose(BlockRequest{fingerprint, atMs}, nullptr);
 }
 
+auto SuspicionService::proposeUnblocks() -> void
+{
+    if (!control_.isLeader())
+        return;
+    auto expired = std::vector<std::string>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        expired = blockExpiry_.takeExpired(clock_());
+    }
+    for (const auto &fingerprint : expired)
+        control_.propose(UnblockRequest{fingerprint}, nullptr);
+}
+
+auto SuspicionService::requestRefused(const std::vector<std::string> &fingerprints) -> void
+{
+    auto untold = std::vector<std::string>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        const auto now = clock_();
+        for (const auto &fingerprint : fingerprints) {
+            if (table_.status(fingerprint) != SuspicionStatus::Blocked)
+                continue;
+            blockExpiry_.recordRefusal(fingerprint, now);
+            const auto [told, isNew] = refusalToldAt_.emplace(fingerprint, now);
+            if (!isNew && now - told->second < BlockExpiry::refusalReportInterval)
+                continue;
+            told->second = now;
+            untold.push_back(fingerprint);
+        }
+    }
+    if (untold.empty())
+        return;
+    for (const auto &entry : otherEntries())
+        send_(entry, crash_message::refused, untold);
+}
+
 auto SuspicionService::otherEntries() const -> std::set<EntryId>
 {
     auto entries = control_.liveEntries();
@@ -150,6 +190,12 @@
             table_.clearSuspicion(fingerprint);
         return true;
     }
+    if (method == crash_message::refused) {
+        const auto lock = std::scoped_lock(mutex_);
+        for (const auto &fingerprint : crash_message::readFingerprints(params))
+            blockExpiry_.recordRefusal(fingerprint, clock_());
+        return true;
+    }
     return false;
 }
 
--- a/packages/gateway/SuspicionService.h
+++ b/packages/gateway/SuspicionService.h
@@ -6,6 +6,7 @@
 #include "base/Ids.h"
 #include "base/RankedMutex.h"
 #include "base/Time.h"
+#include "requests/BlockExpiry.h"
 #include "requests/CrashReport.h"
 #include "requests/ProvenFingerprints.h"
 #include "requests/SuspicionTable.h"
@@ -48,6 +49,8 @@
                      const std::vector<std::string> &fingerprints, RulingCallback done) -> void;
     /// A request with \a fingerprints ran to the end, so every entry clears those suspected.
     auto requestServed(const std::vector<std::string> &fingerprints) -> void;
+    /// A request with \a fingerprints was refused as blocked, so that they stay blocked.
+    auto requestRefused(const std::vector<std::string> &fingerprints) -> void;
     [[nodiscard]] auto ruling(const std::vector<std::string> &fingerprints) const
         -> SuspicionStatus;
     /// The first of \a fingerprints that is suspected.
@@ -74,6 +77,8 @@
     auto clearProven(const std::vector<std::string> &fingerprints) -> void;
     /// Tells every other entry that requests with \a fingerprints ended well.
     auto sendServed(const std::vector<std::string> &fingerprints) -> void;
+    /// On the leader: proposes to unblock the fingerprints that are no longer refused.
+    auto proposeUnblocks() -> void;
     /// Proposes to block the causes that are not blocked yet in the replicated state.
     auto proposeBlocks() -> void;
     /// Calls the callback of the report with the ruling, on a worker thread.
@@ -95,6 +100,9 @@
     ProvenFingerprints proven_;
     /// Causes that the replicated state does not have as blocked yet, and when that was proposed.
     std::map<std::string, MonotonicTime> pendingBlocks_;
+    BlockExpiry blockExpiry_;
+    /// When the other entries were last told of refusals for a blocked fingerprint.
+    std::map<std::string, MonotonicTime> refusalToldAt_;
 };
 
 } // namespace lycheereach
--- a/packages/requests/CrashMessages.h
+++ b/packages/requests/CrashMessages.h
@@ -14,7 +14,8 @@
 constexpr auto report = "crash.report";
 /// Entry to control: a list of suspected or blocked fingerprints with which a request ended well.
 constexpr auto served = "crash.served";
-/// Entry to control: a list of blocked fingerprints with which requests are still refused.
+/// Entry to control or to other entries: a list of blocked fingerprints with which requests are
+/// still refused.
 constexpr auto refused = "crash.refused";
 /// Control to entry: a list of fingerprints that are suspected.
 constexpr auto suspects = "crash.suspects";
--- a/packages/serving/CrashLedger.cpp
+++ b/packages/serving/CrashLedger.cpp
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr auto proposalInterval = std::chrono::milliseconds(500);
-/// A cause for which no request was refused for this long is forgotten; several reports of entries
-/// fit into it.
-constexpr auto blockLifetime = std::chrono::seconds(60);
 
 auto wallTimeMs(const WallClock &clock) -> std::int64_t
 {
@@ -51,10 +48,8 @@
     if (method == crash_message::refused) {
         const auto now = hooks_.now_();
         const auto lock = std::scoped_lock(mutex_);
-        for (const auto &fingerprint : crash_message::readFingerprints(params)) {
-            if (const auto known = refusedAt_.find(fingerprint); known != refusedAt_.end())
-                known->second = now;
-        }
+        for (const auto &fingerprint : crash_message::readFingerprints(params))
+            blockExpiry_.recordRefusal(fingerprint, now);
         return true;
     }
     return false;
@@ -95,9 +90,7 @@
     auto commands = std::vector<Command>{};
     {
         const auto lock = std::scoped_lock(mutex_);
-        std::erase_if(refusedAt_, [&](const auto &item) { return !blocked.contains(item.first); });
-        for (const auto &fingerprint : blocked)
-            refusedAt_.emplace(fingerprint, now);
+        blockExpiry_.update(blocked, now);
         std::erase_if(pendingBlocks_,
                       [&](const auto &item) { return blocked.contains(item.first); });
         if (!isLeader) {
@@ -110,15 +103,14 @@
         table_.setBlocked(known, now);
         table_.removeExpired(now);
         if (isLeader)
-            commands = takeCommands(blocked, now);
+            commands = takeCommands(now);
     }
     for (const auto &command : commands)
         control_.propose(command, nullptr);
     tellNewSuspects();
 }
 
-auto CrashLedger::takeCommands(const std::set<std::string> &blocked, MonotonicTime now)
-    -> std::vector<Command>
+auto CrashLedger::takeCommands(MonotonicTime now) -> std::vector<Command>
 {
     for (auto &cause : table_.takeCauses(now))
         pendingBlocks_.emplace(std::move(cause), now - proposalInterval);
@@ -129,13 +121,8 @@
         proposedAt = now;
         commands.emplace_back(BlockRequest{fingerprint, wallTimeMs(hooks_.wallNow_)});
     }
-    for (const auto &fingerprint : blocked) {
-        auto &refusedAt = refusedAt_.at(fingerprint);
-        if (now - refusedAt < blockLifetime)
-            continue;
-        refusedAt = now - blockLifetime + proposalInterval;
+    for (const auto &fingerprint : blockExpiry_.takeExpired(now))
         commands.emplace_back(UnblockRequest{fingerprint});
-    }
     return commands;
 }
 
--- a/packages/serving/CrashLedger.h
+++ b/packages/serving/CrashLedger.h
@@ -6,6 +6,7 @@
 #include "base/JsonCodec.h"
 #include "base/RankedMutex.h"
 #include "base/Time.h"
+#include "requests/BlockExpiry.h"
 #include "requests/SuspicionTable.h"
 #include "serving/CrashLedgerHooks.h"
 #include "state/Command.h"
@@ -37,10 +38,8 @@
 
 private:
     auto recordReport(const Json &params) -> void;
-    /// Commands to propose at \a now, with the fingerprints that the replicated state has as
-    /// blocked.
-    auto takeCommands(const std::set<std::string> &blocked, MonotonicTime now)
-        -> std::vector<Command>;
+    /// Commands to propose at \a now.
+    auto takeCommands(MonotonicTime now) -> std::vector<Command>;
     /// On the leader: tells the entries the suspects that they were not told yet.
     auto tellNewSuspects() -> void;
 
@@ -52,8 +51,7 @@
     std::set<std::string> toldSuspects_;
     /// Causes that are not in the replicated state yet, and when each was last proposed.
     std::map<std::string, MonotonicTime> pendingBlocks_;
-    /// When an entry last refused a request for a blocked fingerprint, or when it was first seen.
-    std::map<std::string, MonotonicTime> refusedAt_;
+    BlockExpiry blockExpiry_;
 };
 
 } // namespace lycheereach
--- a/tests/gateway/SuspicionServiceTest.cpp
+++ b/tests/gateway/SuspicionServiceTest.cpp
@@ -170,3 +170,21 @@
     for (const auto &fingerprint : {std::string("request-1"), subject_, poison_})
         CHECK(isEverywhere(SuspicionStatus::Clear, fingerprint));
 }
+
+// Guards against a fingerprint that stays blocked for ever.
+TEST(SuspicionService, requestsWithABlockedPart_refusedOrNoLonger_stayBlockedAndAreThenUnblocked)
+{
+    crash(0, {"request-1", poison_}, 1);
+    run(200ms);
+    crash(1, {"request-2", poison_}, 2);
+    run(1s);
+    for (auto i = 0; i < 4; ++i) {
+        run(30s);
+        services_[2]->requestRefused({"request-3", poison_});
+        CHECK(isEverywhere(SuspicionStatus::Blocked, poison_));
+    }
+    run(50s);
+    CHECK(isEverywhere(SuspicionStatus::Blocked, poison_));
+    run(15s);
+    CHECK(isEverywhere(SuspicionStatus::Clear, poison_));
+}
