--- a/tests/gateway/SuspicionServiceTest.cpp
+++ b/tests/gateway/SuspicionServiceTest.cpp
@@ -65,7 +65,7 @@
         }
     }
 
-    auto run(Duration duration)->void
+    auto advance(Duration duration)->void
     {
         for (auto elapsed = Duration(0); elapsed < duration; elapsed += 20ms) {
             deliver();
@@ -105,13 +105,13 @@
 TEST(SuspicionService, twoCrashesWithOnePartInCommon_reported_blockThePartAtEveryEntry)
 {
     auto first = crash(0, {"request-1", poison_}, 1);
-    run(200ms);
+    advance(200ms);
     CHECK(first.get() == SuspicionStatus::Suspect);
     CHECK(isEverywhere(SuspicionStatus::Suspect, poison_));
     auto second = crash(1, {"request-2", poison_}, 2);
-    run(200ms);
+    advance(200ms);
     CHECK(second.get() == SuspicionStatus::Blocked);
-    run(1s);
+    advance(1s);
     CHECK(isEverywhere(SuspicionStatus::Blocked, poison_));
     CHECK(isEverywhere(SuspicionStatus::Clear, "request-1"));
 }
@@ -119,9 +119,9 @@
 TEST(SuspicionService, theSameRequestCrashesTwice_reported_blocksTheRequest)
 {
     crash(0, {"request-1"}, 1);
-    run(200ms);
+    advance(200ms);
     auto second = crash(0, {"request-1"}, 2);
-    run(200ms);
+    advance(200ms);
     CHECK(second.get() == SuspicionStatus::Blocked);
 }
 
@@ -129,7 +129,7 @@
 {
     services_[0]->requestServed({"request-0", subject_});
     crash(0, {"request-1", subject_}, 1);
-    run(200ms);
+    advance(200ms);
     CHECK(isEverywhere(SuspicionStatus::Clear, subject_));
     CHECK(isEverywhere(SuspicionStatus::Suspect, "request-1"));
 }
@@ -140,10 +140,10 @@
 {
     services_[2]->requestServed({"request-0", subject_});
     crash(0, {"request-1", subject_, poison_}, 1);
-    run(200ms);
+    advance(200ms);
     CHECK(isEverywhere(SuspicionStatus::Clear, subject_));
     crash(1, {"request-2", subject_, poison_}, 2);
-    run(1s);
+    advance(1s);
     CHECK(isEverywhere(SuspicionStatus::Blocked, poison_));
     CHECK(isEverywhere(SuspicionStatus::Clear, subject_));
 }
@@ -151,10 +151,10 @@
 TEST(SuspicionService, aSuspectServedLater_requestServed_isClearedEverywhere)
 {
     crash(0, {"request-1", subject_}, 1);
-    run(200ms);
+    advance(200ms);
     CHECK(services_[1]->findSuspect({"request-2", subject_}) == subject_);
     services_[1]->requestServed({"request-2", subject_});
-    run(20ms);
+    advance(20ms);
     CHECK(isEverywhere(SuspicionStatus::Clear, subject_));
     CHECK(isEverywhere(SuspicionStatus::Suspect, "request-1"));
 }
@@ -162,7 +162,7 @@
 TEST(SuspicionService, servedAsTextOrList_receive_clearsBothForms)
 {
     crash(0, {"request-1", subject_, poison_}, 1);
-    run(200ms);
+    advance(200ms);
     for (const auto &service : services_) {
         CHECK(service->receive(idOf(1), crash_message::served, subject_));
         CHECK(service->receive(idOf(1), crash_message::served, Json{"request-1", poison_}));
@@ -175,16 +175,16 @@
 TEST(SuspicionService, requestsWithABlockedPart_refusedOrNoLonger_stayBlockedAndAreThenUnblocked)
 {
     crash(0, {"request-1", poison_}, 1);
-    run(200ms);
+    advance(200ms);
     crash(1, {"request-2", poison_}, 2);
-    run(1s);
+    advance(1s);
     for (auto i = 0; i < 4; ++i) {
-        run(30s);
+        advance(30s);
         services_[2]->requestRefused({"request-3", poison_});
         CHECK(isEverywhere(SuspicionStatus::Blocked, poison_));
     }
-    run(50s);
+    advance(50s);
     CHECK(isEverywhere(SuspicionStatus::Blocked, poison_));
-    run(15s);
+    advance(15s);
     CHECK(isEverywhere(SuspicionStatus::Clear, poison_));
 }
