base, platform, requests, state: Bound the depth of JSON from outside

A report of an upstream, an announcement, a chat request or a configuration that nests very deeply could end the process that read it: the library parses without recursion, but copies, compares and writes recursively. A program of a few lines that reads a list in the way of JsonFields::list(), a million arrays deep, parsed it and ended with SIGSEGV in the copy.

Every parse of text now goes through a builder that stops at 128 arrays and objects, so that no deep value ever exists; peers' messages keep their limit of 32 and share the builder. Refusals name the limit.

Before, the tests of JsonCodec did not end within 8 s at a depth of 100'000 (CppUTest's leak detection is slow with that many allocations), so the stack overflow itself was seen in the program only. The tests of the callers were not run: their files were compiled, not linked.

--- a/packages/base/JsonCodec.cpp
+++ b/packages/base/JsonCodec.cpp
@@ -1,5 +1,7 @@
 #include "base/JsonCodec.h"
 
+#include "base/BoundedJsonParser.h"
+
 #include <algorithm>
 
 namespace lycheereach {
@@ -35,10 +37,25 @@
 
 } // namespace
 
+auto parseBoundedJson(std::string_view text) -> Json
+{
+    auto value = Json();
+    auto parser = BoundedJsonParser(value, jsonDepthLimit);
+    if (!Json::sax_parse(text, &parser))
+        return Json(Json::value_t::discarded);
+    return value;
+}
+
 auto parseJson(const std::string &text, const std::string &source) -> Result<Json>
 {
     try {
-        return Json::parse(text, nullptr, true, true);
+        auto value = Json();
+        auto parser = BoundedJsonParser(value, jsonDepthLimit, true);
+        if (Json::sax_parse(text, &parser, Json::input_format_t::json, true, true))
+            return value;
+        return Failure{Error::InvalidJson,
+                       source + ": nests more deeply than " + std::to_string(jsonDepthLimit)
+                           + " arrays and objects"};
     } catch (const Json::parse_error &error) {
         const auto byte = error.byte == 0 ? std::size_t{0} : error.byte - 1;
         const auto where = source + ":" + std::to_string(lineOf(text, byte));
--- a/packages/base/JsonCodec.h
+++ b/packages/base/JsonCodec.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <type_traits>
 #include <utility>
@@ -307,7 +308,16 @@
     return value;
 }
 
-/// Parses \a text, with comments allowed; the failure names \a source and the line.
+/// How many arrays and objects may lie within each other in a text from outside. Copying, comparing
+/// and writing a value recurse, so a deeper one could overflow the stack.
+constexpr auto jsonDepthLimit = 128;
+
+/// Parses \a text; the value is discarded when it is not valid JSON or nests more deeply than
+/// jsonDepthLimit.
+auto parseBoundedJson(std::string_view text) -> Json;
+
+/// Parses \a text, with comments allowed; the failure names \a source and the line. Nesting is
+/// limited by jsonDepthLimit.
 auto parseJson(const std::string &text, const std::string &source) -> Result<Json>;
 
 /// parseJson() and decode() in one.
--- a/packages/requests/ChatChunk.cpp
+++ b/packages/requests/ChatChunk.cpp
@@ -30,7 +30,7 @@
 
 auto parseChatChunk(const std::string &data) -> std::optional<ChatChunk>
 {
-    const auto json = Json::parse(data, nullptr, false);
+    const auto json = parseBoundedJson(data);
     if (!json.is_object())
         return std::nullopt;
     auto chunk = ChatChunk{};
--- a/packages/requests/ChatRequest.cpp
+++ b/packages/requests/ChatRequest.cpp
@@ -40,10 +40,12 @@
 auto parseChatRequest(std::string_view body) -> Result<ChatRequest>
 {
     auto request = ChatRequest{};
-    request.body_ = Json::parse(body, nullptr, false);
+    request.body_ = parseBoundedJson(body);
     if (request.body_.is_discarded())
-        return Failure{Error::InvalidJson, "request body: is no valid JSON", Verdict::NotRun,
-                       std::nullopt};
+        return Failure{Error::InvalidJson,
+                       "request body: is no valid JSON or nests more deeply than "
+                           + std::to_string(jsonDepthLimit) + " arrays and objects",
+                       Verdict::NotRun, std::nullopt};
     if (!request.body_.is_object())
         return invalidBody("/", "expected an object with model and messages");
     const auto model = request.body_.find("model");
--- a/packages/state/Command.cpp
+++ b/packages/state/Command.cpp
@@ -45,7 +45,7 @@
     const auto unpacked = unpackText(text);
     if (!unpacked)
         return unpacked.failure();
-    const auto json = Json::parse(*unpacked, nullptr, false);
+    const auto json = parseBoundedJson(*unpacked);
     if (!json.is_object() || json.size() != 1)
         return Failure{Error::InvalidJson, "a log record is not a command"};
     const auto item = json.begin();
--- a/packages/state/StateMachine.cpp
+++ b/packages/state/StateMachine.cpp
@@ -44,7 +44,7 @@
 auto StateMachine::restore(const std::string &snapshot) -> Result<Nothing>
 {
     const auto text = unpackText(snapshot);
-    const auto json = text ? Json::parse(*text, nullptr, false) : Json(Json::value_t::discarded);
+    const auto json = text ? parseBoundedJson(*text) : Json(Json::value_t::discarded);
     if (json.is_discarded())
         return Failure{Error::CorruptLog, "the snapshot of the control state is not readable"};
     auto restored = decode<FleetState>(json);
--- a/packages/transport/PeerNotification.cpp
+++ b/packages/transport/PeerNotification.cpp
@@ -1,5 +1,7 @@
 #include "transport/PeerNotification.h"
 
+#include "base/BoundedJsonParser.h"
+
 #include <utility>
 
 namespace lycheereach {
@@ -12,33 +14,6 @@
 /// Arrays and objects within each other; messages have fewer, and the library's reader recurses.
 constexpr auto depthLimit = 32;
 
-/// Builds a value and stops where it nests too deeply.
-class BoundedParser : public nlohmann::detail::json_sax_dom_parser<Json>
-{
-public:
-    using Base = nlohmann::detail::json_sax_dom_parser<Json>;
-
-    explicit BoundedParser(Json &value)
-        : Base(value, false)
-    { }
-
-    // The names that the library calls.
-    auto start_object(std::size_t size) -> bool { return enter() && Base::start_object(size); }
-    auto end_object() -> bool { return leave() && Base::end_object(); }
-    auto start_array(std::size_t size) -> bool { return enter() && Base::start_array(size); }
-    auto end_array() -> bool { return leave() && Base::end_array(); }
-
-private:
-    auto enter() -> bool { return ++depth_ <= depthLimit; }
-    auto leave() -> bool
-    {
-        --depth_;
-        return true;
-    }
-
-    int depth_ = 0;
-};
-
 auto invalidNotification(const char *problem) -> Failure
 {
     return {Error::InvalidJson, std::string("peer notification: ") + problem, Verdict::NotRun,
@@ -61,7 +36,7 @@
 auto decodeNotification(std::string_view bytes) -> Result<StampedMessage>
 {
     auto parts = Json();
-    auto parser = BoundedParser(parts);
+    auto parser = BoundedJsonParser(parts, depthLimit);
     if (!Json::sax_parse(bytes, &parser, Json::input_format_t::msgpack))
         return invalidNotification("not MessagePack");
     if (!parts.is_array() || parts.size() != partCount)
--- a/tests/base/JsonCodecTest.cpp
+++ b/tests/base/JsonCodecTest.cpp
@@ -20,6 +20,12 @@
     }
 };
 
+/// An array in an array and so on, \a depth in all.
+auto nestedArrays(std::size_t depth) -> std::string
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 auto messageOf(const std::string &text) -> std::string
 {
     const auto result = decodeText<Port>(text, "port.json");
@@ -70,3 +76,32 @@
 {
     STRCMP_CONTAINS("port.json:2: not valid JSON", messageOf("{\n \"number\" 1}").c_str());
 }
+
+// Guards against the end of a process whose stack overflows when a text that nests very deeply is
+// copied.
+TEST(JsonCodec, textNestedVeryDeeply_parse_isRefused)
+{
+    const auto text = nestedArrays(100'000);
+    CHECK(Json(parseBoundedJson(text)).is_discarded());
+    STRCMP_CONTAINS("port.json: nests more deeply than 128 arrays and objects",
+                    messageOf(text).c_str());
+}
+
+TEST(JsonCodec, textNestedToLimit_parse_isTaken)
+{
+    CHECK(parseBoundedJson(nestedArrays(jsonDepthLimit)).is_array());
+    CHECK(parseBoundedJson(nestedArrays(jsonDepthLimit + 1)).is_discarded());
+    CHECK(parseJson(nestedArrays(jsonDepthLimit), "text").ok());
+}
+
+// Guards against a stack that overflows in whatever handles the value before its type is checked.
+TEST(JsonCodec, fieldNestedVeryDeeply_read_isRefused)
+{
+    CHECK_FALSE(messageOf(R"({"number": 1, "label": )" + nestedArrays(100'000) + "}").empty());
+}
+
+TEST(JsonCodec, numberBeyondDouble_parse_isRefused)
+{
+    CHECK(parseBoundedJson("1e999").is_discarded());
+    STRCMP_CONTAINS("out of range", messageOf(R"({"number": 1e999})").c_str());
+}
