platform, state: Refuse numbers beyond their type in what others write

Another operator's report: one odd entry with a number too large made the machines that read the list end or stop following it. Here numbers of a configuration were cast from double without a bound, which is undefined beyond the type and differs between arm64 and x86-64.

--- a/packages/state/DeclarationCheck.cpp
+++ b/packages/state/DeclarationCheck.cpp
@@ -3,6 +3,7 @@
 #include "state/FleetState.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 namespace lycheereach {
@@ -93,6 +94,18 @@
     }
 }
 
+auto checkProfiles(const Declaration &declaration, Problems &problems) -> void
+{
+    constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+    const auto &profiles = declaration.profiles_;
+    for (auto position = std::size_t{0}; position < profiles.size(); ++position) {
+        const auto rate = profiles[position].coldPerSecond_;
+        if (!(rate >= 0 && rate <= largest))
+            problems.push_back(at("profiles", position) + "/coldPerSecond: must be from 0 to "
+                               + std::to_string(largest));
+    }
+}
+
 auto isDigest(const std::string &text) -> bool
 {
     const auto hexadecimal
@@ -224,6 +237,7 @@
     checkPools(declaration, problems);
     checkServices(declaration, problems);
     checkWorkspaces(declaration, problems);
+    checkProfiles(declaration, problems);
     checkRoutes(declaration, problems);
     for (auto position = std::size_t{0}; position < declaration.exceptions_.size(); ++position)
         checkException(declaration, position, problems);
--- a/tests/platform/ConfigurationReaderTest.cpp
+++ b/tests/platform/ConfigurationReaderTest.cpp
@@ -76,6 +76,8 @@
     const auto corruptions = std::vector<std::function<void(Json &)>>{
         [](Json &json) { json.erase("version"); },
         [](Json &json) { json["version"] = 1.5; },
+        [](Json &json) { json["version"] = 1e300; },
+        [](Json &json) { json["services"][0]["coldPerS"] = 1e300; },
         [](Json &json) { json.erase("routes"); },
         [](Json &json) { json["routes"] = "none"; },
         [](Json &json) { json["routes"][0]["timeoutMs"] = 0; },
@@ -103,3 +105,13 @@
     const auto text = configuration_.dump();
     CHECK_FALSE(readConfiguration(text.substr(0, text.size() / 2), settings_).ok());
 }
+
+// Guards against a control process that ends: the stack overflowed when a list of the
+// configuration was copied.
+TEST(ConfigurationReader, listNestedVeryDeeply_read_fails)
+{
+    constexpr auto depth = std::size_t{100'000};
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    const auto body = R"({"version": 8, "services": [], "routes": [)" + nested + "]}";
+    CHECK_FALSE(readConfiguration(body, settings_).ok());
+}
