platform, gateway, transport: Refuse odd ids, addresses, lengths and loads where they arrive

Each is refused at its boundary, with the field and what is allowed, and costs that entry only: a good report beside it is taken.

--- a/packages/gateway/RequestReader.cpp
+++ b/packages/gateway/RequestReader.cpp
@@ -5,6 +5,7 @@
 #include "requests/RouteTable.h"
 #include "state/FleetState.h"
 #include "transport/HttpRequest.h"
+#include "transport/InputChecks.h"
 
 #include <algorithm>
 #include <charconv>
@@ -100,8 +101,9 @@
 auto readIdempotencyKey(const HttpRequest &request, CallerRequest &callerRequest) -> Result<Nothing>
 {
     callerRequest.idempotencyKeyHeader_ = request.headers_.value("Idempotency-Key");
-    if (callerRequest.idempotencyKeyHeader_.size() > maxKeyLength)
-        return invalidArgument("Idempotency-Key: at most 255 characters");
+    const auto &key = callerRequest.idempotencyKeyHeader_;
+    if (!key.empty() && !isVisibleAscii(key, maxKeyLength))
+        return invalidArgument("Idempotency-Key: at most 255 visible ASCII characters");
     if (callerRequest.idempotencyKeyHeader_.empty() && !callerRequest.repeatable_)
         return invalidArgument(
             "Idempotency-Key: is missing; this route may not be repeated, so that "
--- a/packages/gateway/UpstreamApi.cpp
+++ b/packages/gateway/UpstreamApi.cpp
@@ -5,6 +5,7 @@
 #include "gateway/KeyCheck.h"
 #include "gateway/ProblemResponse.h"
 #include "serving/LeaseholderService.h"
+#include "transport/InputChecks.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,21 +17,6 @@
 constexpr auto statusOk = std::uint16_t{200};
 constexpr auto maxCarries = std::uint32_t{100'000};
 
-auto isIpAndPort(const std::string &text) -> bool
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size())
-        return false;
-    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
-    const auto port = std::string_view(text).substr(colon + 1);
-    const auto isIpCharacter = [&](char c) {
-        return isDigit(c) || c == '.' || c == ':' || c == '[' || c == ']' || (c >= 'a' && c <= 'f');
-    };
-    return std::all_of(port.begin(), port.end(), isDigit)
-        && std::all_of(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(colon),
-                       isIpCharacter);
-}
-
 } // namespace
 
 UpstreamApi::UpstreamApi(ControlService &control, LeaseholderService &leaseholder,
--- a/tests/platform/RegistryApiTest.cpp
+++ b/tests/platform/RegistryApiTest.cpp
@@ -71,6 +71,11 @@
         return sendRequest("DELETE", "");
     }
 
+    static auto isRefused(const KeptReply &reply)->bool
+    {
+        return reply.answer_ && reply.answer_->status_ == 400;
+    }
+
     /// Whether the state applied by \a node allows new requests to the upstream.
     auto isAvailableOn(std::size_t node)->bool
     {
@@ -181,3 +186,35 @@
     runFor(acknowledgementTimeout);
     CHECK_FALSE(isAvailableOn(entryIndex));
 }
+
+// Guards against control processes that end or stop following: an id that is no text can't be
+// written to the log.
+TEST(LeavingUpstream, idThatIsNoText_reportAndDeregistration_areRefused)
+{
+    for (const auto &id :
+         {std::string("i-\xff\xfe"), std::string("i-\x01"), std::string(300, 'i')}) {
+        upstreamId_ = UpstreamId(id);
+        CHECK(isRefused(*sendReport("ready", 1)));
+        CHECK(isRefused(*deregister()));
+    }
+}
+
+// Guards against the loss of other upstreams when one report is odd.
+TEST(LeavingUpstream, oddReportOfAnother_received_leavesThisOneAvailable)
+{
+    const auto goodId = std::exchange(upstreamId_, UpstreamId("odd"));
+    const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const auto &body :
+         {R"({"service":"app","address":"10.0.0.2:99999","zone":"z","state":"ready","sequence":1})"
+              + std::string(),
+          R"({"service":"app","address":"10.0.0.2:80","zone":"z","state":"ready","sequence":1e99})"
+              + std::string(),
+          R"({"service":"app","address":"10.0.0.2:80","zone":"z","state":"ready","sequence":1,
+              "staged":)"
+              + nested + "}"})
+        CHECK(isRefused(*sendRequest("PUT", body)));
+    upstreamId_ = goodId;
+    sendReport("ready", 2);
+    runFor(acknowledgementTimeout);
+    CHECK(isAvailableOn(entryIndex) && isAvailableOn(0));
+}
--- a/tests/platform/RequestDialectTest.cpp
+++ b/tests/platform/RequestDialectTest.cpp
@@ -124,3 +124,12 @@
     UNSIGNED_LONGS_EQUAL(503, response.status_);
     CHECK(response.headers_.value("Retry-After") == "1.500");
 }
+
+// Guards against an upstream that seems idle because its load did not fit.
+TEST(RequestDialect, loadBeyondItsType_read_countsAsNone)
+{
+    for (const auto *load : {"4294967296,0,26", "1,99999999999999999999,26"}) {
+        const auto head = codec_.parseHead_(HttpResponse{200, {{"X-Instance-Load", load}}, ""});
+        CHECK_FALSE(head.load_.has_value());
+    }
+}
--- a/tests/platform/UpstreamReportReaderTest.cpp
+++ b/tests/platform/UpstreamReportReaderTest.cpp
@@ -64,3 +64,72 @@
     CHECK_FALSE(readUpstreamReport("i-1", "\x80\x81").ok());
     CHECK_FALSE(readUpstreamReport("i-1", "[]").ok());
 }
+
+// Guards against control processes that end one after another: the stack overflowed when a list of
+// the report was copied.
+TEST(UpstreamReportReader, fieldsNestedVeryDeeply_read_fail)
+{
+    constexpr auto depth = std::size_t{100'000};
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const auto &field : {R"("staged": [)" + nested + "]",
+                              R"("group": {"name": )" + nested + "}", R"("unknown": )" + nested}) {
+        const auto body
+            = R"({"service": "pool", "address": "10.0.0.9:80", "zone": "north", "state": "ready",
+                  "sequence": 4, )"
+            + field + "}";
+        CHECK_FALSE(readUpstreamReport("i-1", body).ok());
+    }
+}
+
+// Guards against numbers that depend on the processor: a conversion of a number beyond its type is
+// undefined.
+TEST(UpstreamReportReader, numbersBeyondTheirTypes_read_fail)
+{
+    const auto validReport = report_;
+    const auto fields = std::vector<std::pair<const char *, Json>>{
+        {"/sequence", 1e20},     {"/sequence", 1e300},        {"/born", 18446744073709551616.0},
+        {"/active", 4294967296}, {"/queued", 1e10},           {"/coldRemainingMs", 1e300},
+        {"/group/epoch", 1e300}, {"/group/rank", 4294967296}, {"/group/rank", -1}};
+    for (const auto &[field, value] : fields) {
+        report_ = validReport;
+        report_[Json::json_pointer(field)] = value;
+        const auto announcement = read();
+        CHECK_FALSE_TEXT(announcement.ok(), field);
+        STRCMP_CONTAINS("must be a number from 0 to", announcement.failure().message_.c_str());
+    }
+}
+
+// Guards against two reports in a row with one sequence number: a double has no room for large
+// whole numbers.
+TEST(UpstreamReportReader, largestNumbers_read_areExact)
+{
+    report_["sequence"] = std::uint64_t{18446744073709551615U};
+    report_["active"] = 4294967295;
+    report_["coldRemainingMs"] = 1500.75;
+    const auto announcement = read();
+    CHECK(announcement.ok());
+    CHECK(announcement->sequence_ == 18446744073709551615U);
+    CHECK(announcement->running_ == 4294967295U);
+    CHECK(announcement->coldMs_ == 1500U);
+}
+
+// Guards against an upstream to which no request can be sent: any text passed as its address.
+TEST(UpstreamReportReader, addressesThatAreNoIpAndPort_read_fail)
+{
+    for (const auto &address :
+         {"x", "10.0.0.9", "10.0.0.9:", ":80", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999",
+          "10.0.0.9:-1", "10.0.0.9:8x", "10.0.0:80", "10.0.0.9:80/path", "user@10.0.0.9:80"}) {
+        report_["address"] = address;
+        const auto announcement = read();
+        CHECK_FALSE_TEXT(announcement.ok(), address);
+        STRCMP_CONTAINS("'address' must be IP:port", announcement.failure().message_.c_str());
+    }
+}
+
+// Guards against control processes that stop following the log: a snapshot or a record with texts
+// this long is more than peers take.
+TEST(UpstreamReportReader, reportOfAbsurdLength_read_fails)
+{
+    report_["zone"] = std::string(100'000, 'z');
+    CHECK_FALSE(read().ok());
+}
--- a/tests/transport/HttpClientTest.cpp
+++ b/tests/transport/HttpClientTest.cpp
@@ -246,3 +246,12 @@
     CHECK(second.failure().verdict_ == Verdict::MayHaveRun);
     LONGS_EQUAL(2, requests.load());
 }
+
+// Guards against a process that ends or waits for ever because of an address that is none.
+TEST(HttpClient, addressesThatAreNone_fetch_fail)
+{
+    for (const auto *address : {"", ":", "[", "1.2.3.4:99999", "127.0.0.1:0", "127.0.0.1:-1",
+                                "127.0.0.1:8x", "a b:80", "%ff:80"})
+        CHECK_FALSE_TEXT(client_.fetch(callTo(address)).ok(), address);
+    CHECK(failureOf("", true).code_ == Error::IncompleteAnswer);
+}
