--- a/packages/gateway/RequestReader.cpp
+++ b/packages/gateway/RequestReader.cpp
@@ -1,9 +1,11 @@
 #include "gateway/RequestReader.h"
 
 #include "requests/RequestDigest.h"
+#include "requests/RequestFingerprint.h"
 #include "requests/RouteTable.h"
 #include "state/FleetState.h"
 #include "transport/HttpRequest.h"
+#include "transport/InputChecks.h"
 
 #include <algorithm>
 #include <charconv>
@@ -99,8 +101,9 @@
 auto readIdempotencyKey(const HttpRequest &request, CallerRequest &callerRequest) -> Result<Nothing>
 {
     callerRequest.idempotencyKeyHeader_ = request.headers_.value("Idempotency-Key");
-    if (callerRequest.idempotencyKeyHeader_.size() > maxKeyLength)
-        return invalidArgument("Idempotency-Key: at most 255 characters");
+    const auto &key = callerRequest.idempotencyKeyHeader_;
+    if (!key.empty() && !isVisibleAscii(key, maxKeyLength))
+        return invalidArgument("Idempotency-Key: at most 255 visible ASCII characters");
     if (callerRequest.idempotencyKeyHeader_.empty() && !callerRequest.repeatable_)
         return invalidArgument(
             "Idempotency-Key: is missing; this route may not be repeated, so that "
@@ -128,6 +131,19 @@
     return Nothing{};
 }
 
+auto fingerprintsOf(const CallerRequest &callerRequest) -> std::vector<std::string>
+{
+    auto fingerprints = std::vector{callerRequest.digest_};
+    if (!callerRequest.chat_)
+        return fingerprints;
+    auto messages = std::vector<std::string>{};
+    for (const auto &message : callerRequest.chat_->body_.at("messages"))
+        messages.push_back(Json{message.at("role"), message.at("content")}.dump());
+    const auto parts = partFingerprints({messages.begin(), messages.end()});
+    fingerprints.insert(fingerprints.end(), parts.begin(), parts.end());
+    return fingerprints;
+}
+
 } // namespace
 
 auto readCallerRequest(const HttpRequest &request, const Declaration &declaration, RequestId id,
@@ -159,6 +175,7 @@
         return result.failure();
     const auto routeName = callerRequest.pool_.text() + callerRequest.target_;
     callerRequest.digest_ = requestDigest(callerRequest.method_, routeName, callerRequest.body_);
+    callerRequest.fingerprints_ = fingerprintsOf(callerRequest);
     return callerRequest;
 }
 
--- a/packages/requests/CrashMessages.h
+++ b/packages/requests/CrashMessages.h
@@ -14,7 +14,8 @@
 constexpr auto report = "crash.report";
 /// Entry to control: a list of suspected or blocked fingerprints with which a request ended well.
 constexpr auto served = "crash.served";
-/// Entry to control: a list of blocked fingerprints with which requests are still refused.
+/// Entry to control or to other entries: a list of blocked fingerprints with which requests are
+/// still refused.
 constexpr auto refused = "crash.refused";
 /// Control to entry: a list of fingerprints that are suspected.
 constexpr auto suspects = "crash.suspects";
@@ -22,8 +23,8 @@
 /// Further fingerprints of a message are not read.
 constexpr auto maxFingerprints = std::size_t{512};
 
-/// The texts of the list \a params, without those that are too long for a fingerprint; empty when
-/// it is no list.
+/// The texts of the list \a params, or the only text that it is, without those that are too long
+/// for a fingerprint; empty when it is neither.
 auto readFingerprints(const Json &params) -> std::vector<std::string>;
 
 } // namespace lycheereach::crash_message
