tests: Show that a momentary loss of a member makes its group leave

The fixture of EngineGatedPlanner becomes a base class, so that the red cases have a group of their own; its cases are unchanged.

--- a/tests/groups/EngineGatedPlannerTest.cpp
+++ b/tests/groups/EngineGatedPlannerTest.cpp
@@ -13,8 +13,9 @@
 using std::chrono::seconds;
 
 /// A fleet of engines that carry out orders immediately, on top of the real state machine.
-TEST_GROUP(EngineGatedPlanner)
+class EngineGatedPlannerFixture : public Utest
 {
+protected:
     MonotonicTime now_{seconds(100)};
     StateMachine machine_{[](const Event &) {}};
     EngineGatedPlanner planner_;
@@ -36,7 +37,7 @@
     /// Engines that orders do not reach.
     std::set<UpstreamId> unreachable_;
 
-    auto setup()->void override
+    auto setup() -> void override
     {
         auto declaration = Declaration{};
         declaration.zones_ = {ZoneName("a")};
@@ -47,7 +48,7 @@
         CHECK(commit(PublishDeclaration{1, declaration, "{}"}).accepted_);
     }
 
-    static auto pool(const std::string &model, std::uint32_t size, double share)->Pool
+    static auto pool(const std::string &model, std::uint32_t size, double share) -> Pool
     {
         return Pool{.name_ = PoolName("e/" + model),
                     .model_ = model,
@@ -56,18 +57,18 @@
                     .share_ = share};
     }
 
-    auto commit(const Command &command)->CommandOutcome
+    auto commit(const Command &command) -> CommandOutcome
     {
         return machine_.apply(++index_, command);
     }
 
-    auto announce(Announcement & engine)->void
+    auto announce(Announcement &engine) -> void
     {
         ++engine.sequence_;
         commit(PutUpstream{engine, EntryId("c")});
     }
 
-    auto addEngine(const std::string &id, const std::string &domain)->void
+    auto addEngine(const std::string &id, const std::string &domain) -> void
     {
         auto &engine = engines_[UpstreamId(id)];
         engine = Announcement{.upstream_ = UpstreamId(id),
@@ -80,13 +81,13 @@
         announce(engine);
     }
 
-    auto addEngines(int count)->void
+    auto addEngines(int count) -> void
     {
         for (auto i = 0; i < count; ++i)
             addEngine("u" + std::to_string(i), "d");
     }
 
-    auto execute(const EngineOrder &order)->void
+    auto execute(const EngineOrder &order) -> void
     {
         auto &engine = engines_.at(order.upstream_);
         auto &last = lastModels_[order.upstream_];
@@ -119,7 +120,7 @@
     }
 
     /// Plans once, applies the commands and lets the engines carry out the orders.
-    auto planOnce()->void
+    auto planOnce() -> void
     {
         now_ += milliseconds(100);
         const auto inputs = EngineGatedPlannerInputs{
@@ -142,13 +143,13 @@
         }
     }
 
-    auto planTimes(int count)->void
+    auto planTimes(int count) -> void
     {
         for (auto i = 0; i < count; ++i)
             planOnce();
     }
 
-    auto openGroups(const std::string &model)->int
+    auto openGroups(const std::string &model) -> int
     {
         auto count = 0;
         for (const auto &[id, group] : machine_.state().groups_) {
@@ -161,7 +162,7 @@
         return count;
     }
 
-    auto groupOf(const std::string &model)->const Group &
+    auto groupOf(const std::string &model) -> const Group &
     {
         for (const auto &[id, group] : machine_.state().groups_) {
             if (group.pool_ == PoolName("e/" + model))
@@ -171,7 +172,7 @@
         return machine_.state().groups_.begin()->second;
     }
 
-    auto loseUpstream(const UpstreamId &id)->void
+    auto loseUpstream(const UpstreamId &id) -> void
     {
         commit(LoseUpstream{id, engines_.at(id).incarnation_, EntryId()});
         unreachable_.insert(id);
@@ -179,7 +180,7 @@
 
     /// Checks that a group of \a model that loses a member opens again without a load, with one
     /// spare for both models.
-    auto checkLossWithOneSpare(const std::string &model)->void
+    auto checkLossWithOneSpare(const std::string &model) -> void
     {
         addEngines(6);
         planTimes(40);
@@ -191,7 +192,7 @@
         LONGS_EQUAL(loadsBefore, joinLoads_);
     }
 
-    auto joinsSince(std::size_t first)->int
+    auto joinsSince(std::size_t first) -> int
     {
         auto count = 0;
         for (auto i = first; i < orders_.size(); ++i)
@@ -200,6 +201,8 @@
     }
 };
 
+TEST_GROUP_BASE(EngineGatedPlanner, EngineGatedPlannerFixture){};
+
 TEST(EngineGatedPlanner, enginesAnnounceThemselvesOneByOne_plan_waitsUntilNoMoreAppear)
 {
     for (auto i = 0; i < 6; ++i) {
@@ -523,3 +526,36 @@
     for (const auto &[id, group] : groups)
         CHECK(machine_.state().groups_.contains(id));
 }
+
+/// A member or head of a group with open streams is silent for a moment, also towards probes, and
+/// is declared lost; then it goes on.
+TEST_GROUP_BASE(SilentMember,
+                EngineGatedPlannerFixture){auto ordersAfterAMomentarySilenceOf(std::size_t position)
+                                               ->std::vector<EngineOrder>{addEngines(6);
+planTimes(20);
+commit(NoteTraffic{});
+hasOpenStreams_ = true;
+const auto member = groupOf("large").members_.at(position);
+const auto before = static_cast<std::ptrdiff_t>(orders_.size());
+commit(LoseUpstream{member, 1, EntryId{}});
+planTimes(2);
+announce(engines_.at(member));
+planTimes(10);
+return {orders_.begin() + before, orders_.end()};
+}
+}
+;
+
+// Guards against streams that are cut because their sound head is ordered to leave (LOST).
+TEST(SilentMember, aMemberIsDeclaredLostForAMoment_plan_doesNotOrderTheHeadToLeave)
+{
+    for (const auto &order : ordersAfterAMomentarySilenceOf(1))
+        CHECK(order.kind_ != OrderKind::Leave);
+}
+
+// Guards against streams that are cut because the sound members of their head are ordered to leave.
+TEST(SilentMember, theHeadIsDeclaredLostForAMoment_plan_doesNotOrderItsMembersToLeave)
+{
+    for (const auto &order : ordersAfterAMomentarySilenceOf(0))
+        CHECK(order.kind_ != OrderKind::Leave);
+}
