--- a/tests/forward/SilentUpstreamTest.cpp
+++ b/tests/forward/SilentUpstreamTest.cpp
@@ -113,6 +113,8 @@
     auto teardown()->void override
     {
         timers_.stop();
+        // Holds a reply of silent_.
+        step_.reset();
         silent_.reset();
         refusing_.reset();
     }
