log: Let a voter recover from a failed write while its process runs

After a majority of them nothing could be committed. Class: a temporary condition kept as a permanent one.

Ruled out: syncing the same file again (a failed sync leaves the pages in an unknown state and the next one may succeed without them).

Records that are known to be committed are still applied after the failure, since they are taken from the core only once. replaceFile() removes its temporary file when sync or rename fails.

--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -20,6 +20,7 @@
     SnapshotInstalled = 1104,
     DiskFailed = 1105,
     VotersChanged = 1106,
+    DiskRecovered = 1110,
     ConfigurationAccepted = 1201,
     ConfigurationRefused = 1202,
     ConfigurationInForce = 1203,
--- a/packages/log/FileLogStorage.cpp
+++ b/packages/log/FileLogStorage.cpp
@@ -287,8 +287,6 @@
 auto FileLogStorage::writeSnapshot(const LogSnapshot &snapshot, const LogState &state,
                                    const std::vector<LogRecord> &following) -> Result<Nothing>
 {
-    if (writeFailure_)
-        return *writeFailure_;
     auto result = replaceFile(snapshotFileName, encodeFrame(0, encode(snapshot).dump()));
     if (!result && result.failure().code_ == Error::DiskFull)
         return result;
@@ -299,6 +297,7 @@
         writeFailure_->code_ = Error::DiskFailed;
         return *writeFailure_;
     }
+    writeFailure_.reset();
     return result;
 }
 
@@ -328,14 +327,15 @@
     if (file < 0)
         return systemCallFailure("open", temporary);
     const auto descriptor = ScopedFileDescriptor(file);
-    if (auto written = writeAll(file, bytes); !written) {
+    auto result = writeAll(file, bytes);
+    if (result)
+        result = syncFile(file, temporary);
+    if (result && ::rename(temporary.c_str(), path.c_str()) != 0)
+        result = systemCallFailure("rename", path);
+    if (!result) {
         ::unlink(temporary.c_str());
-        return written;
+        return result;
     }
-    if (auto synced = syncFile(file, temporary); !synced)
-        return synced;
-    if (::rename(temporary.c_str(), path.c_str()) != 0)
-        return systemCallFailure("rename", path);
     return syncFolder();
 }
 
--- a/packages/log/FileLogStorage.h
+++ b/packages/log/FileLogStorage.h
@@ -72,7 +72,8 @@
     std::optional<LogState> stagedState_;
     /// Encoded truncations and records that the next sync() writes.
     std::string stagedOperations_;
-    /// The disk failure after which every write is refused.
+    /// The failure after which the content of the log file is uncertain; every write but a new
+    /// snapshot is refused.
     std::optional<Failure> writeFailure_;
 };
 
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -44,6 +44,8 @@
     auto removeLearner(const EntryId &name) -> void;
     /// Sets whether the disk has space for more records.
     auto setDiskHasSpace(bool hasSpace) -> void;
+    /// Stops leading or standing for election, so that another voter can lead.
+    auto stepDown(MonotonicTime now) -> void;
 
     /// Returns the next actions; to be called until it returns none. New records are sent and
     /// synced in one batch.
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -188,6 +188,13 @@
     leader_ = std::move(leader);
 }
 
+auto LogCore::stepDown(MonotonicTime now) -> void
+{
+    now_ = now;
+    becomeFollower(state_.term_, std::nullopt);
+    resetElectionTimer();
+}
+
 auto LogCore::quorumContactTime() const -> std::optional<MonotonicTime>
 {
     auto contacts = std::vector<MonotonicTime>{};
--- a/packages/log/LogStorage.h
+++ b/packages/log/LogStorage.h
@@ -11,8 +11,8 @@
 namespace lycheereach {
 
 /// sync() makes the staged writes durable, together and in order. If it fails with Error::DiskFull,
-/// the writes stay staged and sync() may be called again; after any other failure the disk counts
-/// as failed.
+/// the writes stay staged and sync() may be called again. After any other failure the content of
+/// the files is uncertain and sync() fails until writeSnapshot() has replaced them.
 class LogStorage
 {
 public:
@@ -30,7 +30,8 @@
     virtual auto stageTruncation(LogIndex index) -> void = 0;
     virtual auto stageRecords(const std::vector<LogRecord> &records) -> void = 0;
     virtual auto sync() -> Result<Nothing> = 0;
-    /// Replaces everything stored, staged writes included, by the arguments; durable on return.
+    /// Replaces everything stored, staged writes included, by the arguments, in new files; durable
+    /// on return. Fails with Error::DiskFull only when nothing has changed.
     virtual auto writeSnapshot(const LogSnapshot &snapshot, const LogState &state,
                                const std::vector<LogRecord> &following) -> Result<Nothing> = 0;
     /// Whether \a bytes more fit without using the space that is reserved for terms and votes.
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// The time between attempts to write everything to new files after a failed write.
+constexpr auto recoveryInterval = std::chrono::seconds(1);
+/// The time between attempts to take a snapshot while the disk has no space for it.
+constexpr auto snapshotRetryInterval = std::chrono::seconds(1);
+constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
 /// Disk space required beside the payload of a record, for its encoding.
 constexpr auto recordOverheadBytes = std::size_t(1024);
 
@@ -44,6 +49,7 @@
             return written;
         stored.value().identity_ = identity;
     }
+    now_ = now;
     core_ = std::make_unique<LogCore>(settings_, *stored, hooks_.random_, now);
     reportedVoters_ = voters();
     const auto &snapshot = stored->snapshot_;
@@ -55,7 +61,8 @@
 
 auto Replica::tick(MonotonicTime now) -> void
 {
-    if (diskFailed_)
+    now_ = now;
+    if (diskFailed_ && !tryRecoverDisk())
         return;
     core_->setDiskHasSpace(storage_->hasFreeSpace(recordOverheadBytes));
     core_->tick(now);
@@ -67,6 +74,7 @@
     const auto decoded = decodeMessage(message);
     if (diskFailed_ || !decoded)
         return;
+    now_ = now;
     core_->setDiskHasSpace(
         storage_->hasFreeSpace(settings_.appendLimitBytes_ + recordOverheadBytes));
     core_->receive(from, *decoded, now);
@@ -78,8 +86,9 @@
     if (diskFailed_) {
         return Failure{Error::DiskFailed,
                        "the disk of " + settings_.self_.text()
-                           + " failed; replace it and start the process again"};
+                           + " failed and takes no new files yet; replace it if that lasts"};
     }
+    now_ = now;
     core_->setDiskHasSpace(!syncBlocked_
                            && storage_->hasFreeSpace(payload.size() + recordOverheadBytes));
     return core_->propose(std::move(payload), now);
@@ -170,12 +179,10 @@
 {
     for (auto actions = core_->takeActions(); !actions.empty(); actions = core_->takeActions()) {
         syncBlocked_ = false;
-        for (const auto &action : actions) {
+        // After a failed write committed records are still applied: they are taken only once.
+        for (const auto &action : actions)
             std::visit([this](const auto &concrete) { perform(concrete); }, action);
-            if (diskFailed_)
-                return;
-        }
-        if (syncBlocked_)
+        if (syncBlocked_ || diskFailed_)
             break;
     }
     takeSnapshotWhenDue();
@@ -193,6 +200,8 @@
 
 auto Replica::perform(const SyncWrites &action) -> void
 {
+    if (diskFailed_)
+        return;
     const auto written = storage_->sync();
     if (written)
         core_->onSynced(action.lastIndex_);
@@ -207,20 +216,19 @@
     const auto &log = core_->log();
     const auto &snapshot = log.snapshot();
     const auto index = snapshot.position_.index_;
-    constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
     const auto written = storage_->writeSnapshot(snapshot, core_->state(),
                                                  log.range(index + 1, log.last().index_, noLimit));
-    if (!written) {
-        markDiskFailed(written.failure());
-        return;
-    }
+    // The snapshot is committed, so it is restored even if this replica can't acknowledge it.
     hooks_.restore_(index, snapshot.bytes_);
-    emit(EventNumber::SnapshotInstalled, {{"version", std::to_string(index)}});
+    if (written)
+        emit(EventNumber::SnapshotInstalled, {{"version", std::to_string(index)}});
+    else
+        markDiskFailed(written.failure());
 }
 
 auto Replica::perform(const SendMessage &action) -> void
 {
-    if (!syncBlocked_)
+    if (!syncBlocked_ && !diskFailed_)
         hooks_.send_(action.to_, encodeMessage(action.message_));
 }
 
@@ -234,15 +242,17 @@
 {
     const auto &log = core_->log();
     const auto applied = core_->appliedIndex();
-    if (syncBlocked_ || applied < log.snapshot().position_.index_ + settings_.snapshotAfterRecords_)
+    if (syncBlocked_ || diskFailed_ || now_ < nextSnapshotAt_)
+        return;
+    if (applied < log.snapshot().position_.index_ + settings_.snapshotAfterRecords_)
         return;
     if (!storage_->hasFreeSpace(2 * log.snapshot().bytes_.size() + recordOverheadBytes))
         return;
     const auto snapshot = core_->makeSnapshot(hooks_.takeSnapshot_());
-    constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
     const auto written = storage_->writeSnapshot(
         snapshot, core_->state(), log.range(applied + 1, log.last().index_, noLimit));
     if (!written) {
+        nextSnapshotAt_ = now_ + snapshotRetryInterval;
         if (written.failure().code_ != Error::DiskFull)
             markDiskFailed(written.failure());
         return;
@@ -254,9 +264,30 @@
 auto Replica::markDiskFailed(const Failure &failure) -> void
 {
     diskFailed_ = true;
+    nextRecoveryAt_ = now_ + recoveryInterval;
     emit(EventNumber::DiskFailed, {{"reason", failure.message_}});
-    if (reportedLeader_ == settings_.self_)
-        emit(EventNumber::LeaderLost, {{"reason", "the disk failed"}});
+    core_->stepDown(now_);
+}
+
+auto Replica::tryRecoverDisk() -> bool
+{
+    if (now_ < nextRecoveryAt_)
+        return false;
+    nextRecoveryAt_ = now_ + recoveryInterval;
+    const auto &log = core_->log();
+    const auto last = log.last().index_;
+    // New files, since a write that failed leaves the content of the old ones uncertain. What is in
+    // memory holds everything that this replica has acknowledged.
+    const auto &snapshot = log.snapshot();
+    const auto written = storage_->writeSnapshot(
+        snapshot, core_->state(), log.range(snapshot.position_.index_ + 1, last, noLimit));
+    if (!written)
+        return false;
+    diskFailed_ = false;
+    core_->stepDown(now_);
+    core_->onSynced(last);
+    emit(EventNumber::DiskRecovered, {{"entry", settings_.self_.text()}});
+    return true;
 }
 
 auto Replica::emitChanges() -> void
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -25,8 +25,9 @@
 /// thread-safe.
 ///
 /// After a failed write or sync the replica stops participating: it sends no acknowledgement or
-/// vote and does not lead until the process is restarted on a working disk. While the disk is full
-/// the replica refuses new records; everything else goes on.
+/// vote and does not lead until everything that it holds in memory is written to new files, which
+/// it tries periodically. While the disk is full the replica refuses new records; everything else
+/// goes on.
 class Replica
 {
 public:
@@ -83,6 +84,8 @@
     auto perform(const ApplyRecords &action) -> void;
     auto takeSnapshotWhenDue() -> void;
     auto markDiskFailed(const Failure &failure) -> void;
+    /// Writes everything to new files when that is due; returns whether the disk works again.
+    auto tryRecoverDisk() -> bool;
     auto emitChanges() -> void;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
@@ -90,9 +93,14 @@
     std::unique_ptr<LogStorage> storage_;
     ReplicaHooks hooks_;
     std::unique_ptr<LogCore> core_;
+    /// The time of the last call.
+    MonotonicTime now_;
     bool diskFailed_ = false;
+    MonotonicTime nextRecoveryAt_;
     /// The last sync found the disk full, so nothing that depends on it may be sent.
     bool syncBlocked_ = false;
+    /// After a snapshot that the disk had no space for, no other is taken before this time.
+    MonotonicTime nextSnapshotAt_;
     /// The leader and the voters as of the last events.
     std::optional<EntryId> reportedLeader_;
     VoterSet reportedVoters_;
--- a/tests/log/MemoryStorage.h
+++ b/tests/log/MemoryStorage.h
@@ -18,7 +18,10 @@
 {
     StoredLog durable_;
     bool full_ = false;
+    /// Every write fails as on a faulty disk.
     bool syncFails_ = false;
+    /// As above, for snapshots alone.
+    bool snapshotFails_ = false;
     /// Called before and after each durable write; may throw Crash.
     std::function<void()> beforeAndAfterWrite_ = [] {};
     std::size_t syncCount_ = 0;
@@ -41,8 +44,12 @@
     [[nodiscard]] auto hasFreeSpace(std::size_t bytes) const -> bool override;
 
 private:
+    auto write(StoredLog content) -> Result<Nothing>;
+
     std::shared_ptr<MemoryDisk> disk_;
     StoredLog staged_;
+    /// A write has failed and no new snapshot has been written since.
+    bool hasFailed_ = false;
 };
 
 } // namespace lycheereach
--- a/tests/log/SimulatedCluster.cpp
+++ b/tests/log/SimulatedCluster.cpp
@@ -284,6 +284,8 @@
         nodes_[i].paused_ = false;
         nodes_[i].stepsUntilCrash_.reset();
         nodes_[i].disk_->full_ = false;
+        nodes_[i].disk_->syncFails_ = false;
+        nodes_[i].disk_->snapshotFails_ = false;
         start(i);
     }
     for (const auto end = elapsed_ + 20s; elapsed_ < end && !replicasAgree();)
