log: Go on with changes while only the leader's disk is full

No log line told of it.

Cause: a leader refused each proposal while its own disk was full, kept its lease by heartbeats, and so kept every other voter from leading. Its own disk is not needed: a record is committed once a majority has synced it, and the leader counts as synced only what its disk holds.

Change: propose() is refused only when too few voters have space. Followers tell in each reply whether theirs has, not only when they refuse a record.

Tests, failing before: Replica.aFullDiskOfTheLeader_propose_..., Replica.aLeaderKilledWhileItsDiskIsFull_..., Replica.aDiskOfTheLeaderFullForLong_...

Check replaced: fullDisks_propose_... waits for one round of heartbeats before the refusal and after the disks have space, as the leader learns of the other disks from them; it now holds the lease for 15 s instead of 5.

--- a/packages/base/EventCatalogue.cpp
+++ b/packages/base/EventCatalogue.cpp
@@ -20,6 +20,8 @@
     {DiskFailed, "disk-failed",
      "A write or sync failed; this voter acknowledges nothing until it has recovered."},
     {VotersChanged, "voters-changed", "The set of voters of the control log changed."},
+    {DiskFull, "disk-full", "The disk of a voter takes no more records."},
+    {DiskHasSpace, "disk-has-space", "The disk of a voter takes records again."},
     {DiskRecovered, "disk-recovered",
      "A voter wrote everything to new files and takes part again."},
     {ConfigurationAccepted, "configuration-accepted", "A new version was committed."},
--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -20,6 +20,8 @@
     SnapshotInstalled = 1104,
     DiskFailed = 1105,
     VotersChanged = 1106,
+    DiskFull = 1107,
+    DiskHasSpace = 1108,
     DiskRecovered = 1110,
     ConfigurationAccepted = 1201,
     ConfigurationRefused = 1202,
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -67,6 +67,8 @@
     /// Whether this replica leads, no other can be leader at \a now, and everything committed
     /// before is applied.
     [[nodiscard]] auto holdsLeaderLease(MonotonicTime now) const -> bool;
+    /// Whether too few voters have disk space to commit a record.
+    [[nodiscard]] auto diskFullBlocksQuorum() const -> bool;
 
 private:
     struct Peer
@@ -144,8 +146,6 @@
     /// A quorum of voters, this replica included, answered requests that were sent at this time or
     /// later; nullopt if no quorum has answered yet.
     [[nodiscard]] auto quorumContactTime() const -> std::optional<MonotonicTime>;
-    /// Whether too few voters have disk space to commit a record.
-    [[nodiscard]] auto diskFullBlocksQuorum() const -> bool;
     [[nodiscard]] auto validateVoterChange(const std::optional<EntryId> &add,
                                            const std::optional<EntryId> &remove) const
         -> Result<Nothing>;
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -54,11 +54,11 @@
         return reply;
     }
     reply.accepted_ = true;
+    reply.diskFull_ = !diskHasSpace_;
     reply.matchIndex_ = previous;
     for (const auto &record : body.records_) {
         const auto existingTerm = log_.termAt(record.index_);
         if (record.index_ > base && existingTerm != record.term_) {
-            reply.diskFull_ = !diskHasSpace_;
             if (reply.diskFull_)
                 break;
             if (existingTerm)
@@ -288,7 +288,8 @@
     now_ = now;
     if (role_ != ReplicaRole::Leader)
         return notLeaderFailure();
-    if (!diskHasSpace_ || diskFullBlocksQuorum()) {
+    // A leader whose own disk is full goes on: the records become durable at the other voters.
+    if (diskFullBlocksQuorum()) {
         return Failure{Error::DiskFull,
                        "the disks of the replicated log are full; free space under the data "
                        "folders of the voters and try again"};
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -12,6 +12,9 @@
 constexpr auto recoveryInterval = std::chrono::seconds(1);
 /// The time between attempts to take a snapshot while the disk has no space for it.
 constexpr auto snapshotRetryInterval = std::chrono::seconds(1);
+/// A leader whose disk is full for longer lets another voter lead, since the records that its disk
+/// lacks are held in memory.
+constexpr auto fullDiskLeaderTime = std::chrono::seconds(10);
 constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
 /// Disk space required beside the payload of a record, for its encoding.
 constexpr auto recordOverheadBytes = std::size_t(1024);
@@ -64,19 +67,32 @@
     now_ = now;
     if (diskFailed_ && !tryRecoverDisk())
         return;
-    core_->setDiskHasSpace(storage_->hasFreeSpace(recordOverheadBytes));
+    hasSpace_ = storage_->hasFreeSpace(recordOverheadBytes);
+    updateDiskSpace(recordOverheadBytes);
+    stepDownWhenFull();
     core_->tick(now);
     performActions();
 }
 
+auto Replica::updateDiskSpace(std::size_t bytes) -> void
+{
+    core_->setDiskHasSpace(!syncBlocked_ && storage_->hasFreeSpace(bytes));
+}
+
+auto Replica::stepDownWhenFull() -> void
+{
+    const auto isLong = fullSince_ && now_ - *fullSince_ >= fullDiskLeaderTime;
+    if (isLong && core_->role() == ReplicaRole::Leader && !core_->diskFullBlocksQuorum())
+        core_->stepDown(now_);
+}
+
 auto Replica::receive(const EntryId &from, const Json &message, MonotonicTime now) -> void
 {
     const auto decoded = decodeMessage(message);
     if (diskFailed_ || !decoded)
         return;
     now_ = now;
-    core_->setDiskHasSpace(
-        storage_->hasFreeSpace(settings_.appendLimitBytes_ + recordOverheadBytes));
+    updateDiskSpace(settings_.appendLimitBytes_ + recordOverheadBytes);
     core_->receive(from, *decoded, now);
     performActions();
 }
@@ -89,8 +105,7 @@
                            + " failed and takes no new files yet; replace it if that lasts"};
     }
     now_ = now;
-    core_->setDiskHasSpace(!syncBlocked_
-                           && storage_->hasFreeSpace(payload.size() + recordOverheadBytes));
+    updateDiskSpace(payload.size() + recordOverheadBytes);
     return core_->propose(std::move(payload), now);
 }
 
@@ -290,8 +305,19 @@
     return true;
 }
 
+auto Replica::emitDiskSpace() -> void
+{
+    const auto isFull = syncBlocked_ || !hasSpace_;
+    if (isFull == fullSince_.has_value())
+        return;
+    const auto number = isFull ? EventNumber::DiskFull : EventNumber::DiskHasSpace;
+    emit(number, {{"entry", settings_.self_.text()}});
+    fullSince_ = isFull ? std::optional<MonotonicTime>(now_) : std::nullopt;
+}
+
 auto Replica::emitChanges() -> void
 {
+    emitDiskSpace();
     const auto now = leader();
     const auto termText = std::to_string(term());
     if (now != reportedLeader_ && reportedLeader_ == settings_.self_)
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -26,8 +26,8 @@
 ///
 /// After a failed write or sync the replica stops participating: it sends no acknowledgement or
 /// vote and does not lead until everything that it holds in memory is written to new files, which
-/// it tries periodically. While the disk is full the replica refuses new records; everything else
-/// goes on.
+/// it tries periodically. While its disk is full, a follower refuses new records; a leader goes on
+/// while the other voters can commit them, and steps down when that lasts.
 class Replica
 {
 public:
@@ -86,6 +86,11 @@
     auto markDiskFailed(const Failure &failure) -> void;
     /// Writes everything to new files when that is due; returns whether the disk works again.
     auto tryRecoverDisk() -> bool;
+    /// Tells the core whether the disk has space for \a bytes more.
+    auto updateDiskSpace(std::size_t bytes) -> void;
+    /// Lets another voter lead when the disk of this leader has been full for long.
+    auto stepDownWhenFull() -> void;
+    auto emitDiskSpace() -> void;
     auto emitChanges() -> void;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
@@ -99,6 +104,10 @@
     MonotonicTime nextRecoveryAt_;
     /// The last sync found the disk full, so nothing that depends on it may be sent.
     bool syncBlocked_ = false;
+    /// Whether the disk had space for records at the last tick.
+    bool hasSpace_ = true;
+    /// Since when the disk is full, as of the last event; nullopt while it has space.
+    std::optional<MonotonicTime> fullSince_;
     /// After a snapshot that the disk had no space for, no other is taken before this time.
     MonotonicTime nextSnapshotAt_;
     /// The leader and the voters as of the last events.
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -268,17 +268,60 @@
     commit(*next, 3);
 }
 
+// Guards against changes that are refused as long as the disk of the leader is full, although a
+// majority of the voters has space.
+TEST(Replica, aFullDiskOfTheLeader_propose_isCommittedByTheOthers)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    cluster_->node(leader).disk_->full_ = true;
+    cluster_->run(100ms);
+    commit(leader, 20);
+    CHECK(cluster_->events_.contains(EventNumber::DiskFull));
+    cluster_->node(leader).disk_->full_ = false;
+    cluster_->run(500ms);
+    CHECK(cluster_->replicasAgree());
+    CHECK(cluster_->events_.contains(EventNumber::DiskHasSpace));
+}
+
+TEST(Replica, aLeaderKilledWhileItsDiskIsFull_restarted_losesNothingAcknowledged)
+{
+    const auto leader = startCluster(3, 3);
+    cluster_->node(leader).disk_->full_ = true;
+    cluster_->run(100ms);
+    commit(leader, 20);
+    cluster_->crash(leader);
+    cluster_->node(leader).disk_->full_ = false;
+    cluster_->start(leader);
+    cluster_->heal();
+    CHECK_EQUAL(20U, cluster_->acknowledged());
+}
+
+TEST(Replica, aDiskOfTheLeaderFullForLong_anotherReplicaTakesOver)
+{
+    const auto leader = startCluster(3, 3);
+    cluster_->node(leader).disk_->full_ = true;
+    cluster_->run(9s);
+    CHECK(cluster_->leaseHolder() == leader);
+    cluster_->run(2s);
+    const auto next = cluster_->leaseHolder();
+    CHECK(next.has_value() && *next != leader);
+    commit(*next, 3);
+}
+
 TEST(Replica, fullDisks_propose_refusedWhileTheLeaseIsRenewed)
 {
     const auto leader = startCluster(3, 3);
     commit(leader, 3);
     for (std::size_t i = 0; i < 3; ++i)
         cluster_->node(i).disk_->full_ = true;
+    cluster_->run(100ms);
     CHECK(cluster_->propose(leader).failure().code_ == Error::DiskFull);
-    cluster_->run(5s);
+    cluster_->run(15s);
     CHECK(cluster_->leaseHolder() == leader);
     for (std::size_t i = 0; i < 3; ++i)
         cluster_->node(i).disk_->full_ = false;
+    cluster_->run(100ms);
     commit(leader, 3);
 }
 
