timeline, control, platform: Tell where the time of a control process goes

The log could not tell apart whether the leader's processor was spent, and on what, whether it waited for its disk or the other voters, whether no leader took the call, or whether the change waited behind others.

--- a/packages/base/Event.h
+++ b/packages/base/Event.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheereach {
@@ -25,6 +26,9 @@
 /// Takes an event; safe to call from any thread.
 using EventSink = std::function<void(const Event &)>;
 
+/// Runs \a work and records the time that it took under \a kind.
+using WorkMeasure = std::function<void(std::string_view kind, const std::function<void()> &work)>;
+
 /// An Event as one process recorded it.
 struct RecordedEvent
 {
--- a/packages/control/ControlHooks.h
+++ b/packages/control/ControlHooks.h
@@ -33,6 +33,8 @@
     /// call.
     std::function<void()> onStateChanged_;
     EventSink event_;
+    /// Measures the work that depends on the size of the state; optional.
+    WorkMeasure measure_;
     MonotonicClock now_;
     WallClock wallNow_;
     RandomSource random_;
--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -355,7 +355,7 @@
         if (record.index_ != machine_.state().applied_ + 1)
             continue;
         if (!record.command_.empty())
-            applyCommand(record.index_, record.command_);
+            applyMeasured(record.index_, record.command_);
         machine_.advance(record.index_);
     }
 }
--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// A record that is committed later than this after it was appended is reported.
+constexpr auto slowCommitTime = std::chrono::milliseconds(500);
+
 auto timeoutFailure(bool mayHaveRun) -> Failure
 {
     return Failure{.code_ = Error::OutcomeUnknown,
@@ -53,7 +56,7 @@
     }
     retryReplacedAt(position->index_);
     appendedProposals_[position->index_]
-        = AppendedProposal{position->term_, command, std::move(done), deadline};
+        = AppendedProposal{position->term_, command, std::move(done), deadline, now, {}};
     scheduleFlush();
     return true;
 }
@@ -91,9 +94,27 @@
         const auto lock = std::scoped_lock(mutex_);
         flushScheduled_ = false;
         replica_->flush(hooks_.now_());
+        const auto now = hooks_.now_();
+        for (auto &[index, appended] : appendedProposals_) {
+            if (!appended.flushedAt_)
+                appended.flushedAt_ = now;
+        }
     });
 }
 
+auto ControlService::emitWhenSlow(LogIndex index, const AppendedProposal &proposal) -> void
+{
+    const auto now = hooks_.now_();
+    if (now - proposal.appendedAt_ < slowCommitTime)
+        return;
+    const auto flushedAt = proposal.flushedAt_.value_or(now);
+    hooks_.event_(
+        Event{EventNumber::CommitSlow,
+              {{"index", std::to_string(index)},
+               {"flushMs", std::to_string(toMilliseconds(flushedAt - proposal.appendedAt_))},
+               {"commitMs", std::to_string(toMilliseconds(now - flushedAt))}}});
+}
+
 auto ControlService::resendProposals(MonotonicTime now) -> void
 {
     for (auto item = forwardedProposals_.begin(); item != forwardedProposals_.end();) {
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -68,7 +68,8 @@
                 retryReplacedUpTo(index);
             },
         .random_ = hooks_.random_,
-        .event_ = hooks_.event_};
+        .event_ = hooks_.event_,
+        .measure_ = hooks_.measure_};
     replica_ = std::make_unique<Replica>(replicaSettings(settings_), std::move(storage),
                                          std::move(replicaHooks));
 }
@@ -107,7 +108,7 @@
 {
     auto outcome = std::optional<CommandOutcome>{};
     if (record.kind_ == RecordKind::StateCommand)
-        outcome = applyCommand(record.index_, record.payload_);
+        outcome = applyMeasured(record.index_, record.payload_);
     else if (record.kind_ == RecordKind::Voters)
         outcome = CommandOutcome{.accepted_ = true};
     machine_.advance(record.index_);
@@ -117,12 +118,23 @@
         return;
     auto proposal = std::move(found->second);
     appendedProposals_.erase(found);
+    emitWhenSlow(record.index_, proposal);
     if (proposal.term_ == record.term_ && outcome)
         postOutcome(std::move(proposal.done_), *outcome);
     else
         retryProposal(std::move(proposal));
 }
 
+auto ControlService::applyMeasured(LogIndex index, const std::string &text)
+    -> std::optional<CommandOutcome>
+{
+    if (!hooks_.measure_)
+        return applyCommand(index, text);
+    auto outcome = std::optional<CommandOutcome>{};
+    hooks_.measure_("apply", [&] { outcome = applyCommand(index, text); });
+    return outcome;
+}
+
 auto ControlService::applyCommand(LogIndex index, const std::string &text)
     -> std::optional<CommandOutcome>
 {
@@ -198,7 +210,7 @@
     const auto deadline = now + settings_.proposalTimeout_;
     retryReplacedAt(position->index_);
     appendedProposals_[position->index_]
-        = AppendedProposal{position->term_, std::nullopt, std::move(done), deadline};
+        = AppendedProposal{position->term_, std::nullopt, std::move(done), deadline, now, {}};
     scheduleFlush();
     return Nothing{};
 }
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -107,6 +107,9 @@
         std::optional<std::string> command_;
         ProposalCallback done_;
         MonotonicTime deadline_;
+        MonotonicTime appendedAt_;
+        /// When this process had flushed it to its own disk and to the other voters.
+        std::optional<MonotonicTime> flushedAt_;
     };
     /// A proposal that is sent to the leader until it is answered or its deadline passes.
     struct ForwardedProposal
@@ -142,6 +145,7 @@
     // Replicated state and log.
     auto applyRecord(const LogRecord &record) -> void;
     auto applyCommand(LogIndex index, const std::string &text) -> std::optional<CommandOutcome>;
+    auto applyMeasured(LogIndex index, const std::string &text) -> std::optional<CommandOutcome>;
     auto restoreSnapshot(const std::string &snapshot) -> void;
     /// Posts one task for all changes until it runs; it updates the peer addresses, pushes the
     /// records and calls ControlHooks::onStateChanged_.
@@ -164,6 +168,7 @@
     auto retryProposal(AppendedProposal appended) -> void;
     auto forwardToLeader(ForwardedProposal &forwarded, std::uint64_t number, MonotonicTime now)
         -> void;
+    auto emitWhenSlow(LogIndex index, const AppendedProposal &proposal) -> void;
     /// Posts one flush of the log for all proposals appended until it runs.
     auto scheduleFlush() -> void;
     auto resendProposals(MonotonicTime now) -> void;
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -193,7 +193,8 @@
 
 auto Replica::perform(const SyncWrites &action) -> void
 {
-    const auto written = storage_->sync();
+    auto written = Result<Nothing>(Nothing{});
+    measure("sync", [&] { written = storage_->sync(); });
     if (written)
         core_->onSynced(action.lastIndex_);
     else if (written.failure().code_ == Error::DiskFull)
@@ -238,6 +239,13 @@
         return;
     if (!storage_->hasFreeSpace(2 * log.snapshot().bytes_.size() + recordOverheadBytes))
         return;
+    measure("snapshot", [this] { takeSnapshot(); });
+}
+
+auto Replica::takeSnapshot() -> void
+{
+    const auto &log = core_->log();
+    const auto applied = core_->appliedIndex();
     const auto snapshot = core_->makeSnapshot(hooks_.takeSnapshot_());
     constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
     const auto written = storage_->writeSnapshot(
@@ -278,6 +286,14 @@
     emit(EventNumber::VotersChanged, {{"reason", names}});
 }
 
+auto Replica::measure(std::string_view kind, const std::function<void()> &work) -> void
+{
+    if (hooks_.measure_)
+        hooks_.measure_(kind, work);
+    else
+        work();
+}
+
 auto Replica::emit(EventNumber number, std::map<std::string, std::string> attributes) -> void
 {
     if (hooks_.event_)
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -11,10 +11,12 @@
 #include "log/ReplicaRole.h"
 #include "log/ReplicaSettings.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheereach {
@@ -82,8 +84,10 @@
     auto perform(const SendMessage &action) -> void;
     auto perform(const ApplyRecords &action) -> void;
     auto takeSnapshotWhenDue() -> void;
+    auto takeSnapshot() -> void;
     auto markDiskFailed(const Failure &failure) -> void;
     auto emitChanges() -> void;
+    auto measure(std::string_view kind, const std::function<void()> &work) -> void;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
     ReplicaSettings settings_;
--- a/packages/log/ReplicaHooks.h
+++ b/packages/log/ReplicaHooks.h
@@ -29,6 +29,8 @@
     std::function<void(LogIndex index, const std::string &snapshot)> restore_;
     RandomSource random_;
     EventSink event_;
+    /// Measures snapshots and syncs; optional.
+    WorkMeasure measure_;
 };
 
 } // namespace lycheereach
