serving, platform: Ask a few entries first whether a reported group serves

Cause: each stall report asked all entries, and each entry that had ever used the group answered, also with data that is seconds old. The cost is entries times stalled groups times reports. Class: a broadcast where a sample is enough.

Change: eight entries are asked first, others each time; all of them only if none of the eight has received data, before members are probed. With 16 entries or fewer all are asked at once, as before.

--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -41,34 +41,57 @@
 
 auto MemberProbe::reportStalledGroup(const UpstreamId &firstMember) -> void
 {
+    const auto now = hooks_.now_();
+    if (hasServedSince(firstMember, now))
+        return;
     {
         const auto lock = std::scoped_lock(mutex_);
-        if (!stalledGroups_.try_emplace(firstMember, hooks_.now_()).second)
+        if (!stalledGroups_.try_emplace(firstMember, StalledGroup{now, now}).second)
             return;
     }
-    hooks_.queryEvidence_(firstMember);
+    const auto hasQueriedAll = hooks_.querySomeEvidence_(firstMember);
+    const auto lock = std::scoped_lock(mutex_);
+    if (const auto found = stalledGroups_.find(firstMember); found != stalledGroups_.end())
+        found->second.hasQueriedAll_ = hasQueriedAll;
 }
 
 auto MemberProbe::tick() -> void
 {
     const auto now = hooks_.now_();
-    auto due = std::map<UpstreamId, MonotonicTime>{};
+    for (const auto &[firstMember, stalled] : takeQueried(now)) {
+        if (hasServedSince(firstMember, stalled.reportedAt_))
+            continue;
+        if (stalled.hasQueriedAll_)
+            probeMembers(firstMember);
+        else
+            queryAll(firstMember, stalled, now);
+    }
+}
+
+auto MemberProbe::takeQueried(MonotonicTime now) -> std::map<UpstreamId, StalledGroup>
+{
+    auto queried = std::map<UpstreamId, StalledGroup>{};
+    const auto lock = std::scoped_lock(mutex_);
+    if (now - lastTick_ > maxTickInterval)
+        delayedAt_ = now;
+    lastTick_ = now;
+    std::erase_if(stalledGroups_, [&](const auto &item) {
+        const auto isDue = now - item.second.queriedAt_ >= evidenceTimeout;
+        if (isDue)
+            queried.insert(item);
+        return isDue;
+    });
+    return queried;
+}
+
+auto MemberProbe::queryAll(const UpstreamId &firstMember, StalledGroup stalled, MonotonicTime now)
+    -> void
+{
     {
         const auto lock = std::scoped_lock(mutex_);
-        if (now - lastTick_ > maxTickInterval)
-            delayedAt_ = now;
-        lastTick_ = now;
-        std::erase_if(stalledGroups_, [&](const auto &item) {
-            const auto isDue = now - item.second >= evidenceTimeout;
-            if (isDue)
-                due.insert(item);
-            return isDue;
-        });
-    }
-    for (const auto &[firstMember, since] : due) {
-        if (!hasServedSince(firstMember, since))
-            probeMembers(firstMember);
+        stalledGroups_.insert_or_assign(firstMember, StalledGroup{stalled.reportedAt_, now, true});
     }
+    hooks_.queryEvidence_(firstMember);
 }
 
 auto MemberProbe::probeMembers(const UpstreamId &firstMember) -> void
--- a/packages/serving/MemberProbe.h
+++ b/packages/serving/MemberProbe.h
@@ -27,6 +27,8 @@
     /// Asks the entries whether they get data from an upstream; the answers must come within the
     /// time of a probe.
     std::function<void(const UpstreamId &)> queryEvidence_;
+    /// Asks some of the entries; returns whether these were all.
+    std::function<bool(const UpstreamId &)> querySomeEvidence_;
     /// Whether an entry is known to have received part of an answer since a time.
     std::function<bool(const UpstreamId &, MonotonicTime since)> hasServedSince_;
     EventSink event_;
@@ -52,6 +54,14 @@
     [[nodiscard]] auto hasEnded(const Upstream &upstream) const -> bool;
 
 private:
+    /// A group that an entry reported as stalled.
+    struct StalledGroup
+    {
+        MonotonicTime reportedAt_;
+        MonotonicTime queriedAt_;
+        bool hasQueriedAll_ = false;
+    };
+
     /// The probes of an upstream.
     struct ProbedUpstream
     {
@@ -64,6 +74,9 @@
 
     /// Number of upstreams with probes in flight.
     [[nodiscard]] auto countUpstreamsBeingProbed(MonotonicTime now) const -> std::ptrdiff_t;
+    /// Removes and returns the stalled groups whose query has had its time.
+    [[nodiscard]] auto takeQueried(MonotonicTime now) -> std::map<UpstreamId, StalledGroup>;
+    auto queryAll(const UpstreamId &firstMember, StalledGroup stalled, MonotonicTime now) -> void;
     auto probeMembers(const UpstreamId &firstMember) -> void;
     auto probe(const Upstream &upstream) -> void;
     /// Whether an entry has received part of an answer since evidenceMargin before \a time.
@@ -74,8 +87,8 @@
     MemberProbeHooks hooks_;
     mutable RankedMutex mutex_;
     std::map<UpstreamId, ProbedUpstream> probedUpstreams_;
-    /// First members of groups reported as stalled, and when each was reported.
-    std::map<UpstreamId, MonotonicTime> stalledGroups_;
+    /// By the first member; only groups whose query is in progress.
+    std::map<UpstreamId, StalledGroup> stalledGroups_;
     MonotonicTime lastTick_;
     /// When a late tick last showed that this process was too busy to read answers.
     MonotonicTime delayedAt_;
--- a/packages/serving/ServingEvidence.cpp
+++ b/packages/serving/ServingEvidence.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 namespace lycheereach {
 
@@ -14,9 +15,9 @@
 
 /// The least time between two queries about one upstream.
 constexpr auto minQueryInterval = std::chrono::milliseconds(600);
-/// An upstream counts as serving for this long after part of an answer; several queries fit into
-/// it, since messages may be lost.
-constexpr auto evidenceLifetime = std::chrono::milliseconds(1500);
+
+/// The number of entries asked first; with up to twice as many, all are asked at once.
+constexpr auto firstQueryEntries = std::size_t{8};
 
 } // namespace
 
@@ -54,11 +55,30 @@
         hooks_.send_(entry, queryMethod, query);
 }
 
+auto ServingEvidence::querySomeEntries(const UpstreamId &upstream) -> bool
+{
+    const auto live = control_.liveEntries();
+    if (live.size() <= 2 * firstQueryEntries) {
+        queryEntries(upstream);
+        return true;
+    }
+    auto start = std::size_t{0};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        start = std::exchange(nextEntry_, (nextEntry_ + firstQueryEntries) % live.size());
+    }
+    const auto entries = std::vector<EntryId>(live.begin(), live.end());
+    const auto query = encode(EvidenceQuery{receiverOf(upstream)});
+    for (std::size_t index = 0; index < firstQueryEntries; ++index)
+        hooks_.send_(entries[(start + index) % entries.size()], queryMethod, query);
+    return false;
+}
+
 auto ServingEvidence::isServing(const UpstreamId &upstream) -> bool
 {
     if (startQueryIfDue(receiverOf(upstream)))
         queryEntries(upstream);
-    return hasServedSince(upstream, hooks_.now_() - evidenceLifetime);
+    return hasServedSince(upstream, hooks_.now_() - lifetime);
 }
 
 auto ServingEvidence::hasServedSince(const UpstreamId &upstream, MonotonicTime since) const -> bool
--- a/packages/serving/ServingEvidence.h
+++ b/packages/serving/ServingEvidence.h
@@ -8,6 +8,7 @@
 #include "base/Time.h"
 #include "serving/ServingEvidenceHooks.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,14 +26,19 @@
 public:
     static constexpr auto queryMethod = "evidence.query";
     static constexpr auto answerMethod = "evidence.serves";
+    /// An upstream counts as serving for this long after part of an answer; several queries fit
+    /// into it, since messages may be lost. An entry does not tell of older ones.
+    static constexpr auto lifetime = std::chrono::milliseconds(1500);
 
     ServingEvidence(ControlService &control, ServingEvidenceHooks hooks);
 
     /// Whether an entry recently received part of an answer from \a upstream or the first member of
     /// its group; asks the entries again when the last query is too old.
     auto isServing(const UpstreamId &upstream) -> bool;
-    /// Asks the entries about \a upstream.
+    /// Asks all entries about \a upstream.
     auto queryEntries(const UpstreamId &upstream) -> void;
+    /// Asks a few entries about \a upstream, others each time; returns whether these were all.
+    auto querySomeEntries(const UpstreamId &upstream) -> bool;
     /// Whether an entry is known to have received part of an answer since \a since.
     [[nodiscard]] auto hasServedSince(const UpstreamId &upstream, MonotonicTime since) const
         -> bool;
@@ -55,6 +61,8 @@
     ControlService &control_;
     ServingEvidenceHooks hooks_;
     mutable RankedMutex mutex_;
+    /// Where querySomeEntries() begins next in the list of live entries.
+    std::size_t nextEntry_ = 0;
     std::map<UpstreamId, Evidence> evidence_;
 };
 
--- a/tests/serving/EvidenceTest.cpp
+++ b/tests/serving/EvidenceTest.cpp
@@ -4,6 +4,7 @@
 #include "serving/MemberProbe.h"
 #include "serving/ServingEvidence.h"
 
+#include <set>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -55,6 +56,9 @@
                     },
                 .queryEvidence_
                 = [this](const UpstreamId &upstream) { evidence_->queryEntries(upstream); },
+                .querySomeEvidence_
+                = [this](
+                      const UpstreamId &upstream) { return evidence_->querySomeEntries(upstream); },
                 .hasServedSince_ =
                     [this](const UpstreamId &upstream, MonotonicTime since) {
                         return evidence_->hasServedSince(upstream, since);
@@ -104,6 +108,15 @@
                                  encode(EvidenceAnswer{firstMember_, toMilliseconds(age)})));
     }
 
+    auto addEntries(std::size_t count)->void
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            const auto id = EntryId("x" + std::to_string(index));
+            commit(PutEntry{EntryRecord{.id_ = id, .incarnation_ = 1, .zone_ = ZoneName("a")}});
+        }
+        sent_.clear();
+    }
+
     /// Ends all probes in flight without an answer.
     auto endProbesUnanswered()->void
     {
@@ -219,6 +232,49 @@
     CHECK(queryCount <= fleet_.size());
 }
 
+// Guards against a leader that spends its processor time on evidence: a stall report of a group
+// that serves cost a query to each entry and an answer of each.
+TEST(Evidence, manyEntries_aGroupThatServesIsReported_asksFewOfThem)
+{
+    addEntries(40);
+    probe_->reportStalledGroup(firstMember_);
+    LONGS_EQUAL(8, sent_.size());
+    answerQuery(20ms);
+    for (auto i = 0; i < 20; ++i)
+        probe_->reportStalledGroup(firstMember_);
+    fleet_.run(80ms);
+    probe_->tick();
+    LONGS_EQUAL(8, sent_.size());
+    LONGS_EQUAL(0, probes_.size());
+}
+
+TEST(Evidence, manyEntries_noneOfTheFirstAnswers_asksAllBeforeItProbes)
+{
+    addEntries(40);
+    probe_->reportStalledGroup(firstMember_);
+    fleet_.run(80ms);
+    probe_->tick();
+    LONGS_EQUAL(0, probes_.size());
+    auto asked = std::set<EntryId>{};
+    for (const auto &message : sent_)
+        asked.insert(message.to_);
+    CHECK(asked.size() >= 40);
+    fleet_.run(80ms);
+    probe_->tick();
+    LONGS_EQUAL(4, probes_.size());
+}
+
+TEST(Evidence, manyEntries_reportedAgain_asksOthersFirst)
+{
+    addEntries(40);
+    probe_->reportStalledGroup(firstMember_);
+    probe_->reportStalledGroup(secondMember_);
+    auto asked = std::set<EntryId>{};
+    for (const auto &message : sent_)
+        asked.insert(message.to_);
+    LONGS_EQUAL(16, asked.size());
+}
+
 TEST(Evidence, probesEndedTooLate_unansweredProbes_proposesNoLoss)
 {
     reportStalled();
