control, platform: Append a repeated configuration once

Cause: an operator without an answer within a second sends the same document to another process. Each one became a record of its own, was written by each voter, sent to each entry and decoded by all of them, only to change nothing. A process that waits for the leader's answer sends its proposal again each 800 ms, which appended it again too. So a leader that is late got more work from being late. Class: retries that amplify overload.

The leader lets a proposal share the outcome of the same command while that is appended and not applied. Commands are idempotent, as messages may be repeated anyway.

--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -4,6 +4,7 @@
 #include "control/ProposalAnswer.h"
 #include "log/Replica.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -45,6 +46,8 @@
     const auto now = hooks_.now_();
     if (!isLeaderNow(now))
         return false;
+    if (joinPending(command, done, deadline))
+        return true;
     const auto position = replica_->propose(command, now);
     if (!position && position.failure().code_ == Error::NotLeader)
         return false;
@@ -61,6 +64,27 @@
     return true;
 }
 
+auto ControlService::joinPending(const std::string &command, const ProposalCallback &done,
+                                 MonotonicTime deadline) -> bool
+{
+    const auto isSame = [&](const auto &item) {
+        return item.second.command_ == command && item.second.term_ == replica_->term();
+    };
+    const auto found = std::find_if(appendedProposals_.begin(), appendedProposals_.end(), isSame);
+    if (found == appendedProposals_.end())
+        return false;
+    auto &pending = found->second;
+    pending.deadline_ = std::max(pending.deadline_, deadline);
+    if (done)
+        pending.done_
+            = [first = std::move(pending.done_), done](const Result<CommandOutcome> &outcome) {
+                  if (first)
+                      first(outcome);
+                  done(outcome);
+              };
+    return true;
+}
+
 auto ControlService::retryProposal(AppendedProposal appended) -> void
 {
     if (!appended.command_) {
