--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -11,10 +11,12 @@
 #include "log/ReplicaRole.h"
 #include "log/ReplicaSettings.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheereach {
@@ -83,6 +85,7 @@
     auto perform(const SendMessage &action) -> void;
     auto perform(const ApplyRecords &action) -> void;
     auto takeSnapshotWhenDue() -> void;
+    auto takeSnapshot() -> void;
     auto markDiskFailed(const Failure &failure) -> void;
     /// Writes everything to new files when that is due; returns whether the disk works again.
     auto tryRecoverDisk() -> bool;
@@ -92,6 +95,7 @@
     auto stepDownWhenFull() -> void;
     auto emitDiskSpace() -> void;
     auto emitChanges() -> void;
+    auto measure(std::string_view kind, const std::function<void()> &work) -> void;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
     ReplicaSettings settings_;
