forward: Accept no request in a planned stop that may not end in time

Cause: the time for which a stopping entry accepts requests was fixed at 2.8 s, whatever the grace period of the settings is, so that with a shorter one all late requests were cut. Requests that were held for want of a state lease were forwarded without any look at the time, and those still held at the end had no answer. Class: a constant that assumes another setting.

Change: the accept time is the shorter of 2.8 s and 0.375 of the time until requests are ended (the same ratio). A request that may not be repeated is accepted only with its whole time. All others get 503, "not run", at once, also held ones when they are released late or the entry ends.

--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -7,6 +7,7 @@
 #include "forward/TargetTable.h"
 #include "transport/HttpReply.h"
 
+#include <algorithm>
 #include <mutex>
 #include <numeric>
 #include <utility>
@@ -119,10 +120,8 @@
 {
     auto parsed = context_.codec_.parseRequest_(std::move(request));
     parsed.arrivedAt_ = context_.clock_();
-    const auto isPastAcceptTime
-        = isLeaving_ && context_.clock_() - leavingSince_ > context_.settings_.shutdownAcceptTime_;
-    if (isPastAcceptTime) {
-        refuse(parsed, unavailable, "this entry is stopping; send to another entry", reply);
+    if (isLeaving_ && context_.clock_() > acceptsUntil_) {
+        refuseStopping(parsed, reply);
         return;
     }
     if (const auto index = indexIfReady())
@@ -197,6 +196,23 @@
            reply);
 }
 
+auto ForwardService::refuseStopping(const ForwardRequest &request,
+                                    const std::shared_ptr<HttpReply> &reply) -> void
+{
+    refuse(request, unavailable, "this entry is stopping; send to another entry", reply);
+}
+
+auto ForwardService::isTooLate(const ForwardRequest &request, const HttpRoute &route) const -> bool
+{
+    if (!isLeaving_)
+        return false;
+    // Requests that may not be repeated are accepted only with all of their time, since their
+    // callers could not send them again after the end of this process.
+    const auto mayBeCut
+        = route.kind_ == RouteKind::Unsafe && deadlineOf(request, route) > requestsEndAt_;
+    return mayBeCut || context_.clock_() > acceptsUntil_;
+}
+
 auto ForwardService::forward(ForwardRequest request, const RouteIndex &index,
                              const std::shared_ptr<HttpReply> &reply) -> void
 {
@@ -214,6 +230,10 @@
             return;
         }
     }
+    if (isTooLate(request, *route)) {
+        refuseStopping(request, reply);
+        return;
+    }
     recordFirstTraffic();
     if (context_.crashes_.isBlocked(request.fingerprints_)) {
         refuse(
@@ -300,9 +320,14 @@
     return demandMeter_.demand(context_.clock_());
 }
 
-auto ForwardService::beginShutdown() -> void
+auto ForwardService::beginShutdown(MonotonicTime requestsEndAt) -> void
 {
-    leavingSince_ = context_.clock_();
+    const auto &settings = context_.settings_;
+    const auto now = context_.clock_();
+    const auto share = std::chrono::duration_cast<Duration>((requestsEndAt - now)
+                                                            * settings.shutdownAcceptShare_);
+    acceptsUntil_ = now + std::min(settings.shutdownAcceptTime_, share);
+    requestsEndAt_ = requestsEndAt;
     isLeaving_ = true;
 }
 
@@ -317,6 +342,13 @@
 
 auto ForwardService::endRemainingRequests() -> void
 {
+    auto held = std::vector<HeldRequest>{};
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        held = heldRequests_.takeAll();
+    }
+    for (const auto &request : held)
+        refuseStopping(request.request_, request.reply_);
     for (const auto &request : activeRequests())
         request->post(forward_event::EntryStops{});
 }
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -26,6 +26,7 @@
 class ForwardedRequest;
 class HttpReply;
 class RouteIndex;
+struct HttpRoute;
 
 /// Finds route, workspace and pool of each request and runs a ForwardedRequest for it. Thread-safe;
 /// guarded by one lock of rank LockRank::Requests, under which no other lock of that rank is taken.
@@ -44,9 +45,10 @@
     auto tick() -> void;
     /// Forwards, holds or refuses one request.
     auto handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void;
-    /// Begins a planned shutdown of the entry.
-    auto beginShutdown() -> void;
-    /// Answers or breaks off every request in progress, since the process is about to end.
+    /// Begins a planned shutdown of the entry, which calls endRemainingRequests() at \a
+    /// requestsEndAt.
+    auto beginShutdown(MonotonicTime requestsEndAt) -> void;
+    /// Answers or breaks off every request in progress or held, since the process is about to end.
     auto endRemainingRequests() -> void;
     /// Time since \a upstream last sent events of a stream; nothing when it never did.
     [[nodiscard]] auto timeSinceProgress(const UpstreamId &upstream) const
@@ -64,6 +66,11 @@
     auto refuse(const ForwardRequest &request, std::uint16_t status, const std::string &reason,
                 const std::shared_ptr<HttpReply> &reply,
                 std::optional<Duration> retryAfter = std::nullopt) -> void;
+    /// Whether this entry shuts down and \a request may not complete before.
+    [[nodiscard]] auto isTooLate(const ForwardRequest &request, const HttpRoute &route) const
+        -> bool;
+    auto refuseStopping(const ForwardRequest &request, const std::shared_ptr<HttpReply> &reply)
+        -> void;
     auto forward(ForwardRequest request, const RouteIndex &index,
                  const std::shared_ptr<HttpReply> &reply) -> void;
     /// Forwards all held requests when the entry is ready; otherwise refuses the expired ones.
@@ -94,7 +101,10 @@
     std::atomic<bool> isLeaving_ = false;
     /// Whether this process has been ready to serve a request since its start.
     std::atomic<bool> hasServed_ = false;
-    MonotonicTime leavingSince_;
+    /// Set before isLeaving_: requests that arrive later are refused, and those in progress are
+    /// ended at requestsEndAt_.
+    MonotonicTime acceptsUntil_;
+    MonotonicTime requestsEndAt_;
     /// Guards the members that follow; locked under the lock of a request, so its rank
     /// differs.
     mutable RankedMutex accountingMutex_;
--- a/packages/forward/ForwardSettings.h
+++ b/packages/forward/ForwardSettings.h
@@ -24,6 +24,8 @@
     /// How long an entry accepts new requests after its shutdown began, since callers still use its
     /// address. Later requests are refused, so that those accepted can complete in time.
     Duration shutdownAcceptTime_ = std::chrono::milliseconds(2800);
+    /// As shutdownAcceptTime_, as a share of the time until the remaining requests are ended.
+    double shutdownAcceptShare_ = 0.375;
     /// Limit for new requests: behind a longer queue all of them would start late.
     AdmissionLimit newRequestLimit_ = {.maxWaiting_ = 3};
     /// Limit for retries: a broken stream had better wait than fail. Engines queue up to 50
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -25,15 +25,6 @@
     return kind == RouteKind::Stream || kind == RouteKind::ResumableStream;
 }
 
-auto deadlineOf(const ForwardRequest &request, const HttpRoute &route, MonotonicTime now)
-    -> MonotonicTime
-{
-    auto timeout = Duration(std::chrono::milliseconds(route.timeoutMs_));
-    if (request.callerTimeout_)
-        timeout = std::min(timeout, *request.callerTimeout_);
-    return now + timeout;
-}
-
 } // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardContext &context, RoutedRequest routed,
@@ -43,7 +34,7 @@
     , reply_(std::move(reply))
     , onFinished_(std::move(onFinished))
     , arrivedAt_(routed_.request_.arrivedAt_)
-    , deadline_(deadlineOf(routed_.request_, routed_.route_, arrivedAt_))
+    , deadline_(deadlineOf(routed_.request_, routed_.route_))
     , mutex_(LockRank::Requests)
     , stateMachine_(
           ForwardPlan{
--- a/packages/forward/RoutedRequest.h
+++ b/packages/forward/RoutedRequest.h
@@ -6,6 +6,8 @@
 #include "forward/ForwardRequest.h"
 #include "state/HttpRoute.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 
 namespace lycheereach {
@@ -27,4 +29,14 @@
     auto operator==(const RoutedRequest &) const -> bool = default;
 };
 
+/// When the time of \a request on \a route is over: the shorter of what its caller waits and what
+/// the route allows.
+inline auto deadlineOf(const ForwardRequest &request, const HttpRoute &route) -> MonotonicTime
+{
+    auto timeout = Duration(std::chrono::milliseconds(route.timeoutMs_));
+    if (request.callerTimeout_)
+        timeout = std::min(timeout, *request.callerTimeout_);
+    return request.arrivedAt_ + timeout;
+}
+
 } // namespace lycheereach
