--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -67,8 +67,9 @@
     /// Whether this replica leads, no other can be leader at \a now, and everything committed
     /// before is applied.
     [[nodiscard]] auto holdsLeaderLease(MonotonicTime now) const -> bool;
-    /// Whether too few voters have disk space to commit a record.
-    [[nodiscard]] auto diskFullBlocksQuorum() const -> bool;
+    /// While this replica leads: whether the other voters can commit records without its disk. A
+    /// quorum of them was heard recently, has disk space and everything that is committed.
+    [[nodiscard]] auto othersCanCommit() const -> bool;
 
 private:
     struct Peer
@@ -146,6 +147,8 @@
     /// A quorum of voters, this replica included, answered requests that were sent at this time or
     /// later; nullopt if no quorum has answered yet.
     [[nodiscard]] auto quorumContactTime() const -> std::optional<MonotonicTime>;
+    /// Whether too few voters have disk space to commit a record.
+    [[nodiscard]] auto diskFullBlocksQuorum() const -> bool;
     [[nodiscard]] auto validateVoterChange(const std::optional<EntryId> &add,
                                            const std::optional<EntryId> &remove) const
         -> Result<Nothing>;
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -28,7 +28,7 @@
 auto LogCore::resetElectionTimer() -> void
 {
     const auto timeout = settings_.electionTimeout_;
-    // A voter without disk space can't store its own vote; another one stands first.
+    // A voter without disk space may be unable to store its vote; another one stands first.
     const auto handicap = diskHasSpace_ ? Duration::zero() : 2 * timeout;
     electionDeadline_ = now_ + timeout + randomDelay(timeout) + handicap;
 }
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -283,13 +283,26 @@
     return log_.voters().voters_.size() - fullVoters < log_.voters().quorum();
 }
 
+auto LogCore::othersCanCommit() const -> bool
+{
+    auto able = std::size_t(0);
+    for (const auto &voter : log_.voters().voters_) {
+        const auto *peer = voter == self_ ? nullptr : findVoterPeer(voter);
+        if (peer != nullptr && peer->lastContact_
+            && now_ < *peer->lastContact_ + settings_.electionTimeout_ && !peer->diskFull_
+            && peer->matchIndex_ >= state_.commitIndex_)
+            ++able;
+    }
+    return able >= log_.voters().quorum();
+}
+
 auto LogCore::propose(std::string payload, MonotonicTime now) -> Result<LogPosition>
 {
     now_ = now;
     if (role_ != ReplicaRole::Leader)
         return notLeaderFailure();
-    // A leader whose own disk is full goes on: the records become durable at the other voters.
-    if (diskFullBlocksQuorum()) {
+    // A leader whose own disk is full goes on while records become durable at the other voters.
+    if (diskHasSpace_ ? diskFullBlocksQuorum() : !othersCanCommit()) {
         return Failure{Error::DiskFull,
                        "the disks of the replicated log are full; free space under the data "
                        "folders of the voters and try again"};
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -2,14 +2,17 @@
 
 #include "log/LogCore.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace lycheereach {
 
 namespace {
 
-/// The time between attempts to write everything to new files after a failed write.
+/// The time between a failed write and the first attempt to write everything to new files; doubled
+/// after each attempt up to the maximum, since each one encodes the whole state.
 constexpr auto recoveryInterval = std::chrono::seconds(1);
+constexpr auto maxRecoveryInterval = std::chrono::seconds(4);
 /// The time between attempts to take a snapshot while the disk has no space for it.
 constexpr auto snapshotRetryInterval = std::chrono::seconds(1);
 /// A leader whose disk is full for longer lets another voter lead, since the records that its disk
@@ -82,14 +85,16 @@
 auto Replica::stepDownWhenFull() -> void
 {
     const auto isLong = fullSince_ && now_ - *fullSince_ >= fullDiskLeaderTime;
-    if (isLong && core_->role() == ReplicaRole::Leader && !core_->diskFullBlocksQuorum())
+    if (isLong && core_->role() == ReplicaRole::Leader && core_->othersCanCommit())
         core_->stepDown(now_);
 }
 
 auto Replica::receive(const EntryId &from, const Json &message, MonotonicTime now) -> void
 {
+    if (diskFailed_)
+        return;
     const auto decoded = decodeMessage(message);
-    if (diskFailed_ || !decoded)
+    if (!decoded)
         return;
     now_ = now;
     updateDiskSpace(settings_.appendLimitBytes_ + recordOverheadBytes);
@@ -287,7 +292,8 @@
 auto Replica::markDiskFailed(const Failure &failure) -> void
 {
     diskFailed_ = true;
-    nextRecoveryAt_ = now_ + recoveryInterval;
+    recoveryDelay_ = recoveryInterval;
+    nextRecoveryAt_ = now_ + recoveryDelay_;
     emit(EventNumber::DiskFailed, {{"reason", failure.message_}});
     core_->stepDown(now_);
 }
@@ -296,17 +302,20 @@
 {
     if (now_ < nextRecoveryAt_)
         return false;
-    nextRecoveryAt_ = now_ + recoveryInterval;
+    recoveryDelay_ = std::min<Duration>(2 * recoveryDelay_, maxRecoveryInterval);
+    nextRecoveryAt_ = now_ + recoveryDelay_;
     const auto &log = core_->log();
     const auto last = log.last().index_;
     // New files, since a write that failed leaves the content of the old ones uncertain. What is in
-    // memory holds everything that this replica has acknowledged.
-    const auto &snapshot = log.snapshot();
+    // memory holds everything that this replica has acknowledged. The snapshot is a new one: the
+    // failed write may have stored one that is newer than the last in memory.
+    const auto snapshot = core_->makeSnapshot(hooks_.takeSnapshot_());
     const auto written = storage_->writeSnapshot(
         snapshot, core_->state(), log.range(snapshot.position_.index_ + 1, last, noLimit));
     if (!written)
         return false;
     diskFailed_ = false;
+    core_->compact(snapshot.bytes_);
     core_->stepDown(now_);
     core_->onSynced(last);
     emit(EventNumber::DiskRecovered, {{"entry", settings_.self_.text()}});
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -106,6 +106,7 @@
     MonotonicTime now_;
     bool diskFailed_ = false;
     MonotonicTime nextRecoveryAt_;
+    Duration recoveryDelay_ = Duration::zero();
     /// The last sync found the disk full, so nothing that depends on it may be sent.
     bool syncBlocked_ = false;
     /// Whether the disk had space for records at the last tick.
--- a/tests/log/FileLogStorageTest.cpp
+++ b/tests/log/FileLogStorageTest.cpp
@@ -316,3 +316,62 @@
               << " us\n";
     CHECK(applied == expected);
 }
+
+// Guards against a recovery that puts an older snapshot beside a newer log: a write fails while a
+// snapshot is taken, one fails in the recovery, and the process ends there.
+TEST(FileLogStorage, aReplicaWhoseWritesFailTwiceAroundASnapshot_restarted_hasLostNothing)
+{
+    for (auto first = 0; first < 6; ++first) {
+        for (auto second = 0; second < 7; ++second) {
+            fs::remove_all(folder_);
+            auto applied = std::vector<std::string>{};
+            auto hooks = ReplicaHooks{};
+            hooks.send_ = [](const EntryId &, const Json &) {};
+            hooks.apply_ = [&](const LogRecord &record) {
+                if (record.kind_ == RecordKind::StateCommand)
+                    applied.push_back(record.payload_);
+            };
+            hooks.takeSnapshot_ = [&] { return Json(applied).dump(); };
+            hooks.restore_ = [&](LogIndex, const std::string &text) {
+                applied = Json::parse(text).get<std::vector<std::string>>();
+            };
+            hooks.random_ = [] { return 5; };
+            auto settings = ReplicaSettings{};
+            settings.self_ = EntryId("a");
+            settings.initialVoters_ = {settings.self_};
+            settings.snapshotAfterRecords_ = 8;
+            auto now = MonotonicTime(std::chrono::hours(1));
+            auto callsUntilFault = -1;
+            hooks_.sync_ = [&](int file) {
+                errno = EIO;
+                return callsUntilFault-- == 0 ? -1 : ::fdatasync(file);
+            };
+            const auto openAndLead = [&] {
+                auto replica = std::make_unique<Replica>(
+                    settings, std::make_unique<FileLogStorage>(folder_, hooks_), hooks);
+                CHECK(replica->open(now).ok());
+                for (auto tick = 0; tick < 100 && !replica->holdsLeaderLease(now); ++tick)
+                    replica->tick(now += std::chrono::milliseconds(20));
+                CHECK(replica->holdsLeaderLease(now));
+                return replica;
+            };
+            {
+                auto replica = openAndLead();
+                for (auto change = 0; change < 20 && !replica->diskFailed(); ++change) {
+                    if (change == 12)
+                        callsUntilFault = first;
+                    CHECK(replica->propose("change " + std::to_string(change), now).ok());
+                    replica->flush(now);
+                }
+                callsUntilFault = second;
+                replica->tick(now += std::chrono::seconds(2));
+            }
+            callsUntilFault = -1;
+            const auto expected = std::exchange(applied, {});
+            openAndLead();
+            CHECK(applied.size() >= expected.size());
+            applied.resize(expected.size());
+            CHECK(applied == expected);
+        }
+    }
+}
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -297,6 +297,23 @@
     CHECK_EQUAL(20U, cluster_->acknowledged());
 }
 
+// Guards against a leader that steps down for its full disk although no other one could commit: no
+// process would hold a lease then.
+TEST(Replica, aFullDiskOfTheLeaderWhileAVoterIsDown_propose_isRefusedWhileTheLeaseIsRenewed)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    cluster_->crash((leader + 1) % 3);
+    cluster_->node(leader).disk_->full_ = true;
+    cluster_->run(300ms);
+    CHECK(cluster_->propose(leader).failure().code_ == Error::DiskFull);
+    cluster_->run(15s);
+    CHECK(cluster_->leaseHolder() == leader);
+    cluster_->node(leader).disk_->full_ = false;
+    cluster_->run(100ms);
+    commit(leader, 3);
+}
+
 TEST(Replica, aDiskOfTheLeaderFullForLong_anotherReplicaTakesOver)
 {
     const auto leader = startCluster(3, 3);
