control, serving: Join only declarations and date the second query anew

A command that joined an equal one ahead of an opposite one would have been answered although its effect was undone by the record in between (a zone out, in and out again), and each repetition extended the time of all that waited. Only commands that are large enough to be packed join now, which are declarations, ordered by revision or version, and they share the deadline of the first. The second query about a stalled group counts only data received since it was sent, so that a group that ends meanwhile is probed.

--- a/packages/base/Compression.cpp
+++ b/packages/base/Compression.cpp
@@ -55,6 +55,11 @@
     return std::string(mark) + std::to_string(text.size()) + ":" + encoded;
 }
 
+auto isPackedText(const std::string &text) -> bool
+{
+    return text.starts_with(mark);
+}
+
 auto unpackText(const std::string &packed) -> Result<std::string>
 {
     if (!packed.starts_with(mark))
--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlService.h"
 
+#include "base/Compression.h"
 #include "control/Proposal.h"
 #include "control/ProposalAnswer.h"
 #include "log/Replica.h"
@@ -46,7 +47,7 @@
     const auto now = hooks_.now_();
     if (!isLeaderNow(now))
         return false;
-    if (joinPending(command, done, deadline))
+    if (joinPending(command, done))
         return true;
     const auto position = replica_->propose(command, now);
     if (!position && position.failure().code_ == Error::NotLeader)
@@ -64,9 +65,12 @@
     return true;
 }
 
-auto ControlService::joinPending(const std::string &command, const ProposalCallback &done,
-                                 MonotonicTime deadline) -> bool
+auto ControlService::joinPending(const std::string &command, const ProposalCallback &done) -> bool
 {
+    // Only declarations are as large; they are ordered by their revision or version, so that
+    // commands in between make no difference.
+    if (!isPackedText(command))
+        return false;
     const auto isSame = [&](const auto &item) {
         return item.second.command_ == command && item.second.term_ == replica_->term();
     };
@@ -74,7 +78,6 @@
     if (found == appendedProposals_.end())
         return false;
     auto &pending = found->second;
-    pending.deadline_ = std::max(pending.deadline_, deadline);
     if (done)
         pending.done_
             = [first = std::move(pending.done_), done](const Result<CommandOutcome> &outcome) {
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -168,10 +168,9 @@
     auto retryProposal(AppendedProposal appended) -> void;
     auto forwardToLeader(ForwardedProposal &forwarded, std::uint64_t number, MonotonicTime now)
         -> void;
-    /// Lets \a done share the outcome of the same command if that is appended and not applied yet;
-    /// returns whether it is.
-    auto joinPending(const std::string &command, const ProposalCallback &done,
-                     MonotonicTime deadline) -> bool;
+    /// Lets \a done share the outcome and the deadline of the same declaration if that is appended
+    /// and not applied yet; returns whether it is.
+    auto joinPending(const std::string &command, const ProposalCallback &done) -> bool;
     auto emitWhenSlow(LogIndex index, const AppendedProposal &proposal) -> void;
     /// Posts one flush of the log for all proposals appended until it runs.
     auto scheduleFlush() -> void;
--- a/packages/serving/MemberProbe.cpp
+++ b/packages/serving/MemberProbe.cpp
@@ -64,7 +64,7 @@
         if (stalled.hasQueriedAll_)
             probeMembers(firstMember);
         else
-            queryAll(firstMember, stalled, now);
+            queryAll(firstMember, now);
     }
 }
 
@@ -84,12 +84,11 @@
     return queried;
 }
 
-auto MemberProbe::queryAll(const UpstreamId &firstMember, StalledGroup stalled, MonotonicTime now)
-    -> void
+auto MemberProbe::queryAll(const UpstreamId &firstMember, MonotonicTime now) -> void
 {
     {
         const auto lock = std::scoped_lock(mutex_);
-        stalledGroups_.insert_or_assign(firstMember, StalledGroup{stalled.reportedAt_, now, true});
+        stalledGroups_.insert_or_assign(firstMember, StalledGroup{now, now, true});
     }
     hooks_.queryEvidence_(firstMember);
 }
--- a/packages/serving/MemberProbe.h
+++ b/packages/serving/MemberProbe.h
@@ -57,6 +57,7 @@
     /// A group that an entry reported as stalled.
     struct StalledGroup
     {
+        /// Data received since then shows that the group serves.
         MonotonicTime reportedAt_;
         MonotonicTime queriedAt_;
         bool hasQueriedAll_ = false;
@@ -76,7 +77,7 @@
     [[nodiscard]] auto countUpstreamsBeingProbed(MonotonicTime now) const -> std::ptrdiff_t;
     /// Removes and returns the stalled groups whose query has had its time.
     [[nodiscard]] auto takeQueried(MonotonicTime now) -> std::map<UpstreamId, StalledGroup>;
-    auto queryAll(const UpstreamId &firstMember, StalledGroup stalled, MonotonicTime now) -> void;
+    auto queryAll(const UpstreamId &firstMember, MonotonicTime now) -> void;
     auto probeMembers(const UpstreamId &firstMember) -> void;
     auto probe(const Upstream &upstream) -> void;
     /// Whether an entry has received part of an answer since evidenceMargin before \a time.
