groups: Wait a second before a silent member ends the streams of its group

Cause: an order that can't be taken back followed evidence that can't tell a dead engine from one that is silent for a moment.

If the member comes back, the group closes and finishes its streams. A member whose process is known to have ended, or that has left the group, waits for nothing.

The price is a repair that begins one second later after a crash without a reset.

--- a/packages/groups/EngineGatedPlanner.cpp
+++ b/packages/groups/EngineGatedPlanner.cpp
@@ -21,6 +21,10 @@
 /// early.
 constexpr auto stallMargin = std::chrono::milliseconds(300);
 
+/// A sound engine may be silent for a second or so, also towards probes. For this long after it was
+/// declared lost the others of its group are not ordered to leave, which would cut their streams.
+constexpr auto momentarySilence = std::chrono::seconds(1);
+
 /// A domain is stable when none of its groups has formed or ended for this time. Work that can wait
 /// is planned only in stable domains: the members of a group that ended are soon free again, with
 /// their weights.
@@ -287,6 +291,8 @@
             Command(SetGroupPhase{group.id_, group.epoch_, GroupPhase::Dissolved}));
         return;
     }
+    if (mayResume(pass, group))
+        return;
     const auto now = pass.inputs_.now_;
     const auto &head = *findUpstream(pass.state_, group.members_.front());
     if (!head.lost_) {
@@ -307,6 +313,31 @@
     }
 }
 
+auto EngineGatedPlanner::mayResume(const Pass &pass, const Group &group) const -> bool
+{
+    if (!group.mayBeOpen_)
+        return false;
+    auto hasSilentMember = false;
+    for (const auto &id : group.members_) {
+        const auto *upstream = findUpstream(pass.state_, id);
+        if (upstream == nullptr)
+            return false;
+        if (!upstream->lost_) {
+            if (!isLiveMember(group, *upstream))
+                return false;
+            continue;
+        }
+        const auto hasEnded
+            = pass.inputs_.hasProcessEnded_ && pass.inputs_.hasProcessEnded_(*upstream);
+        const auto since = lostSince_.find(id);
+        if (hasEnded || since == lostSince_.end()
+            || pass.inputs_.now_ - since->second >= momentarySilence)
+            return false;
+        hasSilentMember = true;
+    }
+    return hasSilentMember;
+}
+
 auto EngineGatedPlanner::isGateClosed(const Pass &pass, const Group &group) const -> bool
 {
     const auto &state = pass.state_;
@@ -366,6 +397,7 @@
 auto EngineGatedPlanner::observe(const FleetState &state, MonotonicTime now) -> void
 {
     spares_.observe(state, now);
+    trackLostUpstreams(state, now);
     trackBrokenGroups(state, now);
     for (const auto &[id, group] : state.groups_) {
         if (group.phase_ == GroupPhase::Serving)
@@ -377,6 +409,18 @@
     }
 }
 
+auto EngineGatedPlanner::trackLostUpstreams(const FleetState &state, MonotonicTime now) -> void
+{
+    std::erase_if(lostSince_, [&](const auto &item) {
+        const auto *upstream = findUpstream(state, item.first);
+        return upstream == nullptr || !upstream->lost_;
+    });
+    for (const auto &[id, upstream] : state.upstreams_) {
+        if (upstream.lost_)
+            lostSince_.try_emplace(id, now);
+    }
+}
+
 auto EngineGatedPlanner::trackBrokenGroups(const FleetState &state, MonotonicTime now) -> void
 {
     std::erase_if(brokenSince_,
--- a/packages/groups/EngineGatedPlanner.h
+++ b/packages/groups/EngineGatedPlanner.h
@@ -65,6 +65,9 @@
     auto planJoins(Pass &pass, const Group &group, const Pool &pool) -> void;
     auto planGateOpening(Pass &pass, const Group &group) -> void;
     auto planGroupEnd(Pass &pass, const Group &group) -> void;
+    /// Whether \a group is incomplete only because members have been silent for a moment, so that
+    /// its streams may go on.
+    [[nodiscard]] auto mayResume(const Pass &pass, const Group &group) const -> bool;
     [[nodiscard]] auto isGateClosed(const Pass &pass, const Group &group) const -> bool;
     /// Whether the fleet has traffic, or probably all engines of a fleet that has just started have
     /// announced themselves.
@@ -96,6 +99,8 @@
     [[nodiscard]] auto regroupCandidates(const Pass &pass,
                                          const std::vector<const Pool *> &pools) const
         -> std::vector<RegroupCandidate>;
+    /// Updates lostSince_.
+    auto trackLostUpstreams(const FleetState &state, MonotonicTime now) -> void;
     /// Updates brokenSince_.
     auto trackBrokenGroups(const FleetState &state, MonotonicTime now) -> void;
     auto planSpares(Pass &pass, const PoolName &engines, const std::vector<FreeInstance> &spares)
@@ -133,6 +138,8 @@
     MonotonicTime nextRegroupAt_;
     /// When spares and the distribution of engines over pools were last reviewed.
     MonotonicTime lastReviewAt_;
+    /// When each lost upstream was first seen as lost.
+    std::map<UpstreamId, MonotonicTime> lostSince_;
     /// For groups whose head is lost: when a member was first seen outside the group.
     std::map<GroupId, MonotonicTime> brokenSince_;
 };
