transport: Keep a connection open while another request on it waits

Cause: whether to close was decided by each answer for itself. Class: a decision about a shared connection made by one of its users.

Change: only the answer to the last request that was read from a connection closes it; the one before leaves it open and does not announce a close.

--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -71,11 +71,12 @@
     return one.find("Content-Length") || one.find("Transfer-Encoding") || one.find("Connection");
 }
 
-/// Appends the header fields; `Connection: close` has the connection closed behind the answer.
+/// Appends the header fields; `Connection: close` has the connection closed behind the answer if
+/// that is the last one.
 template <typename Builder>
-auto appendHeaders(Builder &builder, const HttpHeaders &headers) -> void
+auto appendHeaders(Builder &builder, const HttpHeaders &headers, bool isLast) -> void
 {
-    if (headers.value("Connection") == "close")
+    if (isLast && headers.value("Connection") == "close")
         builder.connection_close();
     for (const auto &header : headers.all()) {
         if (!isFramingHeader(header))
@@ -83,16 +84,22 @@
     }
 }
 
+/// The number of the last request that was read from a connection.
+using LastRequest = std::atomic<std::uint64_t>;
+
 /// Runs the operations of one reply in order, one at a time.
 class ReplyCore : public std::enable_shared_from_this<ReplyCore>
 {
 public:
+    /// Reads \a lastRequest as the number of \a request.
     ReplyCore(asio::io_context &context, restinio::request_handle_t request,
-              std::shared_ptr<HookGate> gate)
+              std::shared_ptr<HookGate> gate, std::shared_ptr<const LastRequest> lastRequest)
         : strand_(asio::make_strand(context))
         , request_(std::move(request))
         , connection_(restinio::impl::access_req_connection(*request_))
         , gate_(std::move(gate))
+        , number_(*lastRequest)
+        , lastRequest_(std::move(lastRequest))
         , remote_(fmt::format("{}", fmt::streamed(request_->remote_endpoint())))
     { }
 
@@ -113,7 +120,7 @@
         const auto isHead = request_->header().method() == restinio::http_method_head();
         auto builder = request_->create_response<restinio::restinio_controlled_output_t>(
             statusLine(response.status_));
-        appendHeaders(builder, response.headers_);
+        appendHeaders(builder, response.headers_, isLast());
         if (!isHead)
             builder.set_body(std::move(response.body_));
         if (isHead || close)
@@ -128,7 +135,7 @@
             return;
         stream_.emplace(
             request_->create_response<restinio::chunked_output_t>(statusLine(head.status_)));
-        appendHeaders(*stream_, head.headers_);
+        appendHeaders(*stream_, head.headers_, isLast());
         if (!head.body_.empty())
             stream_->append_chunk(std::move(head.body_));
         stream_->flush();
@@ -187,6 +194,9 @@
     }
 
 private:
+    /// Whether no later request waits for its answer on the connection, which closing would cut.
+    [[nodiscard]] auto isLast() const -> bool { return number_ == *lastRequest_; }
+
     auto tellClosed() -> void
     {
         if (const auto closed = std::exchange(closed_, nullptr))
@@ -210,6 +220,8 @@
     restinio::request_handle_t request_;
     restinio::impl::connection_handle_t connection_;
     std::shared_ptr<HookGate> gate_;
+    std::uint64_t number_;
+    std::shared_ptr<const LastRequest> lastRequest_;
     std::string remote_;
     std::optional<ChunkedBuilder> stream_;
     std::function<void()> closed_;
@@ -308,12 +320,11 @@
 
     auto handle(const restinio::request_handle_t &request) -> restinio::request_handling_status_t
     {
-        auto core = std::make_shared<ReplyCore>(context_, request, gate_);
+        auto core = addRequest(request);
         if (request->body().size() > bodyLimit_) {
             core->send(bodyTooLarge(bodyLimit_), true);
             return restinio::request_accepted();
         }
-        remember(request->connection_id(), core);
         const auto handled = gate_->run(
             [&] { handler_(toRequest(*request), std::make_shared<Reply>(std::move(core))); });
         if (!handled)
@@ -327,25 +338,32 @@
         gate_->close();
         handler_ = nullptr;
         const auto lock = std::scoped_lock(mutex_);
-        for (const auto &[connection, replies] : replies_)
-            queueAll(replies, [](ReplyCore &core) { core.abort(); });
-        replies_.clear();
+        for (const auto &[id, connection] : connections_)
+            queueAll(connection.replies_, [](ReplyCore &core) { core.abort(); });
+        connections_.clear();
     }
 
     /// The connection is closed.
     auto noteClosed(restinio::connection_id_t connection) -> void
     {
         const auto lock = std::scoped_lock(mutex_);
-        const auto found = replies_.find(connection);
-        if (found == replies_.end())
+        const auto found = connections_.find(connection);
+        if (found == connections_.end())
             return;
-        queueAll(found->second, [](ReplyCore &core) { core.noteClosed(); });
-        replies_.erase(found);
+        queueAll(found->second.replies_, [](ReplyCore &core) { core.noteClosed(); });
+        connections_.erase(found);
     }
 
 private:
     using Replies = std::vector<std::weak_ptr<ReplyCore>>;
 
+    struct OpenConnection
+    {
+        /// The answers in progress.
+        Replies replies_;
+        std::shared_ptr<LastRequest> lastRequest_ = std::make_shared<LastRequest>(0);
+    };
+
     template <typename Operation>
     static auto queueAll(const Replies &replies, Operation operation) -> void
     {
@@ -355,13 +373,15 @@
         }
     }
 
-    auto remember(restinio::connection_id_t connection, const std::shared_ptr<ReplyCore> &reply)
-        -> void
+    auto addRequest(const restinio::request_handle_t &request) -> std::shared_ptr<ReplyCore>
     {
         const auto lock = std::scoped_lock(mutex_);
-        auto &replies = replies_[connection];
-        std::erase_if(replies, [](const auto &weak) { return weak.expired(); });
-        replies.push_back(reply);
+        auto &connection = connections_[request->connection_id()];
+        ++*connection.lastRequest_;
+        auto reply = std::make_shared<ReplyCore>(context_, request, gate_, connection.lastRequest_);
+        std::erase_if(connection.replies_, [](const auto &weak) { return weak.expired(); });
+        connection.replies_.push_back(reply);
+        return reply;
     }
 
     asio::io_context &context_;
@@ -369,8 +389,7 @@
     HttpHandler handler_;
     std::shared_ptr<HookGate> gate_ = std::make_shared<HookGate>();
     std::mutex mutex_;
-    /// The answers in progress on each open connection.
-    std::map<restinio::connection_id_t, Replies> replies_;
+    std::map<restinio::connection_id_t, OpenConnection> connections_;
 };
 
 /// Tells a ServerCore of closed connections.
