--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -1,9 +1,11 @@
 #include "control/ControlService.h"
 
+#include "base/Compression.h"
 #include "control/Proposal.h"
 #include "control/ProposalAnswer.h"
 #include "log/Replica.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -11,6 +13,9 @@
 
 namespace {
 
+/// A record that is committed later than this after it was appended is reported.
+constexpr auto slowCommitTime = std::chrono::milliseconds(500);
+
 auto timeoutFailure(bool mayHaveRun) -> Failure
 {
     return Failure{.code_ = Error::OutcomeUnknown,
@@ -42,6 +47,8 @@
     const auto now = hooks_.now_();
     if (!isLeaderNow(now))
         return false;
+    if (joinPending(command, done))
+        return true;
     const auto position = replica_->propose(command, now);
     if (!position && position.failure().code_ == Error::NotLeader)
         return false;
@@ -53,11 +60,34 @@
     }
     retryReplacedAt(position->index_);
     appendedProposals_[position->index_]
-        = AppendedProposal{position->term_, command, std::move(done), deadline};
+        = AppendedProposal{position->term_, command, std::move(done), deadline, now, {}};
     scheduleFlush();
     return true;
 }
 
+auto ControlService::joinPending(const std::string &command, const ProposalCallback &done) -> bool
+{
+    // Only declarations are as large; they are ordered by their revision or version, so that
+    // commands in between make no difference.
+    if (!isPackedText(command))
+        return false;
+    const auto isSame = [&](const auto &item) {
+        return item.second.command_ == command && item.second.term_ == replica_->term();
+    };
+    const auto found = std::find_if(appendedProposals_.begin(), appendedProposals_.end(), isSame);
+    if (found == appendedProposals_.end())
+        return false;
+    auto &pending = found->second;
+    if (done)
+        pending.done_
+            = [first = std::move(pending.done_), done](const Result<CommandOutcome> &outcome) {
+                  if (first)
+                      first(outcome);
+                  done(outcome);
+              };
+    return true;
+}
+
 auto ControlService::retryProposal(AppendedProposal appended) -> void
 {
     if (!appended.command_) {
@@ -91,9 +121,27 @@
         const auto lock = std::scoped_lock(mutex_);
         flushScheduled_ = false;
         replica_->flush(hooks_.now_());
+        const auto now = hooks_.now_();
+        for (auto &[index, appended] : appendedProposals_) {
+            if (!appended.flushedAt_)
+                appended.flushedAt_ = now;
+        }
     });
 }
 
+auto ControlService::emitWhenSlow(LogIndex index, const AppendedProposal &proposal) -> void
+{
+    const auto now = hooks_.now_();
+    if (now - proposal.appendedAt_ < slowCommitTime)
+        return;
+    const auto flushedAt = proposal.flushedAt_.value_or(now);
+    hooks_.event_(
+        Event{EventNumber::CommitSlow,
+              {{"index", std::to_string(index)},
+               {"flushMs", std::to_string(toMilliseconds(flushedAt - proposal.appendedAt_))},
+               {"commitMs", std::to_string(toMilliseconds(now - flushedAt))}}});
+}
+
 auto ControlService::resendProposals(MonotonicTime now) -> void
 {
     for (auto item = forwardedProposals_.begin(); item != forwardedProposals_.end();) {
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -44,6 +44,8 @@
     auto removeLearner(const EntryId &name) -> void;
     /// Sets whether the disk has space for more records.
     auto setDiskHasSpace(bool hasSpace) -> void;
+    /// Stops leading or standing for election, so that another voter can lead.
+    auto stepDown(MonotonicTime now) -> void;
 
     /// Returns the next actions; to be called until it returns none. New records are sent and
     /// synced in one batch.
@@ -65,6 +67,9 @@
     /// Whether this replica leads, no other can be leader at \a now, and everything committed
     /// before is applied.
     [[nodiscard]] auto holdsLeaderLease(MonotonicTime now) const -> bool;
+    /// While this replica leads: whether the other voters can commit records without its disk. A
+    /// quorum of them was heard recently, has disk space and everything that is committed.
+    [[nodiscard]] auto othersCanCommit() const -> bool;
 
 private:
     struct Peer
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -28,7 +28,9 @@
 auto LogCore::resetElectionTimer() -> void
 {
     const auto timeout = settings_.electionTimeout_;
-    electionDeadline_ = now_ + timeout + randomDelay(timeout);
+    // A voter without disk space may be unable to store its vote; another one stands first.
+    const auto handicap = diskHasSpace_ ? Duration::zero() : 2 * timeout;
+    electionDeadline_ = now_ + timeout + randomDelay(timeout) + handicap;
 }
 
 auto LogCore::maySendRestartProbe() const -> bool
@@ -188,6 +190,13 @@
     leader_ = std::move(leader);
 }
 
+auto LogCore::stepDown(MonotonicTime now) -> void
+{
+    now_ = now;
+    becomeFollower(state_.term_, std::nullopt);
+    resetElectionTimer();
+}
+
 auto LogCore::quorumContactTime() const -> std::optional<MonotonicTime>
 {
     auto contacts = std::vector<MonotonicTime>{};
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -54,11 +54,11 @@
         return reply;
     }
     reply.accepted_ = true;
+    reply.diskFull_ = !diskHasSpace_;
     reply.matchIndex_ = previous;
     for (const auto &record : body.records_) {
         const auto existingTerm = log_.termAt(record.index_);
         if (record.index_ > base && existingTerm != record.term_) {
-            reply.diskFull_ = !diskHasSpace_;
             if (reply.diskFull_)
                 break;
             if (existingTerm)
@@ -283,12 +283,26 @@
     return log_.voters().voters_.size() - fullVoters < log_.voters().quorum();
 }
 
+auto LogCore::othersCanCommit() const -> bool
+{
+    auto able = std::size_t(0);
+    for (const auto &voter : log_.voters().voters_) {
+        const auto *peer = voter == self_ ? nullptr : findVoterPeer(voter);
+        if (peer != nullptr && peer->lastContact_
+            && now_ < *peer->lastContact_ + settings_.electionTimeout_ && !peer->diskFull_
+            && peer->matchIndex_ >= state_.commitIndex_)
+            ++able;
+    }
+    return able >= log_.voters().quorum();
+}
+
 auto LogCore::propose(std::string payload, MonotonicTime now) -> Result<LogPosition>
 {
     now_ = now;
     if (role_ != ReplicaRole::Leader)
         return notLeaderFailure();
-    if (!diskHasSpace_ || diskFullBlocksQuorum()) {
+    // A leader whose own disk is full goes on while records become durable at the other voters.
+    if (diskHasSpace_ ? diskFullBlocksQuorum() : !othersCanCommit()) {
         return Failure{Error::DiskFull,
                        "the disks of the replicated log are full; free space under the data "
                        "folders of the voters and try again"};
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -2,12 +2,23 @@
 
 #include "log/LogCore.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace lycheereach {
 
 namespace {
 
+/// The time between a failed write and the first attempt to write everything to new files; doubled
+/// after each attempt up to the maximum, since each one encodes the whole state.
+constexpr auto recoveryInterval = std::chrono::seconds(1);
+constexpr auto maxRecoveryInterval = std::chrono::seconds(4);
+/// The time between attempts to take a snapshot while the disk has no space for it.
+constexpr auto snapshotRetryInterval = std::chrono::seconds(1);
+/// A leader whose disk is full for longer lets another voter lead, since the records that its disk
+/// lacks are held in memory.
+constexpr auto fullDiskLeaderTime = std::chrono::seconds(10);
+constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
 /// Disk space required beside the payload of a record, for its encoding.
 constexpr auto recordOverheadBytes = std::size_t(1024);
 
@@ -44,6 +55,7 @@
             return written;
         stored.value().identity_ = identity;
     }
+    now_ = now;
     core_ = std::make_unique<LogCore>(settings_, *stored, hooks_.random_, now);
     reportedVoters_ = voters();
     const auto &snapshot = stored->snapshot_;
@@ -55,20 +67,37 @@
 
 auto Replica::tick(MonotonicTime now) -> void
 {
-    if (diskFailed_)
+    now_ = now;
+    if (diskFailed_ && !tryRecoverDisk())
         return;
-    core_->setDiskHasSpace(storage_->hasFreeSpace(recordOverheadBytes));
+    hasSpace_ = storage_->hasFreeSpace(recordOverheadBytes);
+    updateDiskSpace(recordOverheadBytes);
+    stepDownWhenFull();
     core_->tick(now);
     performActions();
 }
 
+auto Replica::updateDiskSpace(std::size_t bytes) -> void
+{
+    core_->setDiskHasSpace(!syncBlocked_ && storage_->hasFreeSpace(bytes));
+}
+
+auto Replica::stepDownWhenFull() -> void
+{
+    const auto isLong = fullSince_ && now_ - *fullSince_ >= fullDiskLeaderTime;
+    if (isLong && core_->role() == ReplicaRole::Leader && core_->othersCanCommit())
+        core_->stepDown(now_);
+}
+
 auto Replica::receive(const EntryId &from, const Json &message, MonotonicTime now) -> void
 {
+    if (diskFailed_)
+        return;
     const auto decoded = decodeMessage(message);
-    if (diskFailed_ || !decoded)
+    if (!decoded)
         return;
-    core_->setDiskHasSpace(
-        storage_->hasFreeSpace(settings_.appendLimitBytes_ + recordOverheadBytes));
+    now_ = now;
+    updateDiskSpace(settings_.appendLimitBytes_ + recordOverheadBytes);
     core_->receive(from, *decoded, now);
     performActions();
 }
@@ -78,10 +107,10 @@
     if (diskFailed_) {
         return Failure{Error::DiskFailed,
                        "the disk of " + settings_.self_.text()
-                           + " failed; replace it and start the process again"};
+                           + " failed and takes no new files yet; replace it if that lasts"};
     }
-    core_->setDiskHasSpace(!syncBlocked_
-                           && storage_->hasFreeSpace(payload.size() + recordOverheadBytes));
+    now_ = now;
+    updateDiskSpace(payload.size() + recordOverheadBytes);
     return core_->propose(std::move(payload), now);
 }
 
@@ -170,12 +199,10 @@
 {
     for (auto actions = core_->takeActions(); !actions.empty(); actions = core_->takeActions()) {
         syncBlocked_ = false;
-        for (const auto &action : actions) {
+        // After a failed write committed records are still applied: they are taken only once.
+        for (const auto &action : actions)
             std::visit([this](const auto &concrete) { perform(concrete); }, action);
-            if (diskFailed_)
-                return;
-        }
-        if (syncBlocked_)
+        if (syncBlocked_ || diskFailed_)
             break;
     }
     takeSnapshotWhenDue();
@@ -193,7 +220,10 @@
 
 auto Replica::perform(const SyncWrites &action) -> void
 {
-    const auto written = storage_->sync();
+    if (diskFailed_)
+        return;
+    auto written = Result<Nothing>(Nothing{});
+    measure("sync", [&] { written = storage_->sync(); });
     if (written)
         core_->onSynced(action.lastIndex_);
     else if (written.failure().code_ == Error::DiskFull)
@@ -207,20 +237,19 @@
     const auto &log = core_->log();
     const auto &snapshot = log.snapshot();
     const auto index = snapshot.position_.index_;
-    constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
     const auto written = storage_->writeSnapshot(snapshot, core_->state(),
                                                  log.range(index + 1, log.last().index_, noLimit));
-    if (!written) {
-        markDiskFailed(written.failure());
-        return;
-    }
+    // The snapshot is committed, so it is restored even if this replica can't acknowledge it.
     hooks_.restore_(index, snapshot.bytes_);
-    emit(EventNumber::SnapshotInstalled, {{"version", std::to_string(index)}});
+    if (written)
+        emit(EventNumber::SnapshotInstalled, {{"version", std::to_string(index)}});
+    else
+        markDiskFailed(written.failure());
 }
 
 auto Replica::perform(const SendMessage &action) -> void
 {
-    if (!syncBlocked_)
+    if (!syncBlocked_ && !diskFailed_)
         hooks_.send_(action.to_, encodeMessage(action.message_));
 }
 
@@ -234,15 +263,24 @@
 {
     const auto &log = core_->log();
     const auto applied = core_->appliedIndex();
-    if (syncBlocked_ || applied < log.snapshot().position_.index_ + settings_.snapshotAfterRecords_)
+    if (syncBlocked_ || diskFailed_ || now_ < nextSnapshotAt_)
+        return;
+    if (applied < log.snapshot().position_.index_ + settings_.snapshotAfterRecords_)
         return;
     if (!storage_->hasFreeSpace(2 * log.snapshot().bytes_.size() + recordOverheadBytes))
         return;
+    measure("snapshot", [this] { takeSnapshot(); });
+}
+
+auto Replica::takeSnapshot() -> void
+{
+    const auto &log = core_->log();
+    const auto applied = core_->appliedIndex();
     const auto snapshot = core_->makeSnapshot(hooks_.takeSnapshot_());
-    constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
     const auto written = storage_->writeSnapshot(
         snapshot, core_->state(), log.range(applied + 1, log.last().index_, noLimit));
     if (!written) {
+        nextSnapshotAt_ = now_ + snapshotRetryInterval;
         if (written.failure().code_ != Error::DiskFull)
             markDiskFailed(written.failure());
         return;
@@ -254,13 +292,49 @@
 auto Replica::markDiskFailed(const Failure &failure) -> void
 {
     diskFailed_ = true;
+    recoveryDelay_ = recoveryInterval;
+    nextRecoveryAt_ = now_ + recoveryDelay_;
     emit(EventNumber::DiskFailed, {{"reason", failure.message_}});
-    if (reportedLeader_ == settings_.self_)
-        emit(EventNumber::LeaderLost, {{"reason", "the disk failed"}});
+    core_->stepDown(now_);
+}
+
+auto Replica::tryRecoverDisk() -> bool
+{
+    if (now_ < nextRecoveryAt_)
+        return false;
+    recoveryDelay_ = std::min<Duration>(2 * recoveryDelay_, maxRecoveryInterval);
+    nextRecoveryAt_ = now_ + recoveryDelay_;
+    const auto &log = core_->log();
+    const auto last = log.last().index_;
+    // New files, since a write that failed leaves the content of the old ones uncertain. What is in
+    // memory holds everything that this replica has acknowledged. The snapshot is a new one: the
+    // failed write may have stored one that is newer than the last in memory.
+    const auto snapshot = core_->makeSnapshot(hooks_.takeSnapshot_());
+    const auto written = storage_->writeSnapshot(
+        snapshot, core_->state(), log.range(snapshot.position_.index_ + 1, last, noLimit));
+    if (!written)
+        return false;
+    diskFailed_ = false;
+    core_->compact(snapshot.bytes_);
+    core_->stepDown(now_);
+    core_->onSynced(last);
+    emit(EventNumber::DiskRecovered, {{"entry", settings_.self_.text()}});
+    return true;
+}
+
+auto Replica::emitDiskSpace() -> void
+{
+    const auto isFull = syncBlocked_ || !hasSpace_;
+    if (isFull == fullSince_.has_value())
+        return;
+    const auto number = isFull ? EventNumber::DiskFull : EventNumber::DiskHasSpace;
+    emit(number, {{"entry", settings_.self_.text()}});
+    fullSince_ = isFull ? std::optional<MonotonicTime>(now_) : std::nullopt;
 }
 
 auto Replica::emitChanges() -> void
 {
+    emitDiskSpace();
     const auto now = leader();
     const auto termText = std::to_string(term());
     if (now != reportedLeader_ && reportedLeader_ == settings_.self_)
@@ -278,6 +352,14 @@
     emit(EventNumber::VotersChanged, {{"reason", names}});
 }
 
+auto Replica::measure(std::string_view kind, const std::function<void()> &work) -> void
+{
+    if (hooks_.measure_)
+        hooks_.measure_(kind, work);
+    else
+        work();
+}
+
 auto Replica::emit(EventNumber number, std::map<std::string, std::string> attributes) -> void
 {
     if (hooks_.event_)
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -11,10 +11,12 @@
 #include "log/ReplicaRole.h"
 #include "log/ReplicaSettings.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheereach {
@@ -25,8 +27,9 @@
 /// thread-safe.
 ///
 /// After a failed write or sync the replica stops participating: it sends no acknowledgement or
-/// vote and does not lead until the process is restarted on a working disk. While the disk is full
-/// the replica refuses new records; everything else goes on.
+/// vote and does not lead until everything that it holds in memory is written to new files, which
+/// it tries periodically. While its disk is full, a follower refuses new records; a leader goes on
+/// while the other voters can commit them, and steps down when that lasts.
 class Replica
 {
 public:
@@ -82,17 +85,36 @@
     auto perform(const SendMessage &action) -> void;
     auto perform(const ApplyRecords &action) -> void;
     auto takeSnapshotWhenDue() -> void;
+    auto takeSnapshot() -> void;
     auto markDiskFailed(const Failure &failure) -> void;
+    /// Writes everything to new files when that is due; returns whether the disk works again.
+    auto tryRecoverDisk() -> bool;
+    /// Tells the core whether the disk has space for \a bytes more.
+    auto updateDiskSpace(std::size_t bytes) -> void;
+    /// Lets another voter lead when the disk of this leader has been full for long.
+    auto stepDownWhenFull() -> void;
+    auto emitDiskSpace() -> void;
     auto emitChanges() -> void;
+    auto measure(std::string_view kind, const std::function<void()> &work) -> void;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
     ReplicaSettings settings_;
     std::unique_ptr<LogStorage> storage_;
     ReplicaHooks hooks_;
     std::unique_ptr<LogCore> core_;
+    /// The time of the last call.
+    MonotonicTime now_;
     bool diskFailed_ = false;
+    MonotonicTime nextRecoveryAt_;
+    Duration recoveryDelay_ = Duration::zero();
     /// The last sync found the disk full, so nothing that depends on it may be sent.
     bool syncBlocked_ = false;
+    /// Whether the disk had space for records at the last tick.
+    bool hasSpace_ = true;
+    /// Since when the disk is full, as of the last event; nullopt while it has space.
+    std::optional<MonotonicTime> fullSince_;
+    /// After a snapshot that the disk had no space for, no other is taken before this time.
+    MonotonicTime nextSnapshotAt_;
     /// The leader and the voters as of the last events.
     std::optional<EntryId> reportedLeader_;
     VoterSet reportedVoters_;
