--- a/packages/transport/HookGate.h
+++ b/packages/transport/HookGate.h
@@ -18,8 +18,8 @@
     {
         if (!enter())
             return false;
+        const auto entered = Entered(*this);
         call();
-        leave();
         return true;
     }
 
@@ -27,6 +27,21 @@
     auto close() -> void;
 
 private:
+    /// Leaves the gate at the end of its scope, also when the call throws.
+    class Entered
+    {
+    public:
+        explicit Entered(HookGate &gate)
+            : gate_(gate)
+        { }
+        ~Entered() { gate_.leave(); }
+        Entered(const Entered &) = delete;
+        auto operator=(const Entered &) -> Entered & = delete;
+
+    private:
+        HookGate &gate_;
+    };
+
     auto enter() -> bool;
     auto leave() -> void;
 
--- a/tests/transport/WorkerPoolTest.cpp
+++ b/tests/transport/WorkerPoolTest.cpp
@@ -1,7 +1,10 @@
 #include "transport/WorkerPool.h"
 
+#include "transport/HookGate.h"
 #include "transport/Waiter.h"
 
+#include <stdexcept>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lycheereach;
@@ -54,3 +57,20 @@
     CHECK(hasRun(1));
     CHECK_EQUAL(1, runs_.get());
 }
+
+TEST_GROUP(HookGate){};
+
+// Guards against an owner that waits for ever for a call that has thrown.
+TEST(HookGate, aCallThrew_close_doesNotWaitForIt)
+{
+    auto gate = HookGate{};
+    auto hasThrown = false;
+    try {
+        gate.run([] { throw std::runtime_error("failed"); });
+    } catch (const std::runtime_error &) {
+        hasThrown = true;
+    }
+    CHECK(hasThrown);
+    gate.close();
+    CHECK_FALSE(gate.run([] {}));
+}
