base, platform, gateway: Write JSON that quotes bytes which are not UTF-8

A request whose host, path or model has a byte that is not UTF-8 and matches nothing is refused with a reason that quotes it, and Json::dump() throws on such text; the server then closes the connection. The id that an upstream echoes is quoted as well: there the exception leaves the thread of the HTTP client, which ends the whole entry with all its requests. Seen by reading; the test terminates on the code before ("invalid UTF-8 byte at index 9").

Cause: text from outside in an encoder that throws. Events and problem documents used its replacing form, responses did not. Class: the same step written several times, right in some.

Change: toJsonText() is the one way to write JSON that may hold text from outside; responses, events and problem documents use it.

Test: RequestDialect.aReasonWithBytesThatAreNoText_write_isARefusal.

--- a/packages/base/JsonCodec.cpp
+++ b/packages/base/JsonCodec.cpp
@@ -46,6 +46,11 @@
     return value;
 }
 
+auto toJsonText(const Json &json) -> std::string
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 auto parseJson(const std::string &text, const std::string &source) -> Result<Json>
 {
     try {
--- a/packages/base/JsonCodec.h
+++ b/packages/base/JsonCodec.h
@@ -315,6 +315,9 @@
 /// Parses \a text; the value is discarded when it is not valid JSON or nests more deeply than
 /// jsonDepthLimit.
 auto parseBoundedJson(std::string_view text) -> Json;
+/// \a json as text. Bytes of a string that are not UTF-8 are replaced: text from outside may hold
+/// any, and Json::dump() throws on them.
+auto toJsonText(const Json &json) -> std::string;
 
 /// Parses \a text, with comments allowed; the failure names \a source and the line. Nesting is
 /// limited by jsonDepthLimit.
--- a/packages/gateway/JsonResponse.h
+++ b/packages/gateway/JsonResponse.h
@@ -12,7 +12,7 @@
 /// An HTTP response with \a status and \a json as its body.
 inline auto jsonResponse(std::uint16_t status, const Json &json) -> HttpResponse
 {
-    return HttpResponse{status, {{"Content-Type", "application/json"}}, json.dump() + "\n"};
+    return HttpResponse{status, {{"Content-Type", "application/json"}}, toJsonText(json) + "\n"};
 }
 
 } // namespace lycheereach
--- a/packages/requests/ProblemDocument.cpp
+++ b/packages/requests/ProblemDocument.cpp
@@ -56,7 +56,7 @@
                            {"detail", detail_},
                            {"verdict", toString(verdict_)},
                            {"requestId", request_.text()}};
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return toJsonText(json);
 }
 
 auto ProblemDocument::toServerSentEvent() const -> std::string
--- a/packages/timeline/EventFile.cpp
+++ b/packages/timeline/EventFile.cpp
@@ -17,7 +17,7 @@
     errno = 0;
     auto stream = std::ofstream(path_, std::ios::app | std::ios::binary);
     for (const auto &event : events)
-        stream << encode(event).dump(-1, ' ', false, Json::error_handler_t::replace) << '\n';
+        stream << toJsonText(encode(event)) << '\n';
     stream.flush();
     if (stream)
         return {};
--- a/packages/timeline/Timeline.cpp
+++ b/packages/timeline/Timeline.cpp
@@ -41,7 +41,7 @@
     });
     if (isPlain)
         return value;
-    return Json(value).dump(-1, ' ', false, Json::error_handler_t::replace);
+    return toJsonText(Json(value));
 }
 
 } // namespace
--- a/tests/platform/RequestDialectTest.cpp
+++ b/tests/platform/RequestDialectTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/RequestDialect.h"
 
+#include "base/JsonCodec.h"
 #include "requests/RequestFingerprint.h"
 
 #include <CppUTest/TestHarness.h>
@@ -125,6 +126,17 @@
     CHECK(response.headers_.value("Retry-After") == "1.500");
 }
 
+// Guards against a process that ends because a host, a model or an id echoed by an upstream, which
+// the reason of a refusal quotes, has bytes that are not UTF-8.
+TEST(RequestDialect, aReasonWithBytesThatAreNoText_write_isARefusal)
+{
+    const auto response
+        = codec_.writeRefusal_(ForwardRefusal{502, "the id 'r\xff\xc3(' is another"});
+    UNSIGNED_LONGS_EQUAL(502, response.status_);
+    const auto body = Json::parse(response.body_);
+    STRCMP_CONTAINS("is another", body.at("error").get<std::string>().c_str());
+}
+
 // Guards against an upstream that seems idle because its load did not fit.
 TEST(RequestDialect, loadBeyondItsType_read_countsAsNone)
 {
