--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -15,6 +15,8 @@
 
 /// A record that is committed later than this after it was appended is reported.
 constexpr auto slowCommitTime = std::chrono::milliseconds(500);
+/// The time between two such reports: a process that is late must not be busy with reporting it.
+constexpr auto slowCommitReportInterval = std::chrono::seconds(1);
 
 auto timeoutFailure(bool mayHaveRun) -> Failure
 {
@@ -132,8 +134,10 @@
 auto ControlService::emitWhenSlow(LogIndex index, const AppendedProposal &proposal) -> void
 {
     const auto now = hooks_.now_();
-    if (now - proposal.appendedAt_ < slowCommitTime)
+    if (now - proposal.appendedAt_ < slowCommitTime
+        || now - slowCommitReportedAt_ < slowCommitReportInterval)
         return;
+    slowCommitReportedAt_ = now;
     const auto flushedAt = proposal.flushedAt_.value_or(now);
     hooks_.event_(
         Event{EventNumber::CommitSlow,
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -245,6 +245,7 @@
     /// matches none of this run.
     std::uint64_t lastProposalNumber_;
     bool flushScheduled_ = false;
+    MonotonicTime slowCommitReportedAt_;
     bool stateChangePosted_ = false;
 
     /// The state lease of this process.
--- a/packages/timeline/WorkMeter.cpp
+++ b/packages/timeline/WorkMeter.cpp
@@ -4,6 +4,14 @@
 
 namespace lycheereach {
 
+namespace {
+
+/// The time between two events about slow runs: a process that is late must not be busy with
+/// reporting it.
+constexpr auto slowReportInterval = std::chrono::seconds(1);
+
+} // namespace
+
 WorkMeter::WorkMeter(Duration slowRunTime, EventSink event, MonotonicClock now)
     : slowRunTime_(slowRunTime)
     , event_(std::move(event))
@@ -12,6 +20,7 @@
 
 auto WorkMeter::record(std::string_view kind, Duration time) -> void
 {
+    auto isReported = false;
     {
         const auto lock = std::scoped_lock(mutex_);
         auto found = totals_.find(kind);
@@ -19,8 +28,12 @@
             found = totals_.emplace(std::string(kind), WorkTotals{}).first;
         auto &totals = found->second;
         totals = WorkTotals{totals.runs_ + 1, totals.time_ + time, std::max(totals.longest_, time)};
+        if (time >= slowRunTime_ && now_() - slowReportedAt_ >= slowReportInterval) {
+            isReported = true;
+            slowReportedAt_ = now_();
+        }
     }
-    if (time >= slowRunTime_)
+    if (isReported)
         event_(Event{EventNumber::WorkSlow,
                      {{"kind", std::string(kind)}, {"ms", std::to_string(toMilliseconds(time))}}});
 }
--- a/packages/timeline/WorkMeter.h
+++ b/packages/timeline/WorkMeter.h
@@ -19,7 +19,8 @@
 class WorkMeter
 {
 public:
-    /// A single run that takes \a slowRunTime or longer emits EventNumber::WorkSlow.
+    /// A single run that takes \a slowRunTime or longer emits EventNumber::WorkSlow, at most once
+    /// in a second.
     WorkMeter(Duration slowRunTime, EventSink event, MonotonicClock now);
 
     /// Runs \a work and adds its time to the totals of \a kind.
@@ -42,6 +43,7 @@
     EventSink event_;
     MonotonicClock now_;
     mutable std::mutex mutex_;
+    MonotonicTime slowReportedAt_;
     std::map<std::string, WorkTotals, std::less<>> totals_;
 };
 
--- a/tests/timeline/WorkMeterTest.cpp
+++ b/tests/timeline/WorkMeterTest.cpp
@@ -9,7 +9,7 @@
 
 TEST_GROUP(WorkMeter)
 {
-    MonotonicTime now_{};
+    MonotonicTime now_{100s};
     std::vector<Event> events_;
     WorkMeter meter_{100ms, [this](const Event &event) { events_.push_back(event); },
                      [this] { return now_; }};
@@ -38,6 +38,17 @@
     CHECK((events_.front() == Event{EventNumber::WorkSlow, {{"kind", "snapshot"}, {"ms", "100"}}}));
 }
 
+// Guards against a process that is late because it reports each slow run.
+TEST(WorkMeter, manyLongRuns_areReportedOnceInASecond)
+{
+    for (auto run = 0; run < 9; ++run)
+        work("apply", 100ms);
+    LONGS_EQUAL(1, events_.size());
+    work("apply", 100ms);
+    work("apply", 100ms);
+    LONGS_EQUAL(2, events_.size());
+}
+
 TEST(WorkMeter, aReport_hasEachKindAndBeginsAnew)
 {
     work("apply", 10ms);
