--- a/tests/log/FileLogStorageTest.cpp
+++ b/tests/log/FileLogStorageTest.cpp
@@ -183,6 +183,7 @@
     }
 }
 
+// Guards against a sync that seems to succeed on pages that an earlier sync has lost.
 TEST(FileLogStorage, aFailedSync_syncedAgain_failsUntilASnapshotIsWritten)
 {
     writeLog(1);
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -251,6 +251,7 @@
     CHECK(cluster_->replicasAgree());
 }
 
+// Guards against a recovery that drops records which were acknowledged before the write failed.
 TEST(Replica, aFailedDisk_restartedAfterItRecovered_hasLostNothing)
 {
     const auto leader = startCluster(3, 3);
@@ -284,6 +285,7 @@
     CHECK(cluster_->events_.contains(EventNumber::DiskHasSpace));
 }
 
+// Guards against a commit that counts records which the full disk of the leader does not hold.
 TEST(Replica, aLeaderKilledWhileItsDiskIsFull_restarted_losesNothingAcknowledged)
 {
     const auto leader = startCluster(3, 3);
@@ -314,6 +316,7 @@
     commit(leader, 3);
 }
 
+// Guards against a leader that holds ever more records in memory while its disk is full.
 TEST(Replica, aDiskOfTheLeaderFullForLong_anotherReplicaTakesOver)
 {
     const auto leader = startCluster(3, 3);
--- a/tests/platform/OperatorApiTest.cpp
+++ b/tests/platform/OperatorApiTest.cpp
@@ -76,6 +76,7 @@
     LONGS_EQUAL(before + 1, appliedIndex(leader()));
 }
 
+// As above, where the repetition reaches another process.
 TEST(RepeatedConfiguration, sentToAnotherProcessWhileItIsCommitted_isAppendedOnceAndAnsweredTwice)
 {
     const auto before = appliedIndex(leader());
@@ -86,6 +87,7 @@
     LONGS_EQUAL(before + 1, appliedIndex(leader()));
 }
 
+// As above, after the configuration is committed.
 TEST(RepeatedConfiguration, sentAgainAfterItIsCommitted_isAnsweredAtOnceWithoutARecord)
 {
     publish(leader(), 7);
@@ -97,6 +99,7 @@
     LONGS_EQUAL(before, appliedIndex(leader()));
 }
 
+// Guards against a configuration that is acknowledged before it is committed.
 TEST(RepeatedConfiguration, notYetKnownToBeCommitted_isNotAnsweredByAProcessThatIsCutOff)
 {
     fleet_.isolatedNodes_.insert(follower());
@@ -104,3 +107,21 @@
     fleet_.run(1s);
     CHECK(!reply->answer_);
 }
+
+// Guards against an order that shares the outcome of an equal one although an opposite one follows
+// that, so that it is acknowledged and undone.
+TEST(RepeatedConfiguration, aZoneTakenOutBroughtInAndTakenOutAgain_whileAllArePending_isOut)
+{
+    auto replies = std::vector<std::shared_ptr<KeptReply>>{};
+    for (const auto *method : {"POST", "DELETE", "POST"}) {
+        replies.push_back(std::make_shared<KeptReply>());
+        CHECK(apis_[leader()]->handle(HttpRequest{method, "/-/evacuations/z", {}, ""},
+                                      replies.back()));
+    }
+    fleet_.run(500ms);
+    for (const auto &reply : replies)
+        CHECK(isAcknowledged(*reply));
+    const auto isOut = fleet_.service(leader()).readState(
+        [](const FleetState &state) { return isZoneOut(state, ZoneName("z")); });
+    CHECK(isOut);
+}
--- a/tests/serving/EvidenceTest.cpp
+++ b/tests/serving/EvidenceTest.cpp
@@ -248,6 +248,7 @@
     LONGS_EQUAL(0, probes_.size());
 }
 
+// Guards against members probed, and lost, while an entry that was not asked gets data.
 TEST(Evidence, manyEntries_noneOfTheFirstAnswers_asksAllBeforeItProbes)
 {
     addEntries(40);
@@ -264,6 +265,7 @@
     LONGS_EQUAL(4, probes_.size());
 }
 
+// Guards against always asking the same entries.
 TEST(Evidence, manyEntries_reportedAgain_asksOthersFirst)
 {
     addEntries(40);
--- a/tests/transport/CutHeadTest.cpp
+++ b/tests/transport/CutHeadTest.cpp
@@ -112,22 +112,26 @@
     checkAllCutsOf("HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Length: 9\r\n\r\n");
 }
 
+// As above.
 TEST(CutHead, ofAnAnswerInChunks_cutAtAnyByte_isIncomplete)
 {
     checkAllCutsOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
 }
 
+// As above.
 TEST(CutHead, ofAnAnswerThatEndsWithItsConnection_cutAtAnyByte_isIncomplete)
 {
     checkAllCutsOf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
 }
 
+// As above.
 TEST(CutHead, behindAnInterimAnswer_cutAtAnyByte_isIncomplete)
 {
     checkAllCutsOf(
         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Seal: 1\r\n\r\n");
 }
 
+// As above.
 TEST(CutHead, ofAnAnswerToHead_cutAtAnyByte_isIncomplete)
 {
     checkEachCutOf("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "HEAD", Cut{});
