--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,75 +1,147 @@
-"""A control process freezes, and the operator's order to take an evacuation back waits in its socket. The operator
-gets no answer within a second and sends the order to another process, which acknowledges it. Later the operator
-evacuates the zone again; then the frozen process goes on."""
+"""Streams are sent while two runners crash shortly one after the other, again and again. A stream that the requester
+gets as complete must hold all its pieces, in order and once."""
 import asyncio
 import pathlib
 import random
-import signal
+import re
+import subprocess
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support"))
-from fleet import BOUNDS, Operator, Requester, Runner, finish, main, manifest, plain_service, safe_route, trouble
+from fleet import ZONES, Operator, finish, main, manifest, plain_service, read_head, trouble
 
-SERVICE, ZONE = "bookings", "zone-b"
-FREEZE_S = 7.0
-PATH = f"/-/evacuations/{ZONE}"
+FOLDER = pathlib.Path(__file__).resolve().parent
+RUNNERS, RESTART_S = 12, 3.0
+EVENTS = 20
+STREAMS_PER_S = 60.0
+ROUNDS, ROUND_S, GAP_S = 12, 5.0, 0.3
+
+
+class Runners:
+    def __init__(self, fleet, record, runs):
+        self.fleet_, self.record_, self.runs_ = fleet, record, runs
+        self.controls_ = ",".join(f"{ip}:8229" for ip in fleet.controls_.values())
+        self.boots_, self.processes_ = {}, {}
+
+    def start(self, number):
+        boot = self.boots_[number] = self.boots_.get(number, 0) + 1
+        address = f"{self.fleet_.network_}.{number % 3 + 1}.{100 + number // 3}:9000"
+        self.processes_[number] = subprocess.Popen(
+            [sys.executable, "-B", str(FOLDER / "runner.py"), address, f"i-{number}-{boot}", ZONES[number % 3],
+             self.controls_, str(self.runs_)])
+
+    async def crash(self, number):
+        self.record_.line(f"SIGKILL runner i-{number}-{self.boots_[number]}")
+        self.processes_[number].kill()
+        self.processes_[number].wait()
+        await asyncio.sleep(RESTART_S)
+        self.start(number)
+
+    def stop(self):
+        for process in self.processes_.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+
+async def read_stream(reader):
+    """The status, the body, and whether the answer ended as complete."""
+    start, headers = await read_head(reader)
+    status, body = int(start.split()[1]), b""
+    if headers.get("transfer-encoding", "").lower() != "chunked":
+        return status, await reader.read(), False
+    try:
+        while True:
+            size = int((await reader.readline()).split(b";")[0], 16)
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+            if size == 0:
+                return status, body, True
+    except (asyncio.IncompleteReadError, ValueError):
+        return status, body, False
+
+
+class Requesters:
+    def __init__(self, fleet, record):
+        self.entries_, self.record_, self.sent_ = list(fleet.entries_.values()), record, 0
+        self.whole_, self.broken_, self.wrong_ = 0, 0, []
+
+    async def send(self):
+        self.sent_ += 1
+        request = f"r{self.sent_}"
+        body = f"request {self.sent_}".encode()
+        head = (f"POST /brief/x HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {request}\r\n"
+                "Authorization: Token key-1\r\nX-Model: m\r\nX-Token-Usage: 640,100\r\nX-Deadline-Ms: 8000\r\n"
+                f"X-Prefix-Hash: 5ab{self.sent_ % 20:x}:40,0f{self.sent_:x}:600\r\n"
+                f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n").encode()
+        try:
+            reader, writer = await asyncio.open_connection(random.choice(self.entries_), 8227)
+            writer.write(head + body)
+            status, answer, is_complete = await asyncio.wait_for(read_stream(reader), 9)
+            writer.close()
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
+            status, answer, is_complete = type(error).__name__, b"", False
+        pieces = [int(number) for number in re.findall(rb"data: piece (\d+) of " + request.encode() + rb"\n", answer)]
+        is_whole = pieces == list(range(1, EVENTS + 1))
+        self.record_.line(f"stream {request}: {status}, {len(pieces)} pieces, "
+                          f"{'complete' if is_complete else 'broken off'}")
+        if status == 200 and is_complete and not is_whole:
+            self.wrong_.append((request, pieces))
+        elif status == 200 and is_complete:
+            self.whole_ += 1
+        else:
+            self.broken_ += 1
+
+    async def keep_sending(self, seconds):
+        tasks, end = [], time.monotonic() + seconds
+        while time.monotonic() < end:
+            tasks.append(asyncio.create_task(self.send()))
+            await asyncio.sleep(random.expovariate(STREAMS_PER_S))
+        await asyncio.gather(*tasks)
 
 
 async def case(fleet, record):
-    operator = Operator(fleet, record)
-    controls = list(fleet.controls_)
+    runs = fleet.folder_ / "runs"
+    runs.touch()
+    route = {"name": "r-brief", "host": "site.example", "pathPrefix": "/brief/", "kind": "streaming", "timeoutMs": 8000,
+             "sloMs": 1000, "priority": 1, "service": "pool", "maxAttempts": 2, "public": False, "sticky": True,
+             "resumable": True, "gapTargetMs": 250}
     await asyncio.sleep(1)
-    await operator.order("PUT", "/-/config", controls, manifest(1, [plain_service(SERVICE)], [safe_route(SERVICE)]),
-                         within=10)
-    runners = [Runner(fleet, record, number, SERVICE) for number in range(6)]
-    tasks = [await runner.start() for runner in runners]
-    await fleet.ready()
-    requesters = [Requester(fleet, record, f"q{number}", "/lookup/plot", 0.15) for number in range(3)]
-    tasks += [asyncio.create_task(requester.run()) for requester in requesters]
-    await asyncio.sleep(4)
-    leader = await fleet.leader()
-    followers = [name for name in controls if name != leader]
-    frozen = random.choice(followers)
-    others = [name for name in controls if name != frozen]
-    record.line(f"leader {leader}, to freeze {frozen}")
-
-    await operator.order("POST", PATH, others)
-    await asyncio.sleep(8)
-    frozen_at = time.monotonic()
-    if trouble():
-        fleet.signal(frozen, signal.SIGSTOP)
-    await asyncio.sleep(0.2)
-    sent_at = time.monotonic()
-    taken_back_at = await operator.order("DELETE", PATH, [frozen, *others])
-    # Longer than ackMs, for which an order may be sent again.
-    await asyncio.sleep(max(0.0, sent_at + BOUNDS["ackMs"] / 1000 + 1.0 - time.monotonic()))
-    evacuated_at = await operator.order("POST", PATH, others)
-    await asyncio.sleep(max(0.0, frozen_at + FREEZE_S - time.monotonic()))
-    if trouble():
-        fleet.signal(frozen, signal.SIGCONT)
-    thawed_at = time.monotonic()
-    await asyncio.sleep(BOUNDS["evacuateMs"] / 1000 + BOUNDS["maxStretchMs"] / 1000 + 4)
-    for task in tasks:
-        task.cancel()
-
-    # The bound with the longest stretch for an unstable core, and only while the core is stable again.
-    bound = max(evacuated_at + (BOUNDS["evacuateMs"] + BOUNDS["maxStretchMs"]) / 1000,
-                thawed_at + BOUNDS["contactMs"] / 1000)
-    in_zone = [(at, request, runner.id_) for runner in runners if runner.zone_ == ZONE for at, request in runner.runs_]
-    between = sum(1 for at, _, _ in in_zone if evacuated_at + 1 < at < thawed_at)
-    late = [item for item in in_zone if item[0] > bound]
-    answered = sum(status == 200 for requester in requesters for status in requester.answers_.values())
-    record.line(f"taken back {taken_back_at - record.start_:.3f}, evacuated again {evacuated_at - record.start_:.3f}, "
-                f"thawed {thawed_at - record.start_:.3f}, bound {bound - record.start_:.3f}")
-    record.line(f"requests in the evacuated zone from 1 s after the evacuation until the thaw: {between}; "
-                f"later than the bound: {len(late)}; 200 answers in all: {answered}")
-    for name in controls:
-        for line in fleet.log(name).splitlines():
-            if "zone-taken-out" in line or "zone-brought-in" in line:
-                record.line(f"log of {name}: {line}")
-    print(f"EVAC: {len(late)} requests reached runners of the evacuated zone later than the bound")
-    return not late
-
-
-finish(main(case, pathlib.Path(__file__).resolve().parent))
+    await Operator(fleet, record).order("PUT", "/-/config", list(fleet.controls_),
+                                        manifest(1, [plain_service("pool")], [route]), within=10)
+    runners = Runners(fleet, record, runs)
+    requesters = Requesters(fleet, record)
+    try:
+        for number in range(RUNNERS):
+            runners.start(number)
+        await fleet.ready()
+        await asyncio.sleep(4)
+        sending = asyncio.create_task(requesters.keep_sending(4 + ROUNDS * ROUND_S))
+        await asyncio.sleep(4)
+        restarts = []
+        for _ in range(ROUNDS):
+            if trouble():
+                for number in random.sample(range(RUNNERS), 2):
+                    restarts.append(asyncio.create_task(runners.crash(number)))
+                    await asyncio.sleep(GAP_S)
+            await asyncio.sleep(ROUND_S - 2 * GAP_S)
+        await sending
+        await asyncio.gather(*restarts)
+    finally:
+        runners.stop()
+    for line in runs.read_text(encoding="utf-8").splitlines():
+        at, text = line.split(" ", 1)
+        if any(f" {request}" in text + " " for request, _ in requesters.wrong_) and " of " in text:
+            record.line(f"runner at {float(at) - record.start_:.3f}: {text}")
+    for request, pieces in requesters.wrong_:
+        record.line(f"ORDER: {request} ended as complete with the pieces {pieces} of 1 to {EVENTS}")
+    record.line(f"{requesters.whole_} whole, {requesters.broken_} broken off or refused, {len(requesters.wrong_)} wrong")
+    print(f"ORDER: {len(requesters.wrong_)} streams ended as complete before their last piece; "
+          f"{requesters.whole_} whole, {requesters.broken_} broken off or refused")
+    if requesters.whole_ < 100:
+        return None
+    return not requesters.wrong_
+
+
+finish(main(case, FOLDER))
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# An order of the operator that waited at a frozen control process; TROUBLE=0 leaves out the freeze.
+# Runners whose streams have neither a length nor chunks crash, two in 0.3 s. TROUBLE=0 leaves the crashes out.
 cd "$(dirname "$0")" && exec python3 -B case.py
