--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -395,6 +395,10 @@
         record.line(f"not run: {error or 'it took too long'}")
         print(f"not run: {error or 'it took too long'}")
         return EXIT_NOT_RUN
+    except Exception as error:  # A fault of the script must not look like a broken rule.
+        record.line(f"not run: {type(error).__name__}: {error}")
+        print(f"not run: {type(error).__name__}: {error}")
+        return EXIT_NOT_RUN
     finally:
         if fleet:
             fleet.stop()
