control, log: Replace a voter that leaves heartbeats unanswered

Cause: a dead voter was replaced only when its entry was marked as lost, by a leader that times 3.5 s of silence from its own election and, for an entry that it never heard, once more. Removal and addition were two checks, 0.5 s apart, and the instance to add was the first live one by id, dead or alive. The voters were complete 9 to 11 s after the loss of a leader; the stated limit is 4 s after the start of the successor. Ruled out as the whole cause: the doubled wait alone, since with one wait of 3.5 s behind an election of up to 2.8 s it is still too late.

Change: the log tells which voters left the heartbeats of an election timeout unanswered (for a new leader its first two: it was elected after an election timeout without a leader), and which learners have caught up and are in contact. A silent voter is replaced as soon as such a learner is there, at the pace of ticks. Removing a voter that can't vote takes no majority away, and one that was only cut off is let in again when it is needed. No time is new: both settings of the log's heartbeats are used.

The reconciliation's cases name silent voters and ready instances where they named lost and live ones; their checks are the same.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -444,28 +444,37 @@
     forwardToLeader(forwarded, number, now);
 }
 
-auto ControlService::reconcileVoters(MonotonicTime now) -> void
+auto ControlService::voterView() const -> VoterView
 {
-    const auto isDue = now - votersCheckedAt_ >= settings_.renewalInterval_;
-    if (settings_.targetVoterCount_ == 0 || !isDue || !isLeaderNow(now))
-        return;
-    votersCheckedAt_ = now;
-    auto view
-        = VoterView{.wiped_ = replica_->wipedVoters(), .targetSize_ = settings_.targetVoterCount_};
-    for (const auto &voter : replica_->voters().voters_)
+    const auto &entries = machine_.state().entries_;
+    const auto isInPhase = [&entries](const EntryId &id, EntryPhase phase) {
+        const auto found = entries.find(id);
+        return found != entries.end() && found->second.control_ && found->second.phase_ == phase;
+    };
+    auto view = VoterView{.wiped_ = replica_->wipedVoters(),
+                          .silent_ = replica_->silentVoters(),
+                          .targetSize_ = settings_.targetVoterCount_};
+    for (const auto &voter : replica_->voters().voters_) {
         view.voters_.insert(voter.name_);
-    for (const auto &[id, entry] : machine_.state().entries_) {
-        if (entry.control_ && entry.phase_ == EntryPhase::Live)
-            view.live_.insert(id);
-        if (entry.control_ && entry.phase_ == EntryPhase::Lost)
-            view.lost_.insert(id);
+        if (isInPhase(voter.name_, EntryPhase::Lost))
+            view.silent_.insert(voter.name_);
+    }
+    for (const auto &id : replica_->readyLearners()) {
+        if (isInPhase(id, EntryPhase::Live))
+            view.ready_.insert(id);
     }
-    const auto change = nextVoterChange(view);
+    return view;
+}
+
+auto ControlService::reconcileVoters(MonotonicTime now) -> void
+{
+    if (settings_.targetVoterCount_ == 0 || !isLeaderNow(now))
+        return;
+    const auto change = nextVoterChange(voterView());
     if (!change)
         return;
     const auto position = replica_->changeVoters(change->add_, change->remove_, now);
-    // The change is tried again at the next check: the previous change is not committed yet, or
-    // the instance to add has not caught up with the log.
+    // The change is tried again at the next tick: the previous change is not committed yet.
     if (!position)
         return;
     retryReplacedAt(position->index_);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -29,6 +29,7 @@
 struct Proposal;
 struct ProposalAnswer;
 struct Renewal;
+struct VoterView;
 
 /// Receives the outcome of a proposal; called without any lock held. When the outcome is unknown,
 /// the failure has Verdict::MayHaveRun.
@@ -220,7 +221,8 @@
     auto markSilentEntriesLost(MonotonicTime now) -> void;
     /// Proposes this entry's record when the replicated state has another one or none.
     auto registerWhenNeeded(MonotonicTime now) -> void;
-    /// On the leader: makes the next change towards the wanted number of live voters.
+    [[nodiscard]] auto voterView() const -> VoterView;
+    /// On the leader: makes the next change towards the wanted number of voters that answer.
     auto reconcileVoters(MonotonicTime now) -> void;
     /// Emits an event when mayTakeWork() changes.
     auto emitLeaseChange(MonotonicTime now) -> void;
@@ -277,7 +279,6 @@
     /// mayTakeWork() as of the last event about it.
     bool mayWork_ = false;
     MonotonicTime leadingSince_;
-    MonotonicTime votersCheckedAt_;
     LogIndex inForceIndex_ = 0;
     /// On the leader: the configuration version last reported as in force.
     Version versionInForce_ = 0;
--- a/packages/control/VoterReconciliation.cpp
+++ b/packages/control/VoterReconciliation.cpp
@@ -2,19 +2,6 @@
 
 namespace lycheereach {
 
-namespace {
-
-auto firstLiveNonVoter(const VoterView &view) -> std::optional<EntryId>
-{
-    for (const auto &id : view.live_) {
-        if (!view.voters_.contains(id))
-            return id;
-    }
-    return std::nullopt;
-}
-
-} // namespace
-
 auto nextVoterChange(const VoterView &view) -> std::optional<VoterChange>
 {
     if (view.voters_.size() > 1) {
@@ -23,16 +10,13 @@
                 return VoterChange{std::nullopt, id};
         }
     }
-    const auto next = firstLiveNonVoter(view);
-    if (!next)
+    if (view.ready_.empty())
         return std::nullopt;
     if (view.voters_.size() < view.targetSize_)
-        return VoterChange{next, std::nullopt};
-    for (const auto &id : view.lost_) {
-        if (view.voters_.contains(id))
-            return VoterChange{std::nullopt, id};
-    }
-    return std::nullopt;
+        return VoterChange{*view.ready_.begin(), std::nullopt};
+    if (view.silent_.empty())
+        return std::nullopt;
+    return VoterChange{std::nullopt, *view.silent_.begin()};
 }
 
 } // namespace lycheereach
--- a/packages/control/VoterReconciliation.h
+++ b/packages/control/VoterReconciliation.h
@@ -16,10 +16,12 @@
     std::set<EntryId> voters_;
     /// Voters that restarted with an empty disk, so that their votes no longer count.
     std::set<EntryId> wiped_;
-    /// Control instances that are registered as live.
-    std::set<EntryId> live_;
-    /// Control instances that are registered as lost; only voters among them matter.
-    std::set<EntryId> lost_;
+    /// Voters that have left the heartbeats of the log's leader unanswered or are registered as
+    /// lost.
+    std::set<EntryId> silent_;
+    /// Control instances without a vote that are registered as live, are in contact and have caught
+    /// up with the log.
+    std::set<EntryId> ready_;
     /// The wanted number of voters.
     std::size_t targetSize_ = 0;
 
@@ -36,9 +38,10 @@
 };
 
 /// Returns the next single change towards the wanted voters, or nothing when none is needed or
-/// possible. A voter with an empty disk is removed unless it is the only voter; a lost voter is
-/// removed only when a live instance can replace it; live instances are added up to
-/// VoterView::targetSize_.
+/// possible. A voter with an empty disk is removed unless it is the only voter; a silent voter is
+/// removed only when a ready instance can replace it; ready instances are added up to
+/// VoterView::targetSize_. Removing a voter that can't vote takes no majority away: those that are
+/// left need as many votes as before, or fewer.
 auto nextVoterChange(const VoterView &view) -> std::optional<VoterChange>;
 
 } // namespace lycheereach
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -63,6 +63,11 @@
     [[nodiscard]] auto log() const -> const RecordSequence & { return log_; }
     [[nodiscard]] auto appliedIndex() const -> LogIndex { return appliedIndex_; }
     [[nodiscard]] auto wipedVoters() const -> std::set<EntryId>;
+    /// While this replica leads: the voters that have not answered the heartbeats of the last
+    /// election timeout, or the first ones of this leader, before which an election timeout passed.
+    [[nodiscard]] auto silentVoters() const -> std::set<EntryId>;
+    /// While this replica leads: the replicas that changeVoters() could add now.
+    [[nodiscard]] auto readyLearners() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> const VoterIdentity & { return self_; }
     /// Whether this replica leads, no other can be leader at \a now, and everything committed
     /// before is applied.
@@ -85,6 +90,9 @@
         /// When the latest request that it accepted was sent.
         MonotonicTime lastAcceptedAt_;
         MonotonicTime nextHeartbeatAt_;
+        /// Heartbeats sent since its last message. A leader that has not heard the peer yet adds
+        /// those that it would have sent before its election.
+        unsigned unansweredHeartbeats_ = 0;
         /// A snapshot is not sent again before this time.
         MonotonicTime nextSnapshotAt_;
         /// In its last reply it refused records because its disk is full.
@@ -149,6 +157,11 @@
     [[nodiscard]] auto quorumContactTime() const -> std::optional<MonotonicTime>;
     /// Whether too few voters have disk space to commit a record.
     [[nodiscard]] auto diskFullBlocksQuorum() const -> bool;
+    /// Whether \a peer answered a request that was sent within the last election timeout.
+    [[nodiscard]] auto isInContact(const Peer &peer) const -> bool;
+    [[nodiscard]] auto hasCaughtUp(const Peer &peer) const -> bool;
+    /// From this number of unanswered heartbeats on a voter is silent.
+    [[nodiscard]] auto silenceLimitHeartbeats() const -> unsigned;
     [[nodiscard]] auto validateVoterChange(const std::optional<EntryId> &add,
                                            const std::optional<EntryId> &remove) const
         -> Result<Nothing>;
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -11,6 +11,8 @@
 constexpr auto maximumLearnerLagRecords = LogIndex(64);
 /// The most unacknowledged records sent to one peer.
 constexpr auto maximumRecordsInFlight = LogIndex(4096);
+/// A voter that a new leader has not heard is silent after this number of heartbeats.
+constexpr auto newLeaderSilenceHeartbeats = 2U;
 
 } // namespace
 
@@ -110,6 +112,7 @@
     }
     const auto sentAt = MonotonicTime(Duration(body.sentAt_));
     peer.lastContact_ = std::max(sentAt, peer.lastContact_.value_or(sentAt));
+    peer.unansweredHeartbeats_ = 0;
     peer.diskFull_ = body.diskFull_;
     if (body.accepted_) {
         peer.matchIndex_ = std::max(peer.matchIndex_, body.matchIndex_);
@@ -183,8 +186,11 @@
     std::erase_if(peers_, [&](const auto &peer) { return !names.contains(peer.first); });
     for (const auto &name : names) {
         const auto [position, inserted] = peers_.try_emplace(name);
-        if (inserted)
-            position->second.nextIndex_ = log_.last().index_ + 1;
+        if (!inserted)
+            continue;
+        position->second.nextIndex_ = log_.last().index_ + 1;
+        position->second.unansweredHeartbeats_
+            = silenceLimitHeartbeats() - newLeaderSilenceHeartbeats;
     }
 }
 
@@ -196,11 +202,11 @@
         return;
     updatePeers();
     for (auto &[name, peer] : peers_) {
-        const auto reachable
-            = peer.lastContact_ && now_ < *peer.lastContact_ + settings_.electionTimeout_;
+        const auto reachable = isInContact(peer);
         if (now_ >= peer.nextHeartbeatAt_) {
             peer.nextHeartbeatAt_ = now_ + settings_.heartbeatInterval_;
             peer.probeSent_ = false;
+            ++peer.unansweredHeartbeats_;
             sendRecords(name, peer, true);
         }
         if (reachable && !peer.diskFull_)
@@ -272,6 +278,23 @@
     return {Error::NotLeader, self_.name_.text() + " is not the leader of the log; " + leaderHint};
 }
 
+auto LogCore::isInContact(const Peer &peer) const -> bool
+{
+    return peer.lastContact_ && now_ < *peer.lastContact_ + settings_.electionTimeout_;
+}
+
+auto LogCore::hasCaughtUp(const Peer &peer) const -> bool
+{
+    return peer.matchIndex_ != 0
+        && peer.matchIndex_ + maximumLearnerLagRecords >= state_.commitIndex_;
+}
+
+auto LogCore::silenceLimitHeartbeats() const -> unsigned
+{
+    const auto heartbeats = settings_.electionTimeout_ / settings_.heartbeatInterval_;
+    return std::max(static_cast<unsigned>(heartbeats), newLeaderSilenceHeartbeats);
+}
+
 auto LogCore::diskFullBlocksQuorum() const -> bool
 {
     auto fullVoters = std::size_t(0);
@@ -288,8 +311,7 @@
     auto able = std::size_t(0);
     for (const auto &voter : log_.voters().voters_) {
         const auto *peer = voter == self_ ? nullptr : findVoterPeer(voter);
-        if (peer != nullptr && peer->lastContact_
-            && now_ < *peer->lastContact_ + settings_.electionTimeout_ && !peer->diskFull_
+        if (peer != nullptr && isInContact(*peer) && !peer->diskFull_
             && peer->matchIndex_ >= state_.commitIndex_)
             ++able;
     }
@@ -322,6 +344,28 @@
     return wiped;
 }
 
+auto LogCore::silentVoters() const -> std::set<EntryId>
+{
+    auto silent = std::set<EntryId>{};
+    for (const auto &voter : log_.voters().voters_) {
+        const auto peer = peers_.find(voter.name_);
+        if (peer != peers_.end() && peer->second.unansweredHeartbeats_ >= silenceLimitHeartbeats())
+            silent.insert(voter.name_);
+    }
+    return silent;
+}
+
+auto LogCore::readyLearners() const -> std::set<EntryId>
+{
+    auto ready = std::set<EntryId>{};
+    for (const auto &[name, peer] : peers_) {
+        if (!log_.voters().containsName(name) && isInContact(peer) && hasCaughtUp(peer)
+            && !peer.diskFull_)
+            ready.insert(name);
+    }
+    return ready;
+}
+
 auto LogCore::validateVoterChange(const std::optional<EntryId> &add,
                                   const std::optional<EntryId> &remove) const -> Result<Nothing>
 {
@@ -339,9 +383,7 @@
     if (log_.voters().containsName(*add))
         return Failure{Error::Conflict, add->text() + " is a voter already; remove it first"};
     const auto peer = peers_.find(*add);
-    if (peer == peers_.end()
-        || peer->second.matchIndex_ + maximumLearnerLagRecords < state_.commitIndex_
-        || peer->second.matchIndex_ == 0)
+    if (peer == peers_.end() || !hasCaughtUp(peer->second))
         return Failure{Error::Conflict,
                        add->text() + " has not caught up; add it as a learner and try later"};
     return Nothing{};
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -172,6 +172,16 @@
     return core_->wipedVoters();
 }
 
+auto Replica::silentVoters() const -> std::set<EntryId>
+{
+    return core_->silentVoters();
+}
+
+auto Replica::readyLearners() const -> std::set<EntryId>
+{
+    return core_->readyLearners();
+}
+
 auto Replica::identity() const -> VoterIdentity
 {
     return core_->identity();
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -68,6 +68,10 @@
     /// While this replica leads: voters whose messages carry another generation than the voter set,
     /// because their disk was lost.
     [[nodiscard]] auto wipedVoters() const -> std::set<EntryId>;
+    /// While this replica leads: voters that have not answered for an election timeout.
+    [[nodiscard]] auto silentVoters() const -> std::set<EntryId>;
+    /// While this replica leads: learners that have caught up and are in contact.
+    [[nodiscard]] auto readyLearners() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> VoterIdentity;
     /// Whether this replica leads at \a now, no other can, and everything committed is applied.
     [[nodiscard]] auto holdsLeaderLease(MonotonicTime now) const -> bool;
--- a/tests/control/ControlFleet.cpp
+++ b/tests/control/ControlFleet.cpp
@@ -13,6 +13,15 @@
 constexpr auto percent = 100U;
 constexpr auto firstIncarnation = 1000U;
 
+auto makeRecord(std::size_t index, bool keepsLog) -> EntryRecord
+{
+    return EntryRecord{.id_ = EntryId("e" + std::to_string(index)),
+                       .incarnation_ = firstIncarnation,
+                       .zone_ = ZoneName("z" + std::to_string(index % 3)),
+                       .address_ = "127.0.0.1:" + std::to_string(firstPort + index),
+                       .control_ = keepsLog};
+}
+
 } // namespace
 
 ControlFleet::ControlFleet(std::uint64_t seed, std::size_t voters, std::size_t entriesWithoutLog)
@@ -20,18 +29,17 @@
     , seed_(seed)
     , nodes_(voters + entriesWithoutLog)
 {
+    auto seeds = std::vector<EntryId>{};
     for (std::size_t index = 0; index < nodes_.size(); ++index) {
         auto &node = nodes_[index];
-        node.self_.id_ = EntryId("e" + std::to_string(index));
-        node.self_.incarnation_ = firstIncarnation;
-        node.self_.zone_ = ZoneName("z" + std::to_string(index % 3));
-        node.self_.address_ = "127.0.0.1:" + std::to_string(firstPort + index);
-        node.self_.control_ = index < voters;
+        node.self_ = makeRecord(index, index < voters);
         if (!node.self_.control_)
             continue;
         node.disk_ = std::make_shared<MemoryDisk>();
-        voters_.push_back(node.self_.id_);
+        seeds.push_back(node.self_.id_);
     }
+    for (auto &node : nodes_)
+        node.seeds_ = seeds;
 }
 
 ControlFleet::~ControlFleet() = default;
@@ -43,18 +51,26 @@
             + std::to_string(toMilliseconds(elapsed_)) + " ms: " + text + "\n";
 }
 
+auto ControlFleet::addControlNode() -> std::size_t
+{
+    auto added = ControlNode{.self_ = makeRecord(nodes_.size(), true),
+                             .disk_ = std::make_shared<MemoryDisk>()};
+    for (const auto &node : nodes_) {
+        if (node.service_ != nullptr && node.disk_ != nullptr)
+            added.seeds_.push_back(node.self_.id_);
+    }
+    nodes_.push_back(std::move(added));
+    return nodes_.size() - 1;
+}
+
 auto ControlFleet::start(std::size_t node) -> void
 {
     auto &target = nodes_[node];
     ++target.self_.incarnation_;
     target.checkedVersion_ = 0;
-    const auto settings
-        = ControlSettings{.ownRecord_ = target.self_,
-                          .initialVoters_ = voters_,
-                          .renewalIntervalWithoutLease_ = renewalIntervalWithoutLease_,
-                          .entryLostTimeout_ = entryLostTimeout_,
-                          .grantorsInRotation_ = grantorsInRotation_,
-                          .snapshotAfterRecords_ = snapshotAfterRecords_};
+    auto settings = settings_;
+    settings.ownRecord_ = target.self_;
+    settings.initialVoters_ = target.seeds_;
     auto storage = std::unique_ptr<LogStorage>();
     if (target.disk_)
         storage = std::make_unique<MemoryStorage>(target.disk_);
--- a/tests/control/ControlFleet.h
+++ b/tests/control/ControlFleet.h
@@ -23,6 +23,8 @@
     EntryRecord self_;
     /// Null on an entry without a log.
     std::shared_ptr<MemoryDisk> disk_;
+    /// ControlSettings::initialVoters_ of the next run.
+    std::vector<EntryId> seeds_;
     /// Null while the process is stopped.
     std::unique_ptr<ControlService> service_;
     /// Functions queued through ControlHooks::post_.
@@ -47,6 +49,9 @@
     ControlFleet(const ControlFleet &) = delete;
     auto operator=(const ControlFleet &) -> ControlFleet & = delete;
 
+    /// Adds a process that keeps the log, has an empty disk and knows the running ones that keep
+    /// it; returns its index. It has to be started.
+    auto addControlNode() -> std::size_t;
     auto start(std::size_t node) -> void;
     /// Ends the process without a shutdown; its disk is kept.
     auto stop(std::size_t node) -> void;
@@ -93,11 +98,8 @@
     Duration maximumEntryDelay_ = std::chrono::milliseconds(5);
     /// Returns whether to drop a message, given its sender, receiver and method.
     std::function<bool(std::size_t, std::size_t, const std::string &)> dropsMessage_;
-    std::size_t snapshotAfterRecords_ = 2000;
-    /// These three have the meaning that they have in ControlSettings.
-    Duration renewalIntervalWithoutLease_ = std::chrono::milliseconds(500);
-    std::optional<Duration> entryLostTimeout_;
-    std::size_t grantorsInRotation_ = 1;
+    /// The settings of processes that are started; their records and voters are set for each.
+    ControlSettings settings_;
     /// The outcomes received by proposal callbacks.
     std::map<OperationId, OperationOutcome> outcomes_;
     /// Proposals made, callbacks received, and callbacks with a failure.
@@ -129,7 +131,6 @@
 
     std::mt19937_64 random_;
     std::uint64_t seed_;
-    std::vector<EntryId> voters_;
     std::vector<ControlNode> nodes_;
     std::vector<Packet> packets_;
     Duration elapsed_ = std::chrono::seconds(100);
--- a/tests/control/InForceTest.cpp
+++ b/tests/control/InForceTest.cpp
@@ -156,7 +156,7 @@
 {
     constexpr auto rounds = 12;
     auto fleet = ControlFleet(7, 3, 2);
-    fleet.snapshotAfterRecords_ = 5;
+    fleet.settings_.snapshotAfterRecords_ = 5;
     startAll(fleet);
     fleet.maximumEntryDelay_ = 2s;
     for (auto round = 0; round < rounds; ++round) {
@@ -174,7 +174,7 @@
 {
     constexpr auto changes = 500;
     auto fleet = ControlFleet(11, 3, 2);
-    fleet.snapshotAfterRecords_ = 40;
+    fleet.settings_.snapshotAfterRecords_ = 40;
     auto installed = 0;
     fleet.event_ = [&](const Event &event) {
         installed += event.number_ == EventNumber::SnapshotInstalled ? 1 : 0;
--- a/tests/control/MembershipTest.cpp
+++ b/tests/control/MembershipTest.cpp
@@ -98,7 +98,7 @@
 
 TEST(Membership, aStoppedEntry_shortSilenceLimit_isLostSoonAfterItsLease)
 {
-    fleet_.entryLostTimeout_ = 3200ms;
+    fleet_.settings_.entryLostTimeout_ = 3200ms;
     startAll();
     fleet_.stop(4);
     const auto stoppedAt = fleet_.now();
@@ -111,7 +111,7 @@
 
 TEST(Membership, entriesWithoutALease_allProcessesRestart_renewAtTheShorterInterval)
 {
-    fleet_.renewalIntervalWithoutLease_ = 100ms;
+    fleet_.settings_.renewalIntervalWithoutLease_ = 100ms;
     startAll();
     for (std::size_t index = 0; index < fleet_.size(); ++index)
         fleet_.stop(index);
@@ -146,7 +146,7 @@
 {
     for (auto seed = std::uint64_t{1}; seed <= 8; ++seed) {
         auto fleet = ControlFleet(seed, 3, 2);
-        fleet.grantorsInRotation_ = 2;
+        fleet.settings_.grantorsInRotation_ = 2;
         for (std::size_t index = 0; index < fleet.size(); ++index)
             fleet.start(index);
         CHECK(fleet.runUntilReady());
--- a/tests/control/VoterReconciliationTest.cpp
+++ b/tests/control/VoterReconciliationTest.cpp
@@ -12,12 +12,11 @@
     EntryId d_{"d"};
     VoterView view_{
         .voters_ = {EntryId("a"), EntryId("b"), EntryId("c")},
-        .live_ = {EntryId("a"), EntryId("b"), EntryId("c")},
         .targetSize_ = 3,
     };
 };
 
-TEST(VoterReconciliation, allVotersLive_next_changesNothing)
+TEST(VoterReconciliation, allVotersAnswer_next_changesNothing)
 {
     CHECK_FALSE(nextVoterChange(view_).has_value());
 }
@@ -28,21 +27,22 @@
     CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, b_}));
     view_.voters_.erase(b_);
     view_.wiped_.clear();
+    view_.ready_ = {b_};
     CHECK(nextVoterChange(view_) == (VoterChange{b_, std::nullopt}));
 }
 
-TEST(VoterReconciliation, aLostVoterWithoutReplacement_next_isKept)
+TEST(VoterReconciliation, aSilentVoterWithoutReplacement_next_isKept)
 {
-    view_.live_.erase(c_);
-    view_.lost_ = {c_};
+    view_.silent_ = {c_};
     CHECK_FALSE(nextVoterChange(view_).has_value());
 }
 
-TEST(VoterReconciliation, aLostVoterWithAReplacement_next_isReplaced)
+TEST(VoterReconciliation, aSilentVoterWithAReplacement_next_isReplaced)
 {
-    view_.live_ = {a_, b_, d_};
-    view_.lost_ = {c_};
+    view_.ready_ = {d_};
+    view_.silent_ = {c_};
     CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, c_}));
     view_.voters_.erase(c_);
+    view_.silent_.clear();
     CHECK(nextVoterChange(view_) == (VoterChange{d_, std::nullopt}));
 }
--- /dev/null
+++ b/tests/control/VoterReplacementTest.cpp
@@ -0,0 +1,105 @@
+#include "control/ControlFleet.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+TEST_GROUP(VoterReplacement)
+{
+    /// Starts \a voters control processes and waits until they serve.
+    auto start(std::uint64_t seed, std::size_t voters)->void
+    {
+        fleet_ = std::make_unique<ControlFleet>(seed, voters, 0);
+        auto &settings = fleet_->settings_;
+        settings.targetVoterCount_ = voters;
+        settings.stateLeaseDuration_ = 2500ms;
+        settings.renewalIntervalWithoutLease_ = 150ms;
+        settings.entryLostTimeout_ = 3500ms;
+        settings.registrationInterval_ = 1500ms;
+        settings.logHeartbeatInterval_ = 250ms;
+        settings.logElectionTimeout_ = 1400ms;
+        for (std::size_t index = 0; index < fleet_->size(); ++index)
+            fleet_->start(index);
+        CHECK(fleet_->runUntilReady());
+        fleet_->run(3s);
+    }
+    auto teardown()->void override
+    {
+        fleet_.reset();
+    }
+
+    auto voters()->std::vector<EntryId>
+    {
+        const auto leader = fleet_->leader();
+        return leader ? fleet_->service(*leader).status().voters_ : std::vector<EntryId>{};
+    }
+
+    auto isVoter(std::size_t node)->bool
+    {
+        const auto all = voters();
+        return std::find(all.begin(), all.end(), fleet_->node(node).self_.id_) != all.end();
+    }
+
+    /// Ends \a node for good and starts an empty process in its place; returns that one's index.
+    auto replace(std::size_t node)->std::size_t
+    {
+        fleet_->stop(node);
+        fleet_->run(1s);
+        const auto successor = fleet_->addControlNode();
+        fleet_->start(successor);
+        return successor;
+    }
+
+    std::unique_ptr<ControlFleet> fleet_;
+};
+
+/// Guards against a dead voter that stays one until its entry is marked as lost, by when another
+/// machine may be lost as well.
+TEST(VoterReplacement, aVoterIsReplaced_itsSuccessorHasCaughtUp_votesInItsPlace)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        start(seed, 3);
+        const auto leader = *fleet_->leader();
+        const auto lost = seed % 2 == 0 ? leader : (leader + 1) % 3;
+        const auto successor = replace(lost);
+        CHECK(fleet_->runUntil([&] { return isVoter(successor) && !isVoter(lost); }, 4s));
+        LONGS_EQUAL(3, voters().size());
+        STRCMP_EQUAL("", fleet_->violations().c_str());
+    }
+}
+
+/// Guards against a successor that is not the first in the order of ids, behind one that is dead.
+TEST(VoterReplacement, theFirstSuccessorIsDead_another_votesInItsPlace)
+{
+    start(1, 3);
+    const auto lost = (*fleet_->leader() + 1) % 3;
+    const auto dead = fleet_->addControlNode();
+    fleet_->start(dead);
+    CHECK(fleet_->runUntil([&] { return fleet_->phaseOf(dead) == EntryPhase::Live; }, 4s));
+    fleet_->stop(dead);
+    fleet_->run(1500ms);
+    const auto successor = replace(lost);
+    CHECK(fleet_->runUntil([&] { return isVoter(successor) && !isVoter(lost); }, 4s));
+    CHECK_FALSE(isVoter(dead));
+}
+
+/// Guards against a replaced voter that is not let in again although another one has been lost.
+TEST(VoterReplacement, aVoterThatWasCutOffAndReplacedReturns_andAnotherIsLost_votesAgain)
+{
+    start(1, 3);
+    const auto leader = *fleet_->leader();
+    const auto cutOff = (leader + 1) % 3;
+    const auto spare = fleet_->addControlNode();
+    fleet_->start(spare);
+    fleet_->run(1s);
+    fleet_->isolatedNodes_.insert(cutOff);
+    CHECK(fleet_->runUntil([&] { return isVoter(spare) && !isVoter(cutOff); }, 4s));
+    fleet_->isolatedNodes_.clear();
+    fleet_->run(4s);
+    fleet_->stop((leader + 2) % 3);
+    CHECK(fleet_->runUntil([&] { return isVoter(cutOff); }, 4s));
+    STRCMP_EQUAL("", fleet_->violations().c_str());
+}
--- a/tests/log/LogCoreTest.cpp
+++ b/tests/log/LogCoreTest.cpp
@@ -105,3 +105,28 @@
     receive("c", 9, VoteRequest{false, {9, 8}});
     CHECK(core_->takeActions().empty());
 }
+
+/// Guards against a voter that is not known to be dead: the heartbeats of an election timeout
+/// without an answer, or the first ones of a new leader, show it.
+TEST(LogCore, aVoterThatLeavesHeartbeatsUnanswered_counted_isSilent)
+{
+    createVoter();
+    winElection();
+    const auto beat = [this] {
+        now_ += ReplicaSettings{}.heartbeatInterval_;
+        core_->tick(now_);
+        completeSyncs();
+        for (const auto *voter : {"b", "c", "d"})
+            receive(voter, 4, AppendReply{true, 2, 3, now_.time_since_epoch().count(), false});
+    };
+    beat();
+    beat();
+    CHECK(core_->silentVoters() == std::set<EntryId>{EntryId("e")});
+    receive("e", 4, AppendReply{true, 2, 3, now_.time_since_epoch().count(), false});
+    CHECK(core_->silentVoters().empty());
+    for (auto heartbeat = 0; heartbeat < 9; ++heartbeat)
+        beat();
+    CHECK(core_->silentVoters().empty());
+    beat();
+    CHECK(core_->silentVoters() == std::set<EntryId>{EntryId("e")});
+}
