control: Tell a control process without state where the leader is

Cause: an empty control process renews its lease with its seeds in turn. A seed that doesn't lead answers with the id of the leader, but the process has no address for it and asks only those that its state or its settings name. Where none of the three seeds leads, it stays outside, and the voters are never complete again. Class: an answer that names what the receiver can't reach.

Change: the answer to a control process carries the leader's address; a process that may not take work renews with a new leader at once.

Test: VoterReplacement.anEmptyProcessWhoseSeedsDoNotLead..., failing before.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -152,6 +152,10 @@
         if (voter != self.id_ && std::find(ranked.begin(), ranked.end(), voter) == ranked.end())
             ranked.push_back(voter);
     }
+    // With an empty state a control instance knows the leader only from the grants of others.
+    if (replica_ != nullptr && !leader_.empty() && leader_ != self.id_
+        && std::find(ranked.begin(), ranked.end(), leader_) == ranked.end())
+        ranked.push_back(leader_);
     return ranked;
 }
 
@@ -223,12 +227,21 @@
     auto grant = LeaseGrant{.number_ = renewal.number_, .leader_ = leader_};
     if (renewal.entry_.control_ && isLeaderNow(now))
         grant = grantAsLeader(renewal, now);
-    else if (!renewal.entry_.control_)
+    else if (renewal.entry_.control_)
+        grant.leaderAddress_ = peerAddressOf(leader_);
+    else
         grant = grantAsRelay(renewal, now);
     grant.inForceIndex_ = inForceIndex_;
     hooks_.send_(from, "control.grant", encode(grant));
 }
 
+auto ControlService::peerAddressOf(const EntryId &id) const -> std::string
+{
+    const auto &entries = machine_.state().entries_;
+    const auto found = entries.find(id);
+    return found == entries.end() ? std::string() : found->second.peerAddress_;
+}
+
 auto ControlService::grantAsLeader(const Renewal &renewal, MonotonicTime now) -> LeaseGrant
 {
     const auto &id = renewal.entry_.id_;
@@ -243,6 +256,9 @@
     if (state.entries_.contains(id))
         grant.durationMs_
             = toMilliseconds(relayLeases_.grant(id, renewal.confirmed_, unlimitedLease, now));
+    else
+        appendIfLeader(encodeCommand(PutEntry{renewal.entry_}), nullptr,
+                       now + settings_.registrationInterval_);
     return grant;
 }
 
@@ -325,8 +341,15 @@
 auto ControlService::onGrant(const EntryId &from, const LeaseGrant &grant) -> void
 {
     const auto now = hooks_.now_();
-    if (!grant.leader_.empty())
+    const auto isNewLeader = !grant.leader_.empty() && grant.leader_ != leader_;
+    if (isNewLeader)
         leader_ = grant.leader_;
+    if (!grant.leaderAddress_.empty() && leader_ != settings_.ownRecord_.id_) {
+        hooks_.setPeerAddress_(leader_, grant.leaderAddress_);
+        // An instance that waits for a leader renews with it at once.
+        if (isNewLeader && !lease_.allowsWork(machine_.state().applied_, now))
+            sendRenewal(leader_, now);
+    }
     if (replica_ == nullptr)
         applyGrantedRecords(grant);
     inForceIndex_ = std::max(inForceIndex_, grant.inForceIndex_);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -197,9 +197,12 @@
     /// The process to send the next renewal to; nothing when none is known.
     [[nodiscard]] auto selectGrantor() -> std::optional<EntryId>;
     /// The processes to renew with, in order of preference: relays in the own zone, other relays,
-    /// the leader, which has other work, then initial voters that are lost or not registered.
+    /// the leader, which has other work, then initial voters and, for a control instance, a leader
+    /// that are lost or not registered.
     [[nodiscard]] auto rankedGrantors() const -> std::vector<EntryId>;
     auto onRenewal(const EntryId &from, const Renewal &renewal) -> void;
+    /// The registered address of \a id for other entries; empty when it is not registered.
+    [[nodiscard]] auto peerAddressOf(const EntryId &id) const -> std::string;
     auto grantAsLeader(const Renewal &renewal, MonotonicTime now) -> LeaseGrant;
     auto grantAsRelay(const Renewal &renewal, MonotonicTime now) -> LeaseGrant;
     /// Adds the committed records behind index \a after, or a snapshot when they are compacted.
--- a/packages/control/LeaseGrant.h
+++ b/packages/control/LeaseGrant.h
@@ -27,6 +27,9 @@
     LogIndex inForceIndex_ = 0;
     /// The leader known to the grantor; empty when it knows none.
     EntryId leader_;
+    /// The leader's `IP:port` for other entries, for a control instance that renews with another
+    /// process; empty when unknown.
+    std::string leaderAddress_;
     /// Committed records for an entry without a log, in order of their index.
     std::vector<StateRecord> records_;
     /// The whole state, when the log no longer holds the first record that the receiver lacks.
@@ -40,6 +43,7 @@
                           field("requiredIndex", &LeaseGrant::requiredIndex_),
                           field("inForceIndex", &LeaseGrant::inForceIndex_),
                           field("leader", &LeaseGrant::leader_),
+                          optionalField("leaderAddress", &LeaseGrant::leaderAddress_),
                           optionalField("records", &LeaseGrant::records_),
                           field("snapshot", &LeaseGrant::snapshot_)};
     }
--- a/tests/control/VoterReplacementTest.cpp
+++ b/tests/control/VoterReplacementTest.cpp
@@ -103,3 +103,17 @@
     CHECK(fleet_->runUntil([&] { return isVoter(cutOff); }, 4s));
     STRCMP_EQUAL("", fleet_->violations().c_str());
 }
+
+/// Guards against an empty process that never reaches the leader, since none of its seeds leads and
+/// what they answer is not followed.
+TEST(VoterReplacement, anEmptyProcessWhoseSeedsDoNotLead_started_isRegisteredAndCaughtUp)
+{
+    start(1, 5);
+    const auto leader = *fleet_->leader();
+    const auto lost = (leader + 1) % 5;
+    fleet_->stop(lost);
+    const auto successor = fleet_->addControlNode();
+    std::erase(fleet_->node(successor).seeds_, fleet_->node(leader).self_.id_);
+    fleet_->start(successor);
+    CHECK(fleet_->runUntil([&] { return isVoter(successor) && !isVoter(lost); }, 4s));
+}
