log: Repeat a failed pre-vote and a split vote soon

Cause: after a pre-vote without a majority a voter waited for a whole election timeout. The others leave the first pre-vote unanswered when they heard from the leader a little later than the one that asks, so that this is common. After a split vote, where each of two voters voted for itself, it waited as long.

Change: pre-votes, which disturb no leader, are repeated four times in an election timeout at random. A candidate that is told of a vote for another one in its term stands again after a quarter of the rest of its random time; it draws no new number.

Tests: LogCore.aPreVoteWithoutAnswer... and .aVoteRefusedInTheSameTerm..., both failing before.

--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -127,6 +127,11 @@
     auto becomeLeader() -> void;
     auto becomeFollower(Term term, std::optional<EntryId> leader) -> void;
     auto resetElectionTimer() -> void;
+    /// The time until the next pre-vote. It is short: a voter that heard from the leader a little
+    /// later than this one leaves the first pre-vote unanswered, and pre-votes disturb no leader.
+    auto preVoteInterval() -> Duration;
+    /// Has a candidate that lost a vote stand again soon, at a time that is still random.
+    auto shortenElectionTimer() -> void;
     [[nodiscard]] auto isVoter() const -> bool;
     /// Whether this replica leads, or heard from a leader or was opened within the last election
     /// timeout.
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -8,6 +8,8 @@
 
 /// The most restart probes that a voter sends within an election timeout.
 constexpr auto restartProbesPerElectionTimeout = 12;
+/// The most pre-votes that a voter asks for within an election timeout.
+constexpr auto preVotesPerElectionTimeout = 4;
 /// After granting a vote, a voter sends no restart probe for the election timeout divided by this:
 /// its vote may have elected a leader.
 constexpr auto postVoteWaitDivisor = 3;
@@ -33,6 +35,19 @@
     electionDeadline_ = now_ + timeout + randomDelay(timeout) + handicap;
 }
 
+auto LogCore::preVoteInterval() -> Duration
+{
+    const auto shortest = settings_.electionTimeout_ / preVotesPerElectionTimeout;
+    return shortest + randomDelay(shortest);
+}
+
+auto LogCore::shortenElectionTimer() -> void
+{
+    const auto rest = electionDeadline_ - now_;
+    if (rest > settings_.electionTimeout_ / 2)
+        electionDeadline_ = now_ + rest / preVotesPerElectionTimeout;
+}
+
 auto LogCore::maySendRestartProbe() const -> bool
 {
     // The probe asks only the current voters. While a voter change is uncommitted, a leader that
@@ -83,7 +98,10 @@
     role_ = preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
     leader_.reset();
     votesReceived_ = {self_.name_};
-    resetElectionTimer();
+    if (preVote)
+        electionDeadline_ = now_ + preVoteInterval();
+    else
+        resetElectionTimer();
     if (!preVote) {
         ++state_.term_;
         state_.votedFor_ = self_.name_;
@@ -146,6 +164,8 @@
     if (!body.granted_) {
         if (message.term_ > state_.term_)
             becomeFollower(message.term_, std::nullopt);
+        else if (role_ == ReplicaRole::Candidate && message.term_ == state_.term_)
+            shortenElectionTimer();
         return;
     }
     if (body.restartRound_ != 0) {
--- a/tests/log/LogCoreTest.cpp
+++ b/tests/log/LogCoreTest.cpp
@@ -106,6 +106,37 @@
     CHECK(core_->takeActions().empty());
 }
 
+/// Guards against a second election timeout without a leader: the others heard from the lost one a
+/// little later, and so they leave the first pre-vote unanswered.
+TEST(LogCore, aPreVoteWithoutAnswer_ticked_isRepeatedSoon)
+{
+    createVoter();
+    receive("b", 3, AppendRequest{{2, 2}, 1, 0, {}});
+    now_ += 2 * ReplicaSettings{}.electionTimeout_;
+    core_->tick(now_);
+    CHECK(core_->role() == ReplicaRole::PreCandidate);
+    completeSyncs();
+    now_ += ReplicaSettings{}.electionTimeout_ / 2;
+    core_->tick(now_);
+    CHECK_FALSE(core_->takeActions().empty());
+}
+
+/// Guards against another election timeout without a leader after a split vote.
+TEST(LogCore, aVoteRefusedInTheSameTerm_received_standsAgainSoon)
+{
+    createVoter();
+    core_->tick(now_);
+    completeSyncs();
+    for (const auto *voter : {"b", "c"})
+        receive(voter, 4, VoteReply{true, true});
+    CHECK(core_->role() == ReplicaRole::Candidate);
+    completeSyncs();
+    receive("b", 4, VoteReply{false, false});
+    now_ += ReplicaSettings{}.electionTimeout_ / 2;
+    core_->tick(now_);
+    CHECK(core_->role() == ReplicaRole::PreCandidate);
+}
+
 /// Guards against a voter that is not known to be dead: the heartbeats of an election timeout
 /// without an answer, or the first ones of a new leader, show it.
 TEST(LogCore, aVoterThatLeavesHeartbeatsUnanswered_counted_isSilent)
