control: Test seeded losses of control machines within the stated limits

Draws losses in turn and overlapping: machines replaced for good, lost disks, freezes, cuts, and restarts of all. A machine counts as lost for 4 s after its return or the start of its successor; no more are lost at a time than are tolerated, and each schedule must end with a quorum that answers at every control machine.

--- /dev/null
+++ b/tests/control/VoterScheduleTest.cpp
@@ -0,0 +1,265 @@
+#include "control/ControlFleet.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The limits that a deployment states. A machine is lost while it is down, frozen or cut off, and
+/// for the catch-up time after its return or after the start of the empty one in its place.
+constexpr auto catchUpTime = Duration(4s);
+/// Where more machines were down at once than are tolerated, service is back this long after the
+/// last return.
+constexpr auto recoveryTime = Duration(12s);
+/// A proposal is answered within this time while no more machines are lost than are tolerated.
+constexpr auto answerTime = Duration(6s);
+
+constexpr auto seedCount = std::size_t{3};
+constexpr auto scheduleDuration = Duration(75s);
+constexpr auto defaultScheduleCount = std::uint64_t(12);
+
+/// The number of seeds, from 1 on, that each test runs; LYCHEEREACH_SCHEDULES sets ten times it.
+auto scheduleCount() -> std::uint64_t
+{
+    const auto *text = std::getenv("LYCHEEREACH_SCHEDULES");
+    return text == nullptr ? defaultScheduleCount : std::strtoull(text, nullptr, 10) / 10;
+}
+
+/// Draws losses of control machines, in turn and overlapping, within the stated limits.
+class LossSchedule
+{
+public:
+    LossSchedule(std::uint64_t seed, std::size_t tolerated)
+        : fleet_(seed, 2 * tolerated + 1, 1)
+        , tolerated_(tolerated)
+    {
+        auto &settings = fleet_.settings_;
+        settings.targetVoterCount_ = 2 * tolerated + 1;
+        settings.stateLeaseDuration_ = 2500ms;
+        settings.renewalIntervalWithoutLease_ = 150ms;
+        settings.entryLostTimeout_ = 3500ms;
+        settings.registrationInterval_ = 1500ms;
+        settings.logHeartbeatInterval_ = 250ms;
+        settings.logElectionTimeout_ = 1400ms;
+        settings.snapshotAfterRecords_ = 20;
+        fleet_.event_ = [this](const Event &event) {
+            if (event.number_ == EventNumber::LeaderElected
+                || event.number_ == EventNumber::VotersChanged)
+                addLine(Json(event.attributes_).dump());
+        };
+        for (std::size_t index = 0; index < fleet_.size(); ++index) {
+            fleet_.start(index);
+            if (fleet_.node(index).disk_)
+                members_.push_back(index);
+        }
+    }
+
+    /// Runs the schedule; returns what went wrong, nothing when all was well.
+    auto run() -> std::string
+    {
+        if (!fleet_.runUntilReady())
+            return "the fleet did not become ready";
+        fleet_.run(5s);
+        const auto end = fleet_.now() + scheduleDuration;
+        while (fleet_.now() < end && fleet_.violations().empty()) {
+            returnWhenDue();
+            if (lostCount() < tolerated_ && fleet_.random(40) == 0)
+                loseOne();
+            else if (losses_.empty() && fleet_.random(1500) == 0)
+                restartAll();
+            fleet_.run(20ms);
+        }
+        const auto settled = fleet_.runUntil([this] {
+            returnWhenDue();
+            return losses_.empty();
+        });
+        if (!settled)
+            return "a machine did not return";
+        return isServing() ? fleet_.violations() : fleet_.violations() + log_;
+    }
+
+private:
+    struct Loss
+    {
+        std::size_t node_;
+        MonotonicTime returnsAt_;
+        /// Nothing once it has returned.
+        std::function<void()> returnIt_;
+        MonotonicTime endsAt_;
+    };
+
+    auto isLost(std::size_t node) const -> bool
+    {
+        return std::any_of(losses_.begin(), losses_.end(),
+                           [node](const auto &loss) { return loss.node_ == node; });
+    }
+
+    auto lostCount() const -> std::size_t { return losses_.size(); }
+
+    auto addLine(const std::string &text) -> void
+    {
+        log_ += "\n  " + std::to_string(toMilliseconds(fleet_.now().time_since_epoch())) + " "
+            + text;
+    }
+
+    auto note(const std::string &text, std::size_t node) -> void
+    {
+        addLine(text + " " + fleet_.node(node).self_.id_.text() + describeVoters());
+    }
+
+    /// The leader and its voters.
+    auto describeVoters() -> std::string
+    {
+        const auto leader = fleet_.leader();
+        if (!leader)
+            return ", no leader";
+        const auto status = fleet_.service(*leader).status();
+        auto text = ", leader " + status.entry_.text() + ", voters";
+        for (const auto &voter : status.voters_)
+            text += " " + voter.text();
+        return text;
+    }
+
+    auto returnWhenDue() -> void
+    {
+        for (auto &loss : losses_) {
+            if (loss.returnIt_ && fleet_.now() >= loss.returnsAt_)
+                std::exchange(loss.returnIt_, nullptr)();
+        }
+        std::erase_if(losses_, [this](const auto &loss) {
+            return !loss.returnIt_ && fleet_.now() >= loss.endsAt_;
+        });
+    }
+
+    auto begin(std::size_t node, Duration absence, std::function<void()> returnIt) -> void
+    {
+        const auto returnsAt = fleet_.now() + absence;
+        losses_.push_back({node, returnsAt, std::move(returnIt), returnsAt + catchUpTime});
+    }
+
+    /// Starts a process with settings that name three control machines of this moment.
+    auto start(std::size_t node) -> void
+    {
+        auto &seeds = fleet_.node(node).seeds_;
+        seeds.clear();
+        for (std::size_t index = 0; index < members_.size() && seeds.size() < seedCount; ++index)
+            seeds.push_back(fleet_.node(members_[index]).self_.id_);
+        fleet_.start(node);
+    }
+
+    auto loseOne() -> void
+    {
+        const auto leader = fleet_.leader();
+        auto node = members_[fleet_.random(members_.size())];
+        if (leader && fleet_.random(2) == 0)
+            node = *leader;
+        if (isLost(node))
+            return;
+        const auto absence = Duration(std::chrono::milliseconds(fleet_.random(3500)));
+        switch (fleet_.random(5)) {
+        case 0:
+        case 1:
+            replace(node, absence / 3);
+            break;
+        case 2:
+            note("loses its disk:", node);
+            fleet_.stop(node);
+            fleet_.loseDisk(node);
+            begin(node, absence, [this, node] { start(node); });
+            break;
+        case 3:
+            note("is frozen:", node);
+            fleet_.node(node).frozen_ = true;
+            begin(node, absence, [this, node] { fleet_.node(node).frozen_ = false; });
+            break;
+        default:
+            note("is cut off:", node);
+            fleet_.isolatedNodes_.insert(node);
+            begin(node, absence, [this, node] { fleet_.isolatedNodes_.erase(node); });
+        }
+    }
+
+    auto replace(std::size_t node, Duration absence) -> void
+    {
+        note("is lost for good:", node);
+        fleet_.stop(node);
+        std::erase(members_, node);
+        begin(node, absence, [this] {
+            const auto successor = fleet_.addControlNode();
+            note("replaces it:", successor);
+            members_.push_back(successor);
+            start(successor);
+        });
+    }
+
+    /// Ends all processes, which start again within a second with their disks.
+    auto restartAll() -> void
+    {
+        note("and all others restart:", members_.front());
+        for (const auto node : members_) {
+            fleet_.stop(node);
+            const auto startsAt = fleet_.now() + std::chrono::milliseconds(fleet_.random(1000));
+            losses_.push_back(
+                {node, startsAt, [this, node] { start(node); }, startsAt + recoveryTime});
+        }
+    }
+
+    /// Whether a change that is proposed at each control machine is answered in time.
+    auto isServing() -> bool
+    {
+        auto isAnswered = true;
+        auto operations = std::map<std::size_t, OperationId>{};
+        for (const auto node : members_)
+            operations.emplace(node, fleet_.proposeDeclaration(node));
+        fleet_.run(answerTime);
+        for (const auto &[node, operation] : operations) {
+            if (fleet_.outcomes_.contains(operation))
+                continue;
+            note("no answer at", node);
+            isAnswered = false;
+        }
+        return isAnswered;
+    }
+
+    ControlFleet fleet_;
+    std::size_t tolerated_;
+    std::vector<std::size_t> members_;
+    std::vector<Loss> losses_;
+    std::string log_;
+};
+
+} // namespace
+
+TEST_GROUP(VoterSchedules){
+    static auto runSchedules(std::size_t tolerated)->void{auto failed = std::string{};
+auto first = std::string{};
+for (std::uint64_t seed = 1; seed <= scheduleCount(); ++seed) {
+    const auto failure = LossSchedule(seed, tolerated).run();
+    if (failure.empty())
+        continue;
+    failed += " " + std::to_string(seed);
+    first = first.empty() ? failure : first;
+}
+if (!failed.empty())
+    FAIL(("failed seeds:" + failed + "; the first one:" + first).c_str());
+}
+}
+;
+
+/// Guards against voters that are replaced too late: once a successor counts as caught up, the loss
+/// of another machine left two of three voters gone for good.
+TEST(VoterSchedules, oneToleratedLossAtATime_run_endWithAQuorum)
+{
+    runSchedules(1);
+}
+
+TEST(VoterSchedules, twoToleratedLossesAtATime_run_endWithAQuorum)
+{
+    runSchedules(2);
+}
