forward: Break a resumed stream off that ends before its first event

Cause: an end without an event was a failure only before the first event of the stream or beside another attempt. After a resumption it was taken for the end, with any framing, also when the attempt before had shown a part of the next event, or when the new one repeated known events only. An answer with neither a length nor chunks ends in the same way whether its upstream crashed or has no event left. Class: the end of an attempt was judged by that attempt alone, and by a sign that isn't one in all framings.

Change: the transport tells whether an answer was delimited. An attempt that delivers no event ends a stream as complete only if it was delimited and no attempt before it was cut within an event; else it is a failed attempt, and the caller's stream goes on elsewhere or is broken off.

The gateway was read: ResponseAssembler::finish() demands the end mark, so that the fault is not there.

--- a/packages/forward/ForwardEvent.h
+++ b/packages/forward/ForwardEvent.h
@@ -55,6 +55,8 @@
     std::string message_;
     /// Whether the connection was refused, so that nothing listens at the upstream's address.
     bool isRefused_ = false;
+    /// HttpOutcome::isDelimited_.
+    bool isDelimited_ = false;
 };
 
 /// The upstream of the open attempt sends no events, while another upstream has capacity and has
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -170,6 +170,7 @@
     lastEventId_ = source.reader_.lastEventId();
     hasEventWithoutId_ = hasEventWithoutId_ || source.reader_.hasEventWithoutId();
     source.hasDelivered_ = true;
+    isCutWithinEvent_ = false;
     if (!streamSince_)
         streamSince_ = now_;
     const auto number = source.number_;
@@ -197,6 +198,7 @@
     auto ended = take(*found);
     const auto failure = failureOf(ended, event);
     const auto isWholeAnswer = failure.empty() && !ended.isStreaming(plan_.kind_);
+    isCutWithinEvent_ = isCutWithinEvent_ || !ended.reader_.isAtEventBoundary();
     // Beside another attempt only a success ends the request.
     const auto isSuccess = ended.head_ && ended.head_->status_ < firstNonSuccessStatus;
     if (failure.empty() && (!hasOtherAttempt() || isSuccess)) {
@@ -235,7 +237,7 @@
     if (isStreaming && !attempt.reader_.isAtEventBoundary())
         return "the upstream ended the stream within an event";
     // Beside another attempt, an end without events does not show that the stream is complete.
-    if (isStreaming && !attempt.hasDelivered_ && (hasOtherAttempt() || !headSent_))
+    if (isStreaming && !attempt.hasDelivered_ && (hasOtherAttempt() || !isStreamComplete(event)))
         return "the upstream ended the stream without an event";
     if (headSent_ && !isStreaming)
         return "the upstream did not go on with the stream: status "
@@ -246,6 +248,13 @@
     return {};
 }
 
+auto ForwardStateMachine::isStreamComplete(const forward_event::AttemptEnded &event) const -> bool
+{
+    // An upstream that crashes before its first event ends an answer that is not delimited in the
+    // same way as one that has no event left.
+    return headSent_ && !isCutWithinEvent_ && event.isDelimited_;
+}
+
 auto ForwardStateMachine::attemptSucceeded(Attempt attempt) -> void
 {
     emit(
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -92,6 +92,8 @@
     /// Why the ended attempt has no response to forward; empty when it has one.
     auto failureOf(const Attempt &attempt, const forward_event::AttemptEnded &event) const
         -> std::string;
+    /// Whether the stream, whose last event was delivered by an earlier attempt, is complete.
+    [[nodiscard]] auto isStreamComplete(const forward_event::AttemptEnded &event) const -> bool;
     auto attemptSucceeded(Attempt attempt) -> void;
     /// \a verdict tells whether the attempt may have run.
     auto attemptFailed(Attempt attempt, const std::string &failure, Verdict verdict) -> void;
@@ -139,6 +141,9 @@
     std::optional<MonotonicTime> streamSince_;
     /// Whether an event without an id was delivered, so that the stream can't be resumed.
     bool hasEventWithoutId_ = false;
+    /// Whether an attempt ended within an event of which the caller has received nothing since, so
+    /// that the stream goes on behind lastEventId_.
+    bool isCutWithinEvent_ = false;
     std::set<UpstreamId> avoid_;
     /// Combined over all failed attempts.
     Verdict verdict_ = Verdict::NotRun;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -166,7 +166,8 @@
         [self, attempt, target](const HttpOutcome &outcome) {
             self->recordIfBroken(target, outcome);
             self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
-                                                   outcome.message_, outcome.isRefused_});
+                                                   outcome.message_, outcome.isRefused_,
+                                                   outcome.isDelimited_});
         },
         [self, target] { self->targetStalled(target); },
         [self](const HttpResponse &response) {
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -47,6 +47,9 @@
     std::string message_;
     /// Whether the other side refused the connection, so that nothing listens there.
     bool isRefused_ = false;
+    /// Whether the answer announced its length or came in chunks. The end of any other answer is
+    /// that of its connection, so that one broken off looks whole.
+    bool isDelimited_ = false;
 };
 
 /// Called from the client's thread, one at a time for a call, the last always ended_.
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -155,7 +155,7 @@
 auto HttpTransfer::endWith(CURLcode code) -> void
 {
     if (code == CURLE_OK && headTold_) {
-        hooks_.ended_(HttpOutcome{{}, Verdict::Ran, {}});
+        hooks_.ended_(HttpOutcome{.verdict_ = Verdict::Ran, .isDelimited_ = isDelimited_});
         return;
     }
     if (forbidden_) {
@@ -181,7 +181,7 @@
     auto osError = 0L;
     curl_easy_getinfo(easy_.get(), CURLINFO_OS_ERRNO, &osError);
     const auto isRefused = !connected_ && osError == ECONNREFUSED;
-    hooks_.ended_(HttpOutcome{error, verdict(), message, isRefused});
+    hooks_.ended_(HttpOutcome{error, verdict(), message, isRefused, isDelimited_});
 }
 
 auto HttpTransfer::takeHeaderLine(std::string_view line) -> void
@@ -204,6 +204,8 @@
     if (!trimmed(line).empty() || head_.status_ < firstFinalStatus)
         return;
     headTold_ = true;
+    isDelimited_
+        = head_.headers_.find("Content-Length") || head_.headers_.find("Transfer-Encoding");
     if (hooks_.head_)
         hooks_.head_(head_);
     isWrongAnswer_ = hooks_.answersThisCall_ && !hooks_.answersThisCall_(head_);
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -58,6 +58,8 @@
     MonotonicTime silenceToldAt_;
     bool connected_ = false;
     bool headTold_ = false;
+    /// HttpOutcome::isDelimited_.
+    bool isDelimited_ = false;
     /// Whether HttpCallHooks::answersThisCall_ said no.
     bool isWrongAnswer_ = false;
     /// Whether HttpCall::mayStart_ said no.
