transport, forward, gateway, platform: Bound what answers in progress hold

Cause: each answer could have 32 MB and nothing bounded their sum. An answer with an error was gathered like others. The answer to an order or a probe, of which only the status counts, could trickle for ever, since each byte ends the silence. Class: a limit for one of many, without one for all.

Change, in the client that both request paths and control use: it counts what the receivers hold of all answers in progress. Beyond a limit the calls that hold more than an equal share are ended as they receive more, and then those that hold most. What a stream has passed on to its caller isn't held. An answer with an error may have 1 MiB; a call of which only the status counts may last as long as its connection, head and one pause.

--- a/packages/forward/EventStreamReader.h
+++ b/packages/forward/EventStreamReader.h
@@ -23,6 +23,8 @@
     auto beginAttempt() -> void;
     /// Whether the bytes so far end with a complete event.
     [[nodiscard]] auto isAtEventBoundary() const -> bool { return pending_.empty(); }
+    /// The bytes of the incomplete event.
+    [[nodiscard]] auto pendingBytes() const -> std::size_t { return pending_.size(); }
     /// Whether bytes came that are no event; they and all that follows are dropped.
     [[nodiscard]] auto hasForeignBytes() const -> bool { return hasForeignBytes_; }
     /// Whether the incomplete event exceeds the size limit.
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -101,6 +101,15 @@
     return nullptr;
 }
 
+auto ForwardStateMachine::heldBytes(std::uint32_t attempt) const -> std::size_t
+{
+    for (const auto *open : {&attempt_, &other_}) {
+        if (*open && (*open)->number_ == attempt)
+            return (*open)->body_.capacity() + (*open)->reader_.pendingBytes();
+    }
+    return 0;
+}
+
 auto ForwardStateMachine::take(const Attempt &ended) -> Attempt
 {
     if (!attempt_ || &*attempt_ != &ended)
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -40,6 +40,8 @@
     auto handle(const ForwardEvent &event, MonotonicTime now) -> std::vector<ForwardAction>;
     /// Whether the caller needs nothing more and no attempt is open.
     [[nodiscard]] auto isFinished() const -> bool { return replied_ && !attempt_ && !other_; }
+    /// The bytes of the response to \a attempt that are held until more arrive.
+    [[nodiscard]] auto heldBytes(std::uint32_t attempt) const -> std::size_t;
     /// Whether TargetStalled would start another attempt beside the one that runs at \a target,
     /// apart from the retry budget.
     [[nodiscard]] auto mayMoveFrom(const ForwardTarget &target) const -> bool;
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -173,6 +173,10 @@
         [self](const HttpResponse &response) {
             const auto head = self->context_.codec_.parseHead_(response);
             return head.echoedRequestId_ == self->routed_.request_.id_;
+        },
+        [self, attempt](std::size_t /*bodyBytes*/) {
+            const auto lock = std::scoped_lock(self->mutex_);
+            return self->stateMachine_.heldBytes(attempt);
         }};
 }
 
--- a/packages/gateway/ActiveRequestActions.cpp
+++ b/packages/gateway/ActiveRequestActions.cpp
@@ -43,6 +43,13 @@
                         .verdict_ = parseVerdict(headers.value("X-Verdict"))};
 }
 
+auto isEventStream(const HttpResponse &response) -> bool
+{
+    constexpr std::uint16_t firstErrorStatus = 400;
+    return response.status_ < firstErrorStatus
+        && response.headers_.value("Content-Type").starts_with("text/event-stream");
+}
+
 auto wallTimeMs(const WallClock &clock) -> std::int64_t
 {
     const auto sinceEpoch = clock().time_since_epoch();
@@ -147,9 +154,11 @@
 auto ActiveRequest::makeCallHooks(const AttemptId &attempt) -> HttpCallHooks
 {
     const auto self = shared_from_this();
+    const auto isStream = std::make_shared<bool>(false);
     return HttpCallHooks{
         .head_ =
-            [self, attempt](const HttpResponse &response) {
+            [self, attempt, isStream](const HttpResponse &response) {
+                *isStream = isEventStream(response);
                 self->timeToFirstByteNs_
                     = (self->context_.now_() - self->attemptStartedAt_).count();
                 self->post(
@@ -168,7 +177,10 @@
             [self, attempt](const HttpResponse &response) {
                 const auto head = readResponseHead(response);
                 return head.request_ == self->request_.id_ && head.attempt_ == attempt;
-            }};
+            },
+        // Complete events of a stream go on to the caller.
+        .heldBytes_
+        = [isStream](std::size_t bodyBytes) { return *isStream ? std::size_t{0} : bodyBytes; }};
 }
 
 auto ActiveRequest::perform(const request_action::StartAttempt &action) -> void
@@ -228,6 +240,7 @@
     auto cancel = HttpCall{.address_ = action.target_.address_,
                            .connectTimeout_ = cancelTimeout,
                            .firstByteTimeout_ = cancelTimeout,
+                           .totalTimeout_ = 2 * cancelTimeout,
                            .freshConnection_ = true};
     cancel.request_ = HttpRequest{"POST",
                                   "/v1/cancel",
@@ -266,6 +279,7 @@
     auto probe = HttpCall{.address_ = action.target_.address_,
                           .connectTimeout_ = probeTimeout,
                           .firstByteTimeout_ = probeTimeout,
+                          .totalTimeout_ = 2 * probeTimeout,
                           .freshConnection_ = true};
     probe.request_ = HttpRequest{"GET", "/healthz", {}, {}};
     const auto onProbeEnded = [self = shared_from_this()](const HttpOutcome &outcome) {
--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 #include <system_error>
 
@@ -30,6 +31,11 @@
     /// The longest body that is taken, in bytes; far above the answers of models and services, far
     /// below the memory of an entry.
     std::size_t bodyLimitBytes_ = std::size_t{32} * 1024 * 1024;
+    /// The longest body of an answer with an error status, which holds a short text, in bytes.
+    std::size_t errorBodyLimitBytes_ = std::size_t{1024} * 1024;
+    /// The longest time from the start of the call to its end, with Error::ConnectionSilent after
+    /// it. Without it only silence ends a call, which bytes that trickle never are.
+    std::optional<Duration> totalTimeout_ = std::nullopt;
     /// A new connection instead of one from the pool, for a request that must not be repeated.
     bool freshConnection_ = false;
     /// Asked by the client's thread right before the first byte leaves; on false the call ends with
@@ -50,6 +56,9 @@
     /// Whether the answer announced its length or came in chunks. The end of any other answer is
     /// that of its connection, so that one broken off looks whole.
     bool isDelimited_ = false;
+    /// Whether the call was ended because its answer was longer, or held more memory, than is
+    /// taken.
+    bool isTooLong_ = false;
 };
 
 /// Called from the client's thread, one at a time for a call, the last always ended_.
@@ -66,6 +75,9 @@
     /// with Error::WrongAnswer and its connection is closed, since its own response may follow
     /// there. Without it every head is.
     std::function<bool(const HttpResponse &)> answersThisCall_ = nullptr;
+    /// How many bytes of the answer the receiver still holds, asked after part_ with the bytes of
+    /// the body so far. Without it all of them.
+    std::function<std::size_t(std::size_t bodyBytes)> heldBytes_ = nullptr;
 };
 
 } // namespace lycheereach
--- a/packages/transport/HttpClient.cpp
+++ b/packages/transport/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include "base/RankedMutex.h"
 #include "transport/HttpTransfer.h"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <map>
@@ -55,8 +56,9 @@
 class HttpClient::Impl
 {
 public:
-    Impl()
+    explicit Impl(HttpClientSettings settings)
     {
+        heldBytes_.limit_ = settings.heldBytesLimit_;
         initializeCurl();
         multi_ = curl_multi_init();
         curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, pooledConnections);
@@ -111,6 +113,7 @@
             auto running = 0;
             curl_multi_perform(multi_, &running);
             endFinished();
+            endLargest();
             endSilent();
             const auto timeout = transfers_.empty() ? std::chrono::milliseconds(idlePollTimeout)
                                                     : silenceCheckPeriod;
@@ -144,8 +147,9 @@
 
     auto begin(Start start) -> void
     {
-        auto transfer = std::make_unique<HttpTransfer>(
-            std::move(start.call_), std::move(start.hooks_), std::chrono::steady_clock::now());
+        auto transfer
+            = std::make_unique<HttpTransfer>(std::move(start.call_), std::move(start.hooks_),
+                                             std::chrono::steady_clock::now(), heldBytes_);
         curl_multi_add_handle(multi_, transfer->handle());
         idOf_[transfer->handle()] = start.id_;
         transfers_.emplace(start.id_, std::move(transfer));
@@ -182,6 +186,18 @@
         }
     }
 
+    /// Ends the calls whose receivers hold most while all together hold too much.
+    auto endLargest() -> void
+    {
+        while (heldBytes_.isExceeded()) {
+            const auto largest
+                = std::max_element(transfers_.begin(), transfers_.end(), [](auto &one, auto &two) {
+                      return one.second->heldBytes() < two.second->heldBytes();
+                  });
+            remove(largest->first)->endAsTooLong();
+        }
+    }
+
     auto endSilent() -> void
     {
         const auto now = std::chrono::steady_clock::now();
@@ -190,7 +206,8 @@
         nextSilenceCheck_ = now + silenceCheckPeriod;
         auto silent = std::vector<HttpCallId>{};
         for (const auto &[id, transfer] : transfers_) {
-            if (transfer->isSilent(now) && !transfer->tellSilence(now))
+            if (transfer->isOverTime(now)
+                || (transfer->isSilent(now) && !transfer->tellSilence(now)))
                 silent.push_back(id);
         }
         for (const auto id : silent)
@@ -204,14 +221,15 @@
     bool stopping_ = false;
 
     CURLM *multi_ = nullptr;
+    HeldBytes heldBytes_;
     Transfers transfers_;
     std::map<CURL *, HttpCallId> idOf_;
     MonotonicTime nextSilenceCheck_;
     std::thread thread_;
 };
 
-HttpClient::HttpClient()
-    : impl_(std::make_unique<Impl>())
+HttpClient::HttpClient(HttpClientSettings settings)
+    : impl_(std::make_unique<Impl>(settings))
 { }
 
 HttpClient::~HttpClient() = default;
--- a/packages/transport/HttpClient.h
+++ b/packages/transport/HttpClient.h
@@ -5,6 +5,7 @@
 #include "base/ErrorCode.h"
 #include "base/Result.h"
 #include "transport/HttpCall.h"
+#include "transport/HttpClientSettings.h"
 
 #include <cstdint>
 #include <memory>
@@ -18,7 +19,7 @@
 class HttpClient
 {
 public:
-    HttpClient();
+    explicit HttpClient(HttpClientSettings settings = {});
     /// Ends every call with Error::ShuttingDown.
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -48,16 +48,45 @@
 
 } // namespace
 
-HttpTransfer::HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now)
+HttpTransfer::HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now,
+                           HeldBytes &heldByAll)
     : call_(std::move(call))
     , hooks_(std::move(hooks))
     , easy_(curl_easy_init(), &curl_easy_cleanup)
     , headers_(nullptr, &curl_slist_free_all)
+    , heldByAll_(heldByAll)
+    , startedAt_(now)
     , lastHeard_(now)
 {
     configure();
     configureBody();
     configureHeaders();
+    ++heldByAll_.calls_;
+}
+
+HttpTransfer::~HttpTransfer()
+{
+    --heldByAll_.calls_;
+    setHeldBytes(0);
+}
+
+auto HttpTransfer::setHeldBytes(std::size_t bytes) -> void
+{
+    heldByAll_.total_ += bytes - heldBytes_;
+    heldBytes_ = bytes;
+}
+
+auto HttpTransfer::isOverTime(MonotonicTime now) const -> bool
+{
+    return call_.totalTimeout_ && now - startedAt_ > *call_.totalTimeout_;
+}
+
+auto HttpTransfer::bodyLimitBytes() const -> std::size_t
+{
+    constexpr std::uint16_t firstErrorStatus = 400;
+    return head_.status_ < firstErrorStatus
+        ? call_.bodyLimitBytes_
+        : std::min(call_.bodyLimitBytes_, call_.errorBodyLimitBytes_);
 }
 
 auto HttpTransfer::configure() -> void
@@ -166,9 +195,11 @@
         endWith(Error::WrongAnswer, call_.address_ + ": the response answers another request");
         return;
     }
-    const auto isTooLong = headBytes_ > call_.headLimitBytes_ || bodyBytes_ > call_.bodyLimitBytes_;
-    const auto message = call_.address_ + ": "
-        + (isTooLong ? "the answer is longer than is taken" : curl_easy_strerror(code));
+    if (isTooLong_) {
+        endWith(Error::IncompleteAnswer, call_.address_ + ": the answer is longer than is taken");
+        return;
+    }
+    const auto message = call_.address_ + ": " + curl_easy_strerror(code);
     if (verdict() == Verdict::NotRun)
         endWith(code == CURLE_URL_MALFORMAT ? Error::InvalidArgument : Error::ConnectionFailed,
                 message);
@@ -181,7 +212,15 @@
     auto osError = 0L;
     curl_easy_getinfo(easy_.get(), CURLINFO_OS_ERRNO, &osError);
     const auto isRefused = !connected_ && osError == ECONNREFUSED;
-    hooks_.ended_(HttpOutcome{error, verdict(), message, isRefused, isDelimited_});
+    hooks_.ended_(HttpOutcome{error, verdict(), message, isRefused, isDelimited_, isTooLong_});
+}
+
+auto HttpTransfer::endAsTooLong() -> void
+{
+    isTooLong_ = true;
+    endWith(Error::IncompleteAnswer,
+            call_.address_ + ": the answers in progress hold more memory than is allowed, this one "
+                + std::to_string(heldBytes_) + " bytes");
 }
 
 auto HttpTransfer::takeHeaderLine(std::string_view line) -> void
@@ -216,6 +255,7 @@
     lastHeard_ = now();
     if (hooks_.part_)
         hooks_.part_(part);
+    setHeldBytes(hooks_.heldBytes_ ? hooks_.heldBytes_(bodyBytes_) : bodyBytes_);
 }
 
 auto HttpTransfer::onHeader(char *data, std::size_t size, std::size_t count, void *self)
@@ -223,7 +263,8 @@
 {
     auto &transfer = *static_cast<HttpTransfer *>(self);
     transfer.headBytes_ += size * count;
-    if (transfer.headBytes_ > transfer.call_.headLimitBytes_)
+    transfer.isTooLong_ = transfer.headBytes_ > transfer.call_.headLimitBytes_;
+    if (transfer.isTooLong_)
         return CURL_WRITEFUNC_ERROR;
     transfer.takeHeaderLine({data, size * count});
     return transfer.isWrongAnswer_ ? CURL_WRITEFUNC_ERROR : size * count;
@@ -234,10 +275,14 @@
 {
     auto &transfer = *static_cast<HttpTransfer *>(self);
     transfer.bodyBytes_ += size * count;
-    if (transfer.bodyBytes_ > transfer.call_.bodyLimitBytes_)
+    transfer.isTooLong_ = transfer.bodyBytes_ > transfer.bodyLimitBytes();
+    if (transfer.isTooLong_)
         return CURL_WRITEFUNC_ERROR;
     transfer.takeBody({data, size * count});
-    return size * count;
+    // libcurl may go on with the others before the client looks at what all hold.
+    const auto &heldByAll = transfer.heldByAll_;
+    transfer.isTooLong_ = heldByAll.isExceeded() && transfer.heldBytes_ > heldByAll.share();
+    return transfer.isTooLong_ ? CURL_WRITEFUNC_ERROR : size * count;
 }
 
 auto HttpTransfer::onConnected(void *self, char *, char *, int, int) -> int
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "transport/HeldBytes.h"
 #include "transport/HttpCall.h"
 
 #include <curl/curl.h>
@@ -16,17 +17,25 @@
 class HttpTransfer
 {
 public:
-    HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now);
+    /// Adds the bytes of the answer that the receiver holds to \a heldByAll, until the
+    /// transfer is destroyed.
+    HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now, HeldBytes &heldByAll);
+    ~HttpTransfer();
     HttpTransfer(const HttpTransfer &) = delete;
     auto operator=(const HttpTransfer &) -> HttpTransfer & = delete;
 
     [[nodiscard]] auto handle() const -> CURL * { return easy_.get(); }
     /// Whether nothing has come for longer than the call allows.
     [[nodiscard]] auto isSilent(MonotonicTime now) const -> bool;
+    /// Whether the call has lasted longer than it may.
+    [[nodiscard]] auto isOverTime(MonotonicTime now) const -> bool;
+    [[nodiscard]] auto heldBytes() const -> std::size_t { return heldBytes_; }
     /// Tells the hooks that nothing has come for too long; false when the call has to end.
     auto tellSilence(MonotonicTime now) -> bool;
     /// Tells the hooks how libcurl ended the call.
     auto endWith(CURLcode code) -> void;
+    /// Tells the hooks that the call was ended because the receivers hold too many bytes.
+    auto endAsTooLong() -> void;
     /// Tells the hooks that the call was ended by \a error.
     auto endWith(std::error_code error, const std::string &message) -> void;
 
@@ -41,6 +50,9 @@
     [[nodiscard]] auto verdict() const -> Verdict;
     auto takeHeaderLine(std::string_view line) -> void;
     auto takeBody(std::string_view part) -> void;
+    /// The longest body that is taken, given the status of the answer.
+    [[nodiscard]] auto bodyLimitBytes() const -> std::size_t;
+    auto setHeldBytes(std::size_t bytes) -> void;
 
     static auto onHeader(char *data, std::size_t size, std::size_t count, void *self)
         -> std::size_t;
@@ -54,12 +66,16 @@
     HttpResponse head_;
     std::size_t headBytes_ = 0;
     std::size_t bodyBytes_ = 0;
+    std::size_t heldBytes_ = 0;
+    HeldBytes &heldByAll_;
+    MonotonicTime startedAt_;
     MonotonicTime lastHeard_;
     MonotonicTime silenceToldAt_;
     bool connected_ = false;
     bool headTold_ = false;
     /// HttpOutcome::isDelimited_.
     bool isDelimited_ = false;
+    bool isTooLong_ = false;
     /// Whether HttpCallHooks::answersThisCall_ said no.
     bool isWrongAnswer_ = false;
     /// Whether HttpCall::mayStart_ said no.
--- a/packages/transport/StatusCall.cpp
+++ b/packages/transport/StatusCall.cpp
@@ -8,9 +8,18 @@
 
 namespace lycheereach {
 
+namespace {
+
+constexpr auto statusBodyLimitBytes = std::size_t{64} * 1024;
+
+} // namespace
+
 auto startForStatus(HttpClient &client, HttpCall call,
                     std::function<void(std::uint16_t status, const HttpOutcome &)> done) -> void
 {
+    call.bodyLimitBytes_ = statusBodyLimitBytes;
+    if (!call.totalTimeout_)
+        call.totalTimeout_ = call.connectTimeout_ + call.firstByteTimeout_ + call.idleTimeout_;
     auto status = std::make_shared<std::atomic<std::uint16_t>>(std::uint16_t{0});
     const auto head = [status](const HttpResponse &response) { *status = response.status_; };
     const auto ended
