--- a/tests/platform/RegistryApiTest.cpp
+++ b/tests/platform/RegistryApiTest.cpp
@@ -62,8 +62,8 @@
     {
         return sendRequest(
             "PUT",
-            R"({"service":"app","address":"10.0.0.1:80","zone":"z","born":7,"state":")" + state
-                + R"(","sequence":)" + std::to_string(sequence) + "}");
+            R"({"service":"app","address":"10.0.0.1:80","zone":"z","version":"v1","slots":6,"coldRemainingMs":0,"born":7,"state":")"
+                + state + R"(","sequence":)" + std::to_string(sequence) + "}");
     }
 
     auto deregister()->std::shared_ptr<KeptReply>
@@ -204,14 +204,15 @@
 {
     const auto goodId = std::exchange(upstreamId_, UpstreamId("odd"));
     const auto nested = std::string(100'000, '[') + std::string(100'000, ']');
-    for (const auto &body :
-         {R"({"service":"app","address":"10.0.0.2:99999","zone":"z","state":"ready","sequence":1})"
-              + std::string(),
-          R"({"service":"app","address":"10.0.0.2:80","zone":"z","state":"ready","sequence":1e99})"
-              + std::string(),
-          R"({"service":"app","address":"10.0.0.2:80","zone":"z","state":"ready","sequence":1,
+    for (
+        const auto &body :
+        {R"({"service":"app","address":"10.0.0.2:99999","zone":"z","version":"v1","slots":6,"coldRemainingMs":0,"state":"ready","sequence":1})"
+             + std::string(),
+         R"({"service":"app","address":"10.0.0.2:80","zone":"z","version":"v1","slots":6,"coldRemainingMs":0,"state":"ready","sequence":1e99})"
+             + std::string(),
+         R"({"service":"app","address":"10.0.0.2:80","zone":"z","version":"v1","slots":6,"coldRemainingMs":0,"state":"ready","sequence":1,
               "staged":)"
-              + nested + "}"})
+             + nested + "}"})
         CHECK(isRefused(*sendRequest("PUT", body)));
     upstreamId_ = goodId;
     sendReport("ready", 2);
--- a/tests/platform/UpstreamReportReaderTest.cpp
+++ b/tests/platform/UpstreamReportReaderTest.cpp
@@ -65,6 +65,21 @@
     CHECK_FALSE(readUpstreamReport("i-1", "[]").ok());
 }
 
+// Guards against an upstream that is taken for a free one, or put into use again, by a report of
+// another writer about it.
+TEST(UpstreamReportReader, reportsWithAFieldMissing_read_fail)
+{
+    const auto validReport = report_;
+    for (const auto *key : {"service", "address", "zone", "version", "slots", "state",
+                            "coldRemainingMs", "sequence"}) {
+        report_ = validReport;
+        report_.erase(key);
+        CHECK_FALSE_TEXT(read().ok(), key);
+        report_[key] = Json::object();
+        CHECK_FALSE_TEXT(read().ok(), key);
+    }
+}
+
 // Guards against control processes that end one after another: the stack overflowed when a list of
 // the report was copied.
 TEST(UpstreamReportReader, fieldsNestedVeryDeeply_read_fail)
@@ -75,7 +90,7 @@
                               R"("group": {"name": )" + nested + "}", R"("unknown": )" + nested}) {
         const auto body
             = R"({"service": "pool", "address": "10.0.0.9:80", "zone": "north", "state": "ready",
-                  "sequence": 4, )"
+                  "version": "v1", "slots": 26, "coldRemainingMs": 0, "sequence": 4, )"
             + field + "}";
         CHECK_FALSE(readUpstreamReport("i-1", body).ok());
     }
