forward: Report a crash behind an answer that is not delimited

Cause: what was in flight was reported, and the request held back from another upstream, only where the connection ended with an error. Such an answer ends without one, whether its upstream crashed or not. Class: a sign that isn't one in all framings, as in the resumed stream.

Change: an undelimited stream that ends within an event, or before its first, counts as broken off for both. A probe still has to show that the upstream has ended before anything is suspected.

--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -1,5 +1,7 @@
 #include "forward/ForwardStateMachine.h"
 
+#include "base/ErrorCode.h"
+
 #include <utility>
 
 namespace lycheereach {
@@ -92,22 +94,35 @@
     return attempts_ - unsentAttempts_;
 }
 
-auto ForwardStateMachine::find(std::uint32_t number) -> Attempt *
+template <typename Machine>
+auto ForwardStateMachine::findIn(Machine &machine, std::uint32_t number)
+    -> decltype(&*machine.attempt_)
 {
-    for (auto *attempt : {&attempt_, &other_}) {
+    for (auto *attempt : {&machine.attempt_, &machine.other_}) {
         if (*attempt && (*attempt)->number_ == number)
             return &**attempt;
     }
     return nullptr;
 }
 
+auto ForwardStateMachine::find(std::uint32_t number) -> Attempt *
+{
+    return findIn(*this, number);
+}
+
 auto ForwardStateMachine::heldBytes(std::uint32_t attempt) const -> std::size_t
 {
-    for (const auto *open : {&attempt_, &other_}) {
-        if (*open && (*open)->number_ == attempt)
-            return (*open)->body_.capacity() + (*open)->reader_.pendingBytes();
-    }
-    return 0;
+    const auto *open = findIn(*this, attempt);
+    return open == nullptr ? 0 : open->body_.capacity() + open->reader_.pendingBytes();
+}
+
+auto ForwardStateMachine::isBrokenOff(const forward_event::AttemptEnded &event) const -> bool
+{
+    if (event.error_)
+        return event.error_ == Error::IncompleteAnswer && event.verdict_ == Verdict::MayHaveRun;
+    const auto *attempt = findIn(*this, event.attempt_);
+    return attempt != nullptr && !event.isDelimited_ && attempt->isStreaming(plan_.kind_)
+        && (!attempt->hasDelivered_ || !attempt->reader_.isAtEventBoundary());
 }
 
 auto ForwardStateMachine::take(const Attempt &ended) -> Attempt
@@ -204,6 +219,7 @@
     const auto *found = find(event.attempt_);
     if (found == nullptr)
         return;
+    const auto isBrokenOff = this->isBrokenOff(event);
     auto ended = take(*found);
     const auto failure = failureOf(ended, event);
     const auto isWholeAnswer = failure.empty() && !ended.isStreaming(plan_.kind_);
@@ -219,7 +235,8 @@
     const auto isOtherInstance = ended.head_ && ended.head_->isOtherInstance_;
     if (event.isRefused_ || isOtherInstance)
         ended.failureOutcome_ = TargetOutcome::Unavailable;
-    ended.isBroken_ = event.error_ && event.verdict_ == Verdict::MayHaveRun && !ended.isCancelled_;
+    const auto hasFailed = event.error_ && event.verdict_ == Verdict::MayHaveRun;
+    ended.isBroken_ = (hasFailed || isBrokenOff) && !ended.isCancelled_;
     // An attempt without a connection has not reached an upstream.
     if (event.verdict_ == Verdict::NotRun && !ended.head_) {
         ++unsentAttempts_;
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -40,6 +40,10 @@
     auto handle(const ForwardEvent &event, MonotonicTime now) -> std::vector<ForwardAction>;
     /// Whether the caller needs nothing more and no attempt is open.
     [[nodiscard]] auto isFinished() const -> bool { return replied_ && !attempt_ && !other_; }
+    /// Whether the upstream of the open attempt that \a event ends broke off a stream, as a crash
+    /// does: the connection broke, or the end of an answer that is not delimited came within an
+    /// event or before the first.
+    [[nodiscard]] auto isBrokenOff(const forward_event::AttemptEnded &event) const -> bool;
     /// The bytes of the response to \a attempt that are held until more arrive.
     [[nodiscard]] auto heldBytes(std::uint32_t attempt) const -> std::size_t;
     /// Whether TargetStalled would start another attempt beside the one that runs at \a target,
@@ -87,6 +91,8 @@
     [[nodiscard]] auto attemptsSent() const -> std::uint32_t;
     /// The open attempt with \a number; null when there is none.
     auto find(std::uint32_t number) -> Attempt *;
+    template <typename Machine>
+    static auto findIn(Machine &machine, std::uint32_t number) -> decltype(&*machine.attempt_);
     /// Removes the open attempt \a ended; the other one, if it is open, takes its place.
     auto take(const Attempt &ended) -> Attempt;
     /// Sends \a events of \a source to the caller, and cancels the other attempt if there is one.
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -164,10 +164,11 @@
             self->moveIfNoWholeEvent(attempt);
         },
         [self, attempt, target](const HttpOutcome &outcome) {
-            self->recordIfBroken(target, outcome);
-            self->post(forward_event::AttemptEnded{attempt, outcome.error_, outcome.verdict_,
-                                                   outcome.message_, outcome.isRefused_,
-                                                   outcome.isDelimited_});
+            const auto ended = forward_event::AttemptEnded{
+                attempt,          outcome.error_,     outcome.verdict_,
+                outcome.message_, outcome.isRefused_, outcome.isDelimited_};
+            self->recordIfBroken(target, ended);
+            self->post(ended);
         },
         [self, target] { self->targetStalled(target); },
         [self](const HttpResponse &response) {
@@ -186,16 +187,12 @@
         context_.crashes_.recordServed(routed_.request_.fingerprints_);
 }
 
-auto ForwardedRequest::recordIfBroken(const ForwardTarget &target, const HttpOutcome &outcome)
-    -> void
+auto ForwardedRequest::recordIfBroken(const ForwardTarget &target,
+                                      const forward_event::AttemptEnded &ended) -> void
 {
-    const auto isBroken
-        = outcome.error_ == Error::IncompleteAnswer && outcome.verdict_ == Verdict::MayHaveRun;
-    if (!isBroken)
-        return;
     {
         const auto lock = std::scoped_lock(mutex_);
-        if (isServedRecorded_)
+        if (isServedRecorded_ || !stateMachine_.isBrokenOff(ended))
             return;
     }
     context_.crashes_.recordBroken(target, routed_.request_.fingerprints_);
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -70,9 +70,10 @@
     auto handleProgress(std::uint32_t attempt) -> void;
     /// Records that the request has not crashed its upstream.
     auto recordServed() -> void;
-    /// Reports what was in flight at \a target, whose connection broke, if the request may have
+    /// Reports what was in flight at \a target, whose connection \a ended, if the request may have
     /// crashed it.
-    auto recordIfBroken(const ForwardTarget &target, const HttpOutcome &outcome) -> void;
+    auto recordIfBroken(const ForwardTarget &target, const forward_event::AttemptEnded &ended)
+        -> void;
     /// As targetStalled(), when the stream of \a attempt sends bytes, but has completed no event
     /// within the timeout.
     auto moveIfNoWholeEvent(std::uint32_t attempt) -> void;
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -551,6 +551,33 @@
     }
 }
 
+// Guards against the same behind an answer with neither a length nor chunks, in which a crash looks
+// like an end.
+TEST(ForwardStateMachine, aRequestThatMayHaveCrashedItsUpstream_undelimitedEnd_isNotSentAgain)
+{
+    for (const auto *bytes : {"", "id: 1\ndata: a\n\nid: 2\n"}) {
+        auto request = makeUnprovenStream();
+        handle(request, ResponseHeadReceived{1, head(200)});
+        if (*bytes != '\0')
+            handle(request, AttemptData{1, bytes});
+        CHECK(request.isBrokenOff(endedNormally()));
+        handle(request, endedNormally());
+        CHECK(find<action::ChooseTarget>() == nullptr);
+        LONGS_EQUAL(0, retries_);
+    }
+}
+
+TEST(ForwardStateMachine, aStreamThatIsDelimitedOrEndsAtAnEvent_ended_isNotBrokenOff)
+{
+    auto request = makeUnprovenStream();
+    handle(request, ResponseHeadReceived{1, head(200)});
+    auto delimited = endedNormally();
+    delimited.isDelimited_ = true;
+    CHECK_FALSE(request.isBrokenOff(delimited));
+    handle(request, AttemptData{1, "id: 1\ndata: a\n\n"});
+    CHECK_FALSE(request.isBrokenOff(endedNormally()));
+}
+
 TEST(ForwardStateMachine, aRequestThatMayCrash_refusedOrLongBegun_isSentAgain)
 {
     auto refused = makeUnprovenStream();
