control: Time silent entries from the election of the leader

Cause: a new leader waited for the limit of silence from its election, and began only then to time an entry that it had never heard: two limits in all.

Change: a new leader times every entry from its election.

Test: Membership.anEntryAndTheLeaderAreLostTogether..., failing before. Not shown: that the directory keeps 6 s in each case; an election of up to 2.8 s and a limit of 3.5 s come to 6.3 s.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -391,10 +391,11 @@
     leading_ = isLeader;
     if (!isLeader)
         return;
-    leadingSince_ = now;
+    // Entries that are silent from before the election are timed from here on.
     lastHeardAt_.clear();
     auto relays = std::vector<EntryId>{};
     for (const auto &[id, entry] : machine_.state().entries_) {
+        lastHeardAt_.emplace(id, now);
         if (entry.control_ && id != settings_.ownRecord_.id_)
             relays.push_back(id);
     }
@@ -432,7 +433,7 @@
 {
     const auto silenceLimit
         = settings_.entryLostTimeout_.value_or(2 * settings_.stateLeaseDuration_);
-    if (!leading_ || now - leadingSince_ < silenceLimit)
+    if (!leading_)
         return;
     for (const auto &[id, entry] : machine_.state().entries_) {
         if (entry.phase_ == EntryPhase::Lost || id == settings_.ownRecord_.id_)
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -281,7 +281,6 @@
     bool leading_ = false;
     /// mayTakeWork() as of the last event about it.
     bool mayWork_ = false;
-    MonotonicTime leadingSince_;
     LogIndex inForceIndex_ = 0;
     /// On the leader: the configuration version last reported as in force.
     Version versionInForce_ = 0;
--- a/tests/control/MembershipTest.cpp
+++ b/tests/control/MembershipTest.cpp
@@ -109,6 +109,23 @@
     CHECK(fleet_.now() - stoppedAt < 3200ms + 1s + 700ms);
 }
 
+/// Guards against callers that are sent to a dark entry for twice the time: an entry that was lost
+/// with the leader was timed from one wait after the election on.
+TEST(Membership, anEntryAndTheLeaderAreLostTogether_isLostOneLimitAfterTheElection)
+{
+    fleet_.settings_.entryLostTimeout_ = 3500ms;
+    startAll();
+    const auto leader = *fleet_.leader();
+    fleet_.stop(leader);
+    fleet_.stop(4);
+    CHECK(fleet_.runUntil([&] { return fleet_.leader() && *fleet_.leader() != leader; }, 5s));
+    const auto electedAt = fleet_.now();
+    CHECK(fleet_.runUntil([&] { return fleet_.phaseOf(4) == EntryPhase::Lost; }, 15s));
+    CHECK(fleet_.now() - electedAt < 3500ms + 500ms);
+    for (std::size_t index = 0; index < fleet_.size(); ++index)
+        CHECK(index == 4 || index == leader || fleet_.phaseOf(index) == EntryPhase::Live);
+}
+
 TEST(Membership, entriesWithoutALease_allProcessesRestart_renewAtTheShorterInterval)
 {
     fleet_.settings_.renewalIntervalWithoutLease_ = 100ms;
