control: Let a learner leave a leader that is lost

Cause: a control process takes the leader of its own log for the one to renew with. A learner takes no part in elections, so that it goes on following a lost leader for ever; what the other processes answered was overwritten at each renewal, and it never reached a leader that came after its last record. Class: the own view of a part that can't notice a loss goes before what others say.

Change: a learner without a grant for three renewals believes the grants of others. The simulated fleet gives its processes the addresses that the answers carry.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -105,11 +105,13 @@
 auto ControlService::selectGrantor() -> std::optional<EntryId>
 {
     const auto now = hooks_.now_();
+    const auto isSilent = now - lastGrantAt_ > grantorTimeoutIntervals * settings_.renewalInterval_;
     if (replica_ != nullptr) {
-        if (const auto known = replica_->leader())
+        // A learner takes no part in elections, so that it goes on following a leader that is lost.
+        const auto isStale = isSilent && replica_->role() == ReplicaRole::Learner;
+        if (const auto known = replica_->leader(); known && !isStale)
             leader_ = *known;
     }
-    const auto isSilent = now - lastGrantAt_ > grantorTimeoutIntervals * settings_.renewalInterval_;
     if (replica_ != nullptr && !leader_.empty() && leader_ != settings_.ownRecord_.id_ && !isSilent)
         return leader_;
     const auto isRotating = settings_.grantorsInRotation_ > 1;
--- a/tests/control/ControlFleet.cpp
+++ b/tests/control/ControlFleet.cpp
@@ -19,6 +19,7 @@
                        .incarnation_ = firstIncarnation,
                        .zone_ = ZoneName("z" + std::to_string(index % 3)),
                        .address_ = "127.0.0.1:" + std::to_string(firstPort + index),
+                       .peerAddress_ = "127.0.0.2:" + std::to_string(firstPort + index),
                        .control_ = keepsLog};
 }
 
