control: Replace a voter by its silence alone, not by its registration

One that woke up and was elected before it had registered again could remove itself, next to a voter that is really gone, and leave a set without a majority.

Change: only unanswered heartbeats make a voter silent; a dead voter leaves them unanswered as well, so that nothing else is needed.

--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -473,20 +473,15 @@
 auto ControlService::voterView() const -> VoterView
 {
     const auto &entries = machine_.state().entries_;
-    const auto isInPhase = [&entries](const EntryId &id, EntryPhase phase) {
-        const auto found = entries.find(id);
-        return found != entries.end() && found->second.control_ && found->second.phase_ == phase;
-    };
     auto view = VoterView{.wiped_ = replica_->wipedVoters(),
                           .silent_ = replica_->silentVoters(),
                           .targetSize_ = settings_.targetVoterCount_};
-    for (const auto &voter : replica_->voters().voters_) {
+    for (const auto &voter : replica_->voters().voters_)
         view.voters_.insert(voter.name_);
-        if (isInPhase(voter.name_, EntryPhase::Lost))
-            view.silent_.insert(voter.name_);
-    }
     for (const auto &id : replica_->readyLearners()) {
-        if (isInPhase(id, EntryPhase::Live))
+        const auto found = entries.find(id);
+        if (found != entries.end() && found->second.control_
+            && found->second.phase_ == EntryPhase::Live)
             view.ready_.insert(id);
     }
     return view;
--- a/packages/control/VoterReconciliation.h
+++ b/packages/control/VoterReconciliation.h
@@ -16,8 +16,7 @@
     std::set<EntryId> voters_;
     /// Voters that restarted with an empty disk, so that their votes no longer count.
     std::set<EntryId> wiped_;
-    /// Voters that have left the heartbeats of the log's leader unanswered or are registered as
-    /// lost.
+    /// Voters that have left the heartbeats of the log's leader unanswered.
     std::set<EntryId> silent_;
     /// Control instances without a vote that are registered as live, are in contact and have caught
     /// up with the log.
