--- a/tests/transport/EndlessAnswerTest.cpp
+++ b/tests/transport/EndlessAnswerTest.cpp
@@ -82,10 +82,10 @@
 /// Both request paths take the answers of upstreams from this client.
 TEST_GROUP(EndlessAnswer)
 {
-    static constexpr std::size_t limitBytes_ = 8 * mebibyte;
+    static constexpr std::size_t limitBytes = 8 * mebibyte;
 
     Watched<Gathered> gathered_;
-    HttpClient client_ = HttpClient(HttpClientSettings{limitBytes_});
+    HttpClient client_ = HttpClient(HttpClientSettings{limitBytes});
 
     auto start(int number, HttpCall call)->void
     {
@@ -132,7 +132,7 @@
         CHECK(outcome.isTooLong_);
         CHECK(outcome.verdict_ == Verdict::MayHaveRun);
     }
-    CHECK(gathered.largestSum_ <= 2 * limitBytes_ + count * std::size_t{CURL_MAX_WRITE_SIZE});
+    CHECK(gathered.largestSum_ <= 2 * limitBytes + count * std::size_t{CURL_MAX_WRITE_SIZE});
 }
 
 /// Guards against a sound answer that is ended for the bytes of others.
@@ -162,7 +162,7 @@
 /// Guards against a stream that is ended for bytes that its receiver has passed on.
 TEST(EndlessAnswer, aLongStreamThatIsPassedOn_received_isNotEnded)
 {
-    const auto length = std::to_string(2 * limitBytes_);
+    const auto length = std::to_string(2 * limitBytes);
     auto server = EndlessServer("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n",
                                 std::string(mebibyte, 'x'), 0ms);
     auto outcome = Watched<std::optional<HttpOutcome>>{};
