tests: Keep entries that never renew from being lost in the tests of evidence

serving.Evidence.manyEntries_noneOfTheFirstAnswers... failed in the whole plain run: since silent entries are timed from the election on, entries that the test registers and that never renew are lost after one limit (6 s, while it registers 40 in 8 s), as they should be. The fixture sets a longer limit; its checks are the same.

--- a/tests/serving/EvidenceTest.cpp
+++ b/tests/serving/EvidenceTest.cpp
@@ -37,6 +37,8 @@
 
     auto setup()->void override
     {
+        // The entries that addEntries() registers never renew.
+        fleet_.settings_.entryLostTimeout_ = 60s;
         for (std::size_t index = 0; index < fleet_.size(); ++index)
             fleet_.start(index);
         CHECK(fleet_.runUntilReady());
