--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -26,6 +26,8 @@
     DiskHasSpace = 1108,
     CommitSlow = 1109,
     DiskRecovered = 1110,
+    VoteRefused = 1111,
+    LeaderMissing = 1112,
     ConfigurationAccepted = 1201,
     ConfigurationRefused = 1202,
     ConfigurationInForce = 1203,
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -26,22 +26,6 @@
     return random() >> 1U;
 }
 
-auto roleName(ReplicaRole role) -> std::string
-{
-    switch (role) {
-    case ReplicaRole::Follower:
-        return "follower";
-    case ReplicaRole::PreCandidate:
-    case ReplicaRole::Candidate:
-        return "candidate";
-    case ReplicaRole::Leader:
-        return "leader";
-    case ReplicaRole::Learner:
-        return "learner";
-    }
-    return "";
-}
-
 } // namespace
 
 ControlService::ControlService(ControlSettings settings, std::unique_ptr<LogStorage> storage,
--- a/packages/log/LogAction.h
+++ b/packages/log/LogAction.h
@@ -4,6 +4,7 @@
 
 #include "log/LogMessage.h"
 #include "log/LogState.h"
+#include "log/VoteRefusal.h"
 
 #include <optional>
 #include <variant>
@@ -46,6 +47,14 @@
     std::vector<LogRecord> records_;
 };
 
-using LogAction = std::variant<StageWrites, SyncWrites, InstallSnapshot, SendMessage, ApplyRecords>;
+/// Report that this replica did not grant a vote.
+struct ReportVoteRefused
+{
+    EntryId candidate_;
+    VoteRefusal reason_ = VoteRefusal::NoCluster;
+};
+
+using LogAction = std::variant<StageWrites, SyncWrites, InstallSnapshot, SendMessage, ApplyRecords,
+                               ReportVoteRefused>;
 
 } // namespace lycheereach
--- a/packages/log/LogCore.cpp
+++ b/packages/log/LogCore.cpp
@@ -37,6 +37,11 @@
     return role_ == ReplicaRole::Follower && !isVoter() ? ReplicaRole::Learner : role_;
 }
 
+auto LogCore::lastLeaderTime() const -> MonotonicTime
+{
+    return role_ == ReplicaRole::Leader ? now_ : lastLeaderContact_;
+}
+
 auto LogCore::setDiskHasSpace(bool hasSpace) -> void
 {
     diskHasSpace_ = hasSpace;
@@ -88,6 +93,9 @@
     for (auto &message : sendsAfterSync_)
         actions.emplace_back(std::move(message));
     sendsAfterSync_.clear();
+    for (auto &report : refusalReports_)
+        actions.emplace_back(std::move(report));
+    refusalReports_.clear();
     if (state_.commitIndex_ > appliedIndex_) {
         constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
         actions.emplace_back(
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -9,6 +9,8 @@
 #include "log/ReplicaRole.h"
 #include "log/ReplicaSettings.h"
 #include "log/StoredLog.h"
+#include "log/VoteAnswer.h"
+#include "log/VoteRefusal.h"
 
 #include <map>
 #include <optional>
@@ -69,6 +71,14 @@
     /// While this replica leads: the replicas that changeVoters() could add now.
     [[nodiscard]] auto readyLearners() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> const VoterIdentity & { return self_; }
+    /// When this replica last heard from a leader or led itself; when it was opened if it has not.
+    [[nodiscard]] auto lastLeaderTime() const -> MonotonicTime;
+    /// The answers to the last vote or pre-vote that this replica asked for and that has ended;
+    /// voters that did not answer are missing.
+    [[nodiscard]] auto lastVoteAnswers() const -> const std::map<EntryId, VoteAnswer> &
+    {
+        return lastVoteAnswers_;
+    }
     /// Whether this replica leads, no other can be leader at \a now, and everything committed
     /// before is applied.
     [[nodiscard]] auto holdsLeaderLease(MonotonicTime now) const -> bool;
@@ -137,6 +147,9 @@
     /// timeout.
     [[nodiscard]] auto mustRefuseVotes() const -> bool;
     [[nodiscard]] auto hasVoteQuorum() const -> bool;
+    /// Queues a ReportVoteRefused, but for restart probes, which any live leader makes fail.
+    auto reportRefusal(const EntryId &candidate, const VoteRequest &body, VoteRefusal reason)
+        -> void;
 
     auto handle(const EntryId &from, const LogMessage &message, const AppendRequest &body) -> void;
     auto handle(const EntryId &from, const LogMessage &message, const AppendReply &body) -> void;
@@ -193,6 +206,9 @@
     MonotonicTime lastLeaderContact_;
     MonotonicTime electionDeadline_;
     std::set<EntryId> votesReceived_;
+    /// The answers to the present vote or pre-vote.
+    std::map<EntryId, VoteAnswer> voteAnswers_;
+    std::map<EntryId, VoteAnswer> lastVoteAnswers_;
     /// Whether this process has neither led nor followed a leader since it started.
     bool noLeaderSinceStart_ = true;
     /// Whether this process has started an election; it sends no restart probes then, and after a
@@ -222,6 +238,7 @@
     bool pendingInstall_ = false;
     std::vector<SendMessage> sendsBeforeSync_;
     std::vector<SendMessage> sendsAfterSync_;
+    std::vector<ReportVoteRefused> refusalReports_;
 };
 
 } // namespace lycheereach
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -1,6 +1,7 @@
 #include "log/LogCore.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheereach {
 
@@ -98,6 +99,7 @@
     role_ = preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
     leader_.reset();
     votesReceived_ = {self_.name_};
+    lastVoteAnswers_ = std::exchange(voteAnswers_, {});
     if (preVote)
         electionDeadline_ = now_ + preVoteInterval();
     else
@@ -134,14 +136,19 @@
     // After a restart, a voter still honours the lease of a leader that it may have followed
     // before, unless that leader is known to have restarted as well.
     const auto bothJustStarted = body.restartRound_ != 0 && noLeaderSinceStart_;
-    if (state_.cluster_.empty() || (!bothJustStarted && mustRefuseVotes()))
+    if (state_.cluster_.empty() || (!bothJustStarted && mustRefuseVotes())) {
+        reportRefusal(from, body,
+                      state_.cluster_.empty() ? VoteRefusal::NoCluster : VoteRefusal::LeaderHeard);
         return;
+    }
     const auto upToDate = body.lastPosition_.term_ > log_.last().term_
         || (body.lastPosition_.term_ == log_.last().term_
             && body.lastPosition_.index_ >= log_.last().index_);
     if (body.isPreVote_) {
         const auto granted = upToDate && message.term_ > state_.term_;
         const auto restartRound = bothJustStarted ? body.restartRound_ : 0;
+        if (!granted)
+            reportRefusal(from, body, upToDate ? VoteRefusal::OlderTerm : VoteRefusal::OlderLog);
         sendWithTerm(from, VoteReply{true, granted, restartRound},
                      granted ? message.term_ : state_.term_);
         return;
@@ -155,13 +162,25 @@
         nextRestartProbeAt_ = now_ + settings_.electionTimeout_ / postVoteWaitDivisor;
         markUnsynced();
         resetElectionTimer();
+    } else {
+        const auto termReason
+            = message.term_ == state_.term_ ? VoteRefusal::VotedForAnother : VoteRefusal::OlderTerm;
+        reportRefusal(from, body, upToDate ? termReason : VoteRefusal::OlderLog);
     }
     send(from, VoteReply{false, granted});
 }
 
+auto LogCore::reportRefusal(const EntryId &candidate, const VoteRequest &body, VoteRefusal reason)
+    -> void
+{
+    if (body.restartRound_ == 0)
+        refusalReports_.push_back({candidate, reason});
+}
+
 auto LogCore::handle(const EntryId &from, const LogMessage &message, const VoteReply &body) -> void
 {
     if (!body.granted_) {
+        voteAnswers_.insert_or_assign(from, VoteAnswer::Refused);
         if (message.term_ > state_.term_)
             becomeFollower(message.term_, std::nullopt);
         else if (role_ == ReplicaRole::Candidate && message.term_ == state_.term_)
@@ -175,7 +194,11 @@
     const auto isExpectedReply = body.isPreVote_
         ? role_ == ReplicaRole::PreCandidate && message.term_ == state_.term_ + 1
         : role_ == ReplicaRole::Candidate && message.term_ == state_.term_;
-    if (!isExpectedReply || !log_.voters().contains({from, message.generation_}))
+    if (!isExpectedReply)
+        return;
+    const auto isCounted = log_.voters().contains({from, message.generation_});
+    voteAnswers_.insert_or_assign(from, isCounted ? VoteAnswer::Granted : VoteAnswer::NotCounted);
+    if (!isCounted)
         return;
     votesReceived_.insert(from);
     if (!hasVoteQuorum())
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -22,6 +22,43 @@
 /// Disk space required beside the payload of a record, for its encoding.
 constexpr auto recordOverheadBytes = std::size_t(1024);
 
+/// A replica reports a vote that it refused at most this often.
+constexpr auto refusalReportInterval = std::chrono::seconds(1);
+/// A replica without a leader for this many election timeouts reports it. An election takes up to
+/// two.
+constexpr auto missingLeaderElectionTimeouts = 3;
+constexpr auto missingLeaderReportInterval = std::chrono::seconds(5);
+
+auto refusalText(VoteRefusal reason) -> std::string
+{
+    switch (reason) {
+    case VoteRefusal::NoCluster:
+        return "it belongs to no cluster yet";
+    case VoteRefusal::LeaderHeard:
+        return "it heard from a leader or started within an election timeout";
+    case VoteRefusal::OlderLog:
+        return "the candidate's log lacks records";
+    case VoteRefusal::OlderTerm:
+        return "the candidate's term is not newer";
+    case VoteRefusal::VotedForAnother:
+        return "it voted for another candidate";
+    }
+    return "";
+}
+
+auto answerText(VoteAnswer answer) -> std::string
+{
+    switch (answer) {
+    case VoteAnswer::Granted:
+        return "granted";
+    case VoteAnswer::Refused:
+        return "refused";
+    case VoteAnswer::NotCounted:
+        return "lost-its-disk";
+    }
+    return "";
+}
+
 auto checkIdentity(const std::optional<VoterIdentity> &identity, const EntryId &self)
     -> Result<Nothing>
 {
@@ -269,6 +306,17 @@
         hooks_.apply_(record);
 }
 
+auto Replica::perform(const ReportVoteRefused &action) -> void
+{
+    if (now_ < nextRefusalReportAt_)
+        return;
+    nextRefusalReportAt_ = now_ + refusalReportInterval;
+    emit(EventNumber::VoteRefused,
+         {{"entry", action.candidate_.text()},
+          {"version", std::to_string(term())},
+          {"reason", refusalText(action.reason_)}});
+}
+
 auto Replica::takeSnapshotWhenDue() -> void
 {
     const auto &log = core_->log();
@@ -345,6 +393,7 @@
 auto Replica::emitChanges() -> void
 {
     emitDiskSpace();
+    emitLeaderMissing();
     const auto now = leader();
     const auto termText = std::to_string(term());
     if (now != reportedLeader_ && reportedLeader_ == settings_.self_)
@@ -362,6 +411,35 @@
     emit(EventNumber::VotersChanged, {{"reason", names}});
 }
 
+auto Replica::emitLeaderMissing() -> void
+{
+    const auto silence = now_ - core_->lastLeaderTime();
+    if (silence < missingLeaderElectionTimeouts * settings_.electionTimeout_
+        || now_ < nextMissingReportAt_)
+        return;
+    nextMissingReportAt_ = now_ + missingLeaderReportInterval;
+    emit(EventNumber::LeaderMissing,
+         {{"entry", settings_.self_.text()},
+          {"version", std::to_string(term())},
+          {"role", roleName(role())},
+          {"silenceMs", std::to_string(toMilliseconds(silence))},
+          {"lastIndex", std::to_string(lastIndex())},
+          {"voters", describeVoters()}});
+}
+
+auto Replica::describeVoters() const -> std::string
+{
+    const auto &answers = core_->lastVoteAnswers();
+    auto text = std::string{};
+    for (const auto &voter : voters().voters_) {
+        const auto found = answers.find(voter.name_);
+        const auto isSelf = voter.name_ == settings_.self_;
+        const auto answer = found == answers.end() ? "silent" : answerText(found->second);
+        text += (text.empty() ? "" : " ") + voter.name_.text() + "=" + (isSelf ? "self" : answer);
+    }
+    return text;
+}
+
 auto Replica::measure(std::string_view kind, const std::function<void()> &work) -> void
 {
     if (hooks_.measure_)
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -88,6 +88,7 @@
     auto perform(const InstallSnapshot &action) -> void;
     auto perform(const SendMessage &action) -> void;
     auto perform(const ApplyRecords &action) -> void;
+    auto perform(const ReportVoteRefused &action) -> void;
     auto takeSnapshotWhenDue() -> void;
     auto takeSnapshot() -> void;
     auto markDiskFailed(const Failure &failure) -> void;
@@ -99,6 +100,10 @@
     auto stepDownWhenFull() -> void;
     auto emitDiskSpace() -> void;
     auto emitChanges() -> void;
+    /// Emits an event, from time to time, while this replica has no leader.
+    auto emitLeaderMissing() -> void;
+    /// The voters, each with its answer to the last vote that this replica asked for.
+    [[nodiscard]] auto describeVoters() const -> std::string;
     auto measure(std::string_view kind, const std::function<void()> &work) -> void;
     auto emit(EventNumber number, std::map<std::string, std::string> attributes) -> void;
 
@@ -119,6 +124,8 @@
     std::optional<MonotonicTime> fullSince_;
     /// After a snapshot that the disk had no space for, no other is taken before this time.
     MonotonicTime nextSnapshotAt_;
+    MonotonicTime nextRefusalReportAt_;
+    MonotonicTime nextMissingReportAt_;
     /// The leader and the voters as of the last events.
     std::optional<EntryId> reportedLeader_;
     VoterSet reportedVoters_;
--- a/packages/log/ReplicaRole.h
+++ b/packages/log/ReplicaRole.h
@@ -2,6 +2,8 @@
 /// \brief The Raft role of a replica.
 #pragma once
 
+#include <string>
+
 namespace lycheereach {
 
 enum class ReplicaRole {
@@ -13,4 +15,7 @@
     Learner,
 };
 
+/// The name in events and in the status; a pre-candidate is a candidate there.
+auto roleName(ReplicaRole role) -> std::string;
+
 } // namespace lycheereach
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -211,6 +211,47 @@
     CHECK(!cluster_->leaseHolder().has_value());
 }
 
+// Guards against an outage of which no log tells who the voters are and which of them answer.
+TEST(Replica, twoOfThreeVotersGone_run_reportsNoLeaderAndWhatEachVoterAnswered)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    const auto left = (leader + 1) % 3;
+    cluster_->events_.clear();
+    cluster_->crash(leader);
+    cluster_->crash((leader + 2) % 3);
+    cluster_->run(500ms);
+    CHECK(!cluster_->events_.contains(EventNumber::LeaderMissing));
+    cluster_->run(500ms);
+    CHECK(cluster_->events_.contains(EventNumber::LeaderMissing));
+    const auto &attributes = cluster_->events_.at(EventNumber::LeaderMissing).attributes_;
+    auto expected = std::string{};
+    for (std::size_t node = 0; node < 3; ++node)
+        expected
+            += (node == 0 ? "" : " ") + name(node).text() + (node == left ? "=self" : "=silent");
+    STRCMP_EQUAL(expected.c_str(), attributes.at("voters").c_str());
+    STRCMP_EQUAL("candidate", attributes.at("role").c_str());
+}
+
+TEST(Replica, aVoterThatHeardFromTheLeader_isAskedForItsVote_reportsWhyItRefused)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    const auto cutOff = (leader + 1) % 3;
+    cluster_->isolate(cutOff);
+    cluster_->run(2s);
+    cluster_->events_.clear();
+    cluster_->crash(leader);
+    cluster_->run(20ms);
+    cluster_->reconnectAll();
+    cluster_->run(200ms);
+    CHECK(cluster_->events_.contains(EventNumber::VoteRefused));
+    const auto &attributes = cluster_->events_.at(EventNumber::VoteRefused).attributes_;
+    STRCMP_EQUAL(name(cutOff).text().c_str(), attributes.at("entry").c_str());
+    STRCMP_EQUAL("it heard from a leader or started within an election timeout",
+                 attributes.at("reason").c_str());
+}
+
 // Guards against a voter that stays out after a failed write although its disk works again: after a
 // majority of them no change was accepted any more, with all processes running.
 TEST(Replica, eachDiskFailedForAMomentInTurn_propose_isCommittedAndAllAgree)
--- a/tests/log/SimulatedCluster.cpp
+++ b/tests/log/SimulatedCluster.cpp
@@ -70,7 +70,7 @@
         restore(node, index, snapshot);
     };
     result.random_ = [this] { return random_(); };
-    result.event_ = [this](const Event &event) { events_.insert(event.number_); };
+    result.event_ = [this](const Event &event) { events_.insert_or_assign(event.number_, event); };
     return result;
 }
 
--- a/tests/log/SimulatedCluster.h
+++ b/tests/log/SimulatedCluster.h
@@ -75,7 +75,8 @@
     unsigned duplicatePercent_ = 0;
     Duration maximumDelay_ = std::chrono::milliseconds(5);
     std::size_t snapshotAfterRecords_ = 8;
-    std::set<EventNumber> events_;
+    /// The last event of each number.
+    std::map<EventNumber, Event> events_;
 
 private:
     struct Packet
