transport: Answer a request whose handler throws, and report it

RESTinio closes the connection of a handler that throws; other answers on it, of requests that were already passed on, are cut as well.

Both request paths and control use this server.

--- a/packages/base/EventCatalogue.cpp
+++ b/packages/base/EventCatalogue.cpp
@@ -15,6 +15,8 @@
     {ProcessStopped, "process-stopped", "A planned stop ended with nothing cut off."},
     {WorkSlow, "work-slow", "One run of work held a worker for a long time."},
     {WorkTime, "work-time", "The time that each kind of work took since the last such event."},
+    {HandlerFailed, "handler-failed",
+     "The handler of an HTTP request failed with an error that it should have handled."},
     {LeaderElected, "leader-elected", "A voter became the leader of the control log."},
     {LeaderLost, "leader-lost", "The leader stepped down or lost contact with its quorum."},
     {SnapshotWritten, "snapshot-written", "A snapshot took the place of older log records."},
--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -16,6 +16,7 @@
     ProcessStopped = 1003,
     WorkSlow = 1004,
     WorkTime = 1005,
+    HandlerFailed = 1006,
     LeaderElected = 1101,
     LeaderLost = 1102,
     SnapshotWritten = 1103,
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -65,12 +65,13 @@
     return std::make_unique<FileLogStorage>(*settings.dataFolder_);
 }
 
-auto serverSettings(const std::string &address) -> HttpServerSettings
+auto serverSettings(const std::string &address, const EventSink &event) -> HttpServerSettings
 {
     const auto colon = address.rfind(':');
     const auto port = std::stoul(address.substr(colon + 1));
     return HttpServerSettings{.address_ = address.substr(0, colon),
-                              .port_ = static_cast<std::uint16_t>(port)};
+                              .port_ = static_cast<std::uint16_t>(port),
+                              .event_ = event};
 }
 
 /// The key in \a file, which the check of the settings has read before.
@@ -169,7 +170,7 @@
           control_, keyIn(settings_.operatorKeyFile_),
           [this](const EventFilter &filter) { return recorder_.recent(filter); }, event_, readWall)
     , routes_(callers_, upstreams_, admin_, requests_)
-    , server_(workers_, serverSettings(settings_.address_),
+    , server_(workers_, serverSettings(settings_.address_, event_),
               [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
                   routes_.handle(std::move(request), std::move(reply));
               })
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -300,6 +300,14 @@
     return request;
 }
 
+auto internalError() -> HttpResponse
+{
+    return {500,
+            {{"Content-Type", "application/problem+json"}},
+            R"({"type":"about:blank","title":"Internal Server Error","status":500,)"
+            R"("detail":"the request could not be handled","verdict":"may-have-run"})"};
+}
+
 auto bodyTooLarge(std::size_t limit) -> HttpResponse
 {
     auto body = fmt::format(R"({{"type":"about:blank","title":"Content Too Large","status":413,)"
@@ -312,9 +320,10 @@
 class ServerCore
 {
 public:
-    ServerCore(asio::io_context &context, std::size_t bodyLimit, HttpHandler handler)
+    ServerCore(asio::io_context &context, const HttpServerSettings &settings, HttpHandler handler)
         : context_(context)
-        , bodyLimit_(bodyLimit)
+        , bodyLimit_(settings.bodyLimitBytes_)
+        , event_(settings.event_)
         , handler_(std::move(handler))
     { }
 
@@ -325,9 +334,7 @@
             core->send(bodyTooLarge(bodyLimit_), true);
             return restinio::request_accepted();
         }
-        const auto handled = gate_->run(
-            [&] { handler_(toRequest(*request), std::make_shared<Reply>(std::move(core))); });
-        if (!handled)
+        if (!gate_->run([&] { callHandler(*request, core); }))
             core->abort();
         return restinio::request_accepted();
     }
@@ -373,6 +380,23 @@
         }
     }
 
+    /// RESTinio would close the connection of a handler that throws, with all answers on it.
+    auto callHandler(restinio::request_t &request, const std::shared_ptr<ReplyCore> &core) -> void
+    {
+        const auto reply = std::make_shared<Reply>(core);
+        try {
+            handler_(toRequest(request), reply);
+        } catch (const std::exception &error) {
+            if (event_)
+                event_(Event{EventNumber::HandlerFailed,
+                             {{"method", request.header().method().c_str()},
+                              {"path", std::string(request.header().path())},
+                              {"reason", error.what()}}});
+            if (reply.use_count() == 1)
+                reply->send(internalError());
+        }
+    }
+
     auto addRequest(const restinio::request_handle_t &request) -> std::shared_ptr<ReplyCore>
     {
         const auto lock = std::scoped_lock(mutex_);
@@ -386,6 +410,7 @@
 
     asio::io_context &context_;
     std::size_t bodyLimit_;
+    EventSink event_;
     HttpHandler handler_;
     std::shared_ptr<HookGate> gate_ = std::make_shared<HookGate>();
     std::mutex mutex_;
@@ -472,8 +497,7 @@
     Impl(WorkerPool &workers, HttpServerSettings settings, HttpHandler handler)
         : context_(workers.context())
         , settings_(std::move(settings))
-        , core_(
-              std::make_shared<ServerCore>(context_, settings_.bodyLimitBytes_, std::move(handler)))
+        , core_(std::make_shared<ServerCore>(context_, settings_, std::move(handler)))
     { }
 
     ~Impl()
--- a/packages/transport/HttpServer.h
+++ b/packages/transport/HttpServer.h
@@ -2,6 +2,7 @@
 /// \brief An HTTP server on RESTinio.
 #pragma once
 
+#include "base/Event.h"
 #include "base/Time.h"
 #include "transport/HttpReply.h"
 #include "transport/HttpRequest.h"
@@ -28,9 +29,12 @@
     Duration idleTimeout_ = std::chrono::seconds(60);
     /// The longest time from request to the end of its answer.
     Duration handleTimeout_ = std::chrono::minutes(30);
+    /// Takes an event for each handler that throws, if set.
+    EventSink event_;
 };
 
-/// Takes requests on worker threads, several at once.
+/// Takes requests on worker threads, several at once. A request whose handler throws is answered
+/// with 500, unless another object holds the reply.
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
 
 /// Serves HTTP/1.1. RESTinio stays behind this header: it costs half a minute to compile.
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -112,6 +113,40 @@
     CHECK(answer->headers_.value("x-entry") == "entry-1");
 }
 
+/// Guards against a whole request that gets neither an answer nor a refusal because its handler
+/// threw.
+TEST(HttpServer, aHandlerThatThrows_called_isAnsweredWithAnError)
+{
+    auto events = Watched<std::vector<Event>>{};
+    const auto settings = HttpServerSettings{.event_ = [&events](const Event &event) {
+        events.change([&](auto &all) { all.push_back(event); });
+    }};
+    serve([](const HttpRequest &,
+             const std::shared_ptr<HttpReply> &) { throw std::runtime_error("broken handler"); },
+          settings);
+    for (auto call = 0; call < 2; ++call) {
+        const auto answer = http_->client_.fetch(http_->call("GET", "/"));
+        CHECK(answer.ok());
+        CHECK_EQUAL(500, answer->status_);
+    }
+    CHECK_EQUAL(2, events.get().size());
+    CHECK(events.get().front().number_ == EventNumber::HandlerFailed);
+    STRCMP_EQUAL("broken handler", events.get().front().attributes_.at("reason").c_str());
+}
+
+TEST(HttpServer, aHandlerThatThrowsAfterItPassedTheReplyOn_called_isAnsweredByTheHolder)
+{
+    serve([this](const HttpRequest &, std::shared_ptr<HttpReply> reply) {
+        reply_.change([&](auto &kept) { kept = std::move(reply); });
+        throw std::runtime_error("broken handler");
+    });
+    startCall();
+    takeReply()->send({200, {}, "whole"});
+    CHECK(!HttpFixture::outcomeOf(record_).error_);
+    CHECK_EQUAL(200, record_.get().head_.status_);
+    CHECK(record_.get().body_ == "whole");
+}
+
 TEST(HttpServer, aHeadRequest_answered_leavesTheConnectionUsable)
 {
     serve(echo);
