tests: Lose control machines and silence upstreams beside storms of configurations, on real processes

platform.voter-losses: control machines are replaced, silent, wiped, restarted, frozen and left within the tolerated losses, beside a configuration each 0.7 s, at the end one loses its disk while all others end.

platform.silent-upstreams: engines in groups and plain upstreams fall silent for 0.3 to 1.6 s beside configurations that take routes and keys away and bring them back, evacuations, SIGHUP and planned stops of entries.

--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -12,18 +12,18 @@
 REPORT_INTERVAL_S = 1.2
 
 
-def settings(name, ip, zone, seeds, data_dir, controls):
+def settings(name, ip, zone, seeds, data_dir, tolerated, bootstrap):
     listen = (f'control = "{ip}:{CONTROL_PORT}"\ndirectory = "{ip}:{DIRECTORY_PORT}"' if data_dir else
               f'front = "{ip}:{FRONT_PORT}"\nreadiness = "{ip}:{READY_PORT}"\n'
               f'directory = "{ip}:{DIRECTORY_PORT}"')
     lines = [f'nodeName = "{name}"', f'ip = "{ip}"', f'zone = "{zone}"', 'region = "region"',
              f"internalPorts = [{PEER_PORT}, {PEER_PORT + 15}]",
              "seeds = " + json.dumps([f"{seed}:{CONTROL_PORT}" for seed in seeds]),
-             "bootstrap = true", f"heartbeatMs = {int(REPORT_INTERVAL_S * 1000)}"]
+             f"bootstrap = {json.dumps(bootstrap)}", f"heartbeatMs = {int(REPORT_INTERVAL_S * 1000)}"]
     if data_dir:
         lines.append(f'dataDir = "{data_dir}"')
     lines += ["[zones]"] + [f'{known} = "region"' for known in ZONES]
-    return "\n".join(lines + ["[listen]", listen, "[faultTolerance]", f"machines = {2 if controls >= 5 else 1}", ""])
+    return "\n".join(lines + ["[listen]", listen, "[faultTolerance]", f"machines = {tolerated}", ""])
 
 
 class Http:
@@ -36,13 +36,13 @@
         return head[0], await reader.readexactly(length)
 
     @staticmethod
-    async def call(address, method, path, body):
+    async def call(address, method, path, body, timeout=2):
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         data = json.dumps(body).encode()
         writer.write(f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
                      f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n".encode() + data)
-        start, answer = await asyncio.wait_for(Http.read(reader), 2)
+        start, answer = await asyncio.wait_for(Http.read(reader), timeout)
         writer.close()
         return int(start.split()[1]), answer
 
@@ -50,6 +50,7 @@
 class Fleet:
     def __init__(self, options, folder):
         self.options_, self.folder_, self.processes_ = options, folder, {}
+        self.tolerated_ = getattr(options, "tolerated", 2 if options.controls >= 5 else 1)
         self.controls_ = [f"{NETWORK}.{number % 3 + 1}.{number // 3 + 1}" for number in range(options.controls)]
 
     def start(self):
@@ -58,12 +59,12 @@
         for number in range(self.options_.entries):
             self.spawn("entry", f"entry-{number}", self.entry(number), ZONES[number % 3])
 
-    def spawn(self, role, name, ip, zone):
+    def spawn(self, role, name, ip, zone, seeds=None, bootstrap=True):
         data_dir = self.folder_ / name if role == "control" else None
         if data_dir:
             data_dir.mkdir(exist_ok=True)
         path = self.folder_ / (name + ".toml")
-        path.write_text(settings(name, ip, zone, self.controls_[:3], data_dir, self.options_.controls))
+        path.write_text(settings(name, ip, zone, seeds or self.controls_[:3], data_dir, self.tolerated_, bootstrap))
         log = open(self.folder_ / (name + ".log"), "a", encoding="utf-8")
         self.processes_[name] = subprocess.Popen([self.options_.program, role], stdout=log, stderr=log,
                                                  env=dict(os.environ, LYCHEEREACH_CONFIG=str(path)))
@@ -83,10 +84,14 @@
             used[name] = sum(int(thread.read_text().split()[0]) for thread in threads) / 1e9
         return used
 
+    def kill(self, name):
+        process = self.processes_.pop(name)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
     def stop(self):
-        for process in self.processes_.values():
-            process.send_signal(signal.SIGKILL)
-            process.wait()
+        for name in list(self.processes_):
+            self.kill(name)
 
 
 async def publish(controls, configuration):
