transport: Serve the connections that wait when a server stops listening

The system completes connections before the server accepts them; closing the listener resets those that wait, with the requests that were sent on them. Neither the caller nor the entry can tell that such a request was never read.

TcpListener::close() now takes the waiting connections, closes, and hands them over; they are answered, or refused by an entry that stops. The daemon waits 200 ms behind that before its workers end, and the entry of the platform stops listening before its last wait and not behind it. What remains is a connection that is completed between the last accept and the close, some microseconds.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -39,6 +39,8 @@
 constexpr auto queueTick = std::chrono::milliseconds(20);
 constexpr auto eventTick = std::chrono::milliseconds(200);
 constexpr auto stopPoll = std::chrono::milliseconds(20);
+/// Time for the server to read the requests on the last connections and to send the last answers.
+constexpr auto finalAnswerTime = std::chrono::milliseconds(200);
 /// The longest wait for another entry to take over the groups held here.
 constexpr auto handoverLimit = std::chrono::seconds(10);
 
@@ -360,6 +362,7 @@
     waitUntil([this] { return leaseholder_->holdsNoGroupLease(); },
               std::min<Duration>(handoverLimit, limit), hurry);
     server_.stopListening();
+    waitUntil([] { return false; }, std::min<Duration>(finalAnswerTime, limit), hurry);
     for (const auto &timer : timers_)
         timer->cancel();
     event_(Event{EventNumber::ProcessStopped, {{"entry", settings_.id_.text()}}});
--- a/packages/transport/TcpListener.cpp
+++ b/packages/transport/TcpListener.cpp
@@ -30,10 +30,30 @@
 
 auto TcpListener::close() -> void
 {
+    for (auto &socket : takeWaitingAndClose())
+        handOver(std::move(socket));
+}
+
+auto TcpListener::takeWaitingAndClose() -> std::vector<asio::ip::tcp::socket>
+{
+    auto waiting = std::vector<asio::ip::tcp::socket>{};
     const auto lock = std::scoped_lock(mutex_);
-    auto ignored = std::error_code{};
-    acceptor_.close(ignored);
+    auto error = std::error_code{};
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        auto socket = acceptor_.accept(error);
+        if (!error)
+            waiting.push_back(std::move(socket));
+    }
+    acceptor_.close(error);
     retryTimer_.cancel();
+    return waiting;
+}
+
+auto TcpListener::handOver(asio::ip::tcp::socket socket) -> void
+{
+    const auto lock = std::scoped_lock(acceptedMutex_);
+    accepted_(std::move(socket));
 }
 
 auto TcpListener::port() const -> std::uint16_t
@@ -69,7 +89,7 @@
                 self->retryAccept();
                 return;
             }
-            self->accepted_(std::move(socket));
+            self->handOver(std::move(socket));
             self->acceptNext();
         });
 }
--- a/packages/transport/TcpListener.h
+++ b/packages/transport/TcpListener.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <system_error>
+#include <vector>
 
 // Behind a standard header: in front of it Asio 1.22 allocates otherwise than in other sources.
 #include <asio/io_context.hpp>
@@ -20,14 +21,15 @@
 class TcpListener : public std::enable_shared_from_this<TcpListener>
 {
 public:
-    /// Takes a connection on a worker, one at a time.
+    /// Takes a connection, one at a time.
     using Accepted = std::function<void(asio::ip::tcp::socket)>;
 
     TcpListener(asio::io_context &context, Accepted accepted);
 
     /// Listens, once; the error says why it can't, for example address in use.
     auto listen(const asio::ip::tcp::endpoint &endpoint) -> std::error_code;
-    /// Further connections are refused from the return on. Waits for no worker.
+    /// Further connections are refused from the return on; those that the system has taken before
+    /// are handed over first. Waits for no worker but one that takes a connection.
     auto close() -> void;
     /// The port in use after listen().
     [[nodiscard]] auto port() const -> std::uint16_t;
@@ -35,8 +37,13 @@
 private:
     auto open(const asio::ip::tcp::endpoint &endpoint) -> std::error_code;
     auto acceptNext() -> void;
+    /// The connections that the system has taken; the listener is closed behind them.
+    auto takeWaitingAndClose() -> std::vector<asio::ip::tcp::socket>;
+    auto handOver(asio::ip::tcp::socket socket) -> void;
     auto retryAccept() -> void;
 
+    /// Held while accepted_ runs.
+    std::mutex acceptedMutex_;
     Accepted accepted_;
     /// Guards the acceptor and the timer, which Asio doesn't.
     mutable std::mutex mutex_;
--- a/tests/transport/HttpFixture.h
+++ b/tests/transport/HttpFixture.h
@@ -24,6 +24,8 @@
 class HttpFixture
 {
 public:
+    static constexpr auto workerCount = 3;
+
     explicit HttpFixture(HttpHandler handler, HttpServerSettings settings = {})
         : server_(workers_, std::move(settings), std::move(handler))
     {
@@ -63,7 +65,7 @@
         return record.get().outcome_.value_or(HttpOutcome{});
     }
 
-    WorkerPool workers_ = WorkerPool(3);
+    WorkerPool workers_ = WorkerPool(workerCount);
     HttpServer server_;
     std::error_code startError_;
     HttpClient client_;
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -247,6 +247,39 @@
     CHECK(record_.get().body_ == "late");
 }
 
+/// Guards against requests on connections that the system has taken but the server has not: their
+/// callers are connected, so that the end of the connection tells them nothing.
+TEST(HttpServer, connectionsThatWaitToBeAccepted_noMoreListening_areStillServed)
+{
+    constexpr auto callers = 8;
+    serve(echo);
+    auto released = Watched<bool>{};
+    auto blockedWorkers = Watched<int>{};
+    for (auto worker = 0; worker < HttpFixture::workerCount; ++worker)
+        http_->workers_.post([&] {
+            blockedWorkers.change([](int &count) { ++count; });
+            released.waitFor([](bool isReleased) { return isReleased; });
+        });
+    CHECK(blockedWorkers.waitFor([](int count) { return count == HttpFixture::workerCount; }));
+    auto context = asio::io_context{};
+    auto sockets = std::vector<asio::ip::tcp::socket>{};
+    for (auto caller = 0; caller < callers; ++caller) {
+        sockets.emplace_back(context);
+        sockets.back().connect({asio::ip::make_address("127.0.0.1"), http_->server_.port()});
+        asio::write(sockets.back(),
+                    asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    }
+    http_->server_.stopListening();
+    released.change([](bool &isReleased) { isReleased = true; });
+    for (auto &socket : sockets) {
+        auto start = std::string(12, ' ');
+        auto error = std::error_code{};
+        asio::read(socket, asio::buffer(start), error);
+        CHECK_TEXT(!error, error.message().c_str());
+        CHECK(start == "HTTP/1.1 200");
+    }
+}
+
 // Guards against a data race: the acceptor was closed while a worker accepted.
 TEST(HttpServer, callersThatConnect_noMoreListening_isOrderedWithAccepting)
 {
