--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -10,6 +10,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 PEER_PORT, CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT = 7700, 8229, 8230, 8227, 8220
 REPORT_INTERVAL_S = 1.2
+UNREAD_PIPE_BYTES = 4096
 
 
 def settings(name, ip, zone, seeds, data_dir, tolerated, bootstrap):
@@ -66,7 +67,10 @@
         path = self.folder_ / (name + ".toml")
         path.write_text(settings(name, ip, zone, seeds or self.controls_[:3], data_dir, self.tolerated_, bootstrap))
         log = open(self.folder_ / (name + ".log"), "a", encoding="utf-8")
-        self.processes_[name] = subprocess.Popen([self.options_.program, role], stdout=log, stderr=log,
+        isUnread = getattr(self.options_, "unread_logs", False)
+        self.processes_[name] = subprocess.Popen([self.options_.program, role],
+                                                 stdout=subprocess.PIPE if isUnread else log, stderr=log,
+                                                 pipesize=UNREAD_PIPE_BYTES if isUnread else -1,
                                                  env=dict(os.environ, LYCHEEREACH_CONFIG=str(path)))
 
     def readiness(self):
