log: Make durable what a restarted voter has loaded

What callers could see: a configuration that was confirmed and is gone. A process that is killed between the write and the sync of a record, or between the rename of a file and the sync of its folder, leaves both in the page cache. The next process read them back, counted them as durable and acknowledged them to the leader; a loss of power before its next sync took them away again, with a renamed log all that was synced into it since. Class: what was read counts as what was written.

load() syncs the log and the folder before it returns; two syncs a start. A disk that refuses them keeps the process from starting, as one that refuses its first write did. Ruled out: a first write through the usual path, since a voter with a full disk could then not even answer heartbeats.

FileLogStorage.aReplicaKilledBeforeASync_restarted_... failed before (no sync ahead of the acknowledgement). Two tests make each sync fail from the start; their faults now begin behind load(), with the same checks.

--- a/packages/log/FileLogStorage.cpp
+++ b/packages/log/FileLogStorage.cpp
@@ -99,6 +99,8 @@
                                    "the file is missing although a log or snapshot exists");
     if (result)
         result = reconcileWithSnapshot(std::move(content), stored);
+    if (result && logFile_ >= 0)
+        result = syncLoaded();
     if (!result)
         return result.failure();
     return stored;
@@ -217,6 +219,14 @@
     return rewriteLog(position, stored.state_, records);
 }
 
+auto FileLogStorage::syncLoaded() -> Result<Nothing>
+{
+    // A process that was killed before a sync left its writes and renames in the page cache only.
+    if (auto synced = syncFile(logFile_, folder_ / logFileName); !synced)
+        return synced;
+    return syncFolder();
+}
+
 auto FileLogStorage::openLog() -> Result<Nothing>
 {
     const auto path = folder_ / logFileName;
--- a/packages/log/FileLogStorage.h
+++ b/packages/log/FileLogStorage.h
@@ -53,6 +53,8 @@
     auto loadFrames(ReplayedLog &content) -> Result<Nothing>;
     auto truncateTornTail(std::size_t length) -> Result<Nothing>;
     auto reconcileWithSnapshot(ReplayedLog content, StoredLog &stored) -> Result<Nothing>;
+    /// Makes durable what was loaded.
+    auto syncLoaded() -> Result<Nothing>;
     auto openLog() -> Result<Nothing>;
     auto rewriteLog(const LogPosition &base, const LogState &state,
                     const std::vector<LogRecord> &records) -> Result<Nothing>;
--- a/packages/log/LogStorage.h
+++ b/packages/log/LogStorage.h
@@ -21,7 +21,8 @@
     auto operator=(const LogStorage &) -> LogStorage & = delete;
     virtual ~LogStorage() = default;
 
-    /// Reads everything; truncates an incomplete last write and fails on any other corruption.
+    /// Reads everything and makes it durable; truncates an incomplete last write and fails on any
+    /// other corruption.
     virtual auto load() -> Result<StoredLog> = 0;
     /// The identity is durable on return.
     virtual auto writeIdentity(const VoterIdentity &identity) -> Result<Nothing> = 0;
--- a/tests/log/FileLogStorageTest.cpp
+++ b/tests/log/FileLogStorageTest.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <set>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -187,13 +189,14 @@
 TEST(FileLogStorage, aFailedSync_syncedAgain_failsUntilASnapshotIsWritten)
 {
     writeLog(1);
-    auto syncFails = true;
+    auto syncFails = false;
     hooks_.sync_ = [&](int) {
         errno = EIO;
         return syncFails ? -1 : 0;
     };
     auto storage = FileLogStorage(folder_, hooks_);
     CHECK(storage.load().ok());
+    syncFails = true;
     CHECK(append(storage, 2).failure().code_ == Error::DiskFailed);
     syncFails = false;
     CHECK(append(storage, 2).failure().code_ == Error::DiskFailed);
@@ -211,7 +214,7 @@
             fs::remove_all(folder_);
             writeLog(5);
             auto calls = 0;
-            auto isFaulty = true;
+            auto isFaulty = false;
             hasFailed = false;
             const auto fails = [&] {
                 errno = errorNumber;
@@ -225,6 +228,7 @@
             hooks_.sync_ = [&](int file) { return fails() ? -1 : ::fdatasync(file); };
             auto storage = std::make_unique<FileLogStorage>(folder_, hooks_);
             CHECK(storage->load().ok());
+            isFaulty = true;
             const auto snapshot = LogSnapshot{{3, 2}, {}, "state"};
             const auto following = std::vector{record(4, 2), record(5, 2)};
             const auto written = storage->writeSnapshot(snapshot, state(2, 5), following);
@@ -318,6 +322,46 @@
     CHECK(applied == expected);
 }
 
+/// Guards against records that are acknowledged after a restart though only the page cache holds
+/// them: the process was killed before their sync, or before that of a renamed file, and a loss of
+/// power follows.
+TEST(FileLogStorage, aReplicaKilledBeforeASync_restarted_syncsFileAndFolderBeforeItAcknowledges)
+{
+    writeLog(5);
+    const auto inodeOf = [](const fs::path &path) {
+        struct stat status = {};
+        CHECK_EQUAL(0, ::stat(path.c_str(), &status));
+        return status.st_ino;
+    };
+    auto synced = std::set<ino_t>{};
+    hooks_.sync_ = [&](int file) {
+        struct stat status = {};
+        CHECK_EQUAL(0, ::fstat(file, &status));
+        synced.insert(status.st_ino);
+        return ::fdatasync(file);
+    };
+    auto acknowledged = 0;
+    auto hooks = ReplicaHooks{};
+    hooks.send_ = [&](const EntryId &, const Json &) {
+        CHECK(synced.contains(inodeOf(folder_ / "log")));
+        CHECK(synced.contains(inodeOf(folder_)));
+        ++acknowledged;
+    };
+    hooks.apply_ = [](const LogRecord &) {};
+    hooks.takeSnapshot_ = [] { return std::string(); };
+    hooks.restore_ = [](LogIndex, const std::string &) {};
+    hooks.random_ = [] { return 5; };
+    const auto now = MonotonicTime(std::chrono::hours(1));
+    auto replica = Replica(ReplicaSettings{.self_ = EntryId("a")},
+                           std::make_unique<FileLogStorage>(folder_, hooks_), hooks);
+    CHECK(replica.open(now).ok());
+    auto heartbeat = AppendRequest{};
+    heartbeat.previousPosition_ = {5, 2};
+    heartbeat.commitIndex_ = 5;
+    replica.receive(EntryId("b"), encodeMessage({"cluster", 8, 2, heartbeat}), now);
+    CHECK_EQUAL(1, acknowledged);
+}
+
 // Guards against a recovery that puts an older snapshot beside a newer log: a write fails while a
 // snapshot is taken, one fails in the recovery, and the process ends there.
 TEST(FileLogStorage, aReplicaWhoseWritesFailTwiceAroundASnapshot_restarted_hasLostNothing)
