log: Keep refused votes out of the actions of LogCore

Two tests of LogCore want a request that is left unanswered to bring no action at all, which the report of a refused vote in broke. The last refused vote is now asked for.

--- a/packages/log/LogAction.h
+++ b/packages/log/LogAction.h
@@ -4,7 +4,6 @@
 
 #include "log/LogMessage.h"
 #include "log/LogState.h"
-#include "log/VoteRefusal.h"
 
 #include <optional>
 #include <variant>
@@ -47,14 +46,6 @@
     std::vector<LogRecord> records_;
 };
 
-/// Report that this replica did not grant a vote.
-struct ReportVoteRefused
-{
-    EntryId candidate_;
-    VoteRefusal reason_ = VoteRefusal::NoCluster;
-};
-
-using LogAction = std::variant<StageWrites, SyncWrites, InstallSnapshot, SendMessage, ApplyRecords,
-                               ReportVoteRefused>;
+using LogAction = std::variant<StageWrites, SyncWrites, InstallSnapshot, SendMessage, ApplyRecords>;
 
 } // namespace lycheereach
--- a/packages/log/LogCore.cpp
+++ b/packages/log/LogCore.cpp
@@ -93,9 +93,6 @@
     for (auto &message : sendsAfterSync_)
         actions.emplace_back(std::move(message));
     sendsAfterSync_.clear();
-    for (auto &report : refusalReports_)
-        actions.emplace_back(std::move(report));
-    refusalReports_.clear();
     if (state_.commitIndex_ > appliedIndex_) {
         constexpr auto noLimit = std::numeric_limits<std::size_t>::max();
         actions.emplace_back(
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -6,11 +6,11 @@
 #include "base/Time.h"
 #include "log/LogAction.h"
 #include "log/RecordSequence.h"
+#include "log/RefusedVote.h"
 #include "log/ReplicaRole.h"
 #include "log/ReplicaSettings.h"
 #include "log/StoredLog.h"
 #include "log/VoteAnswer.h"
-#include "log/VoteRefusal.h"
 
 #include <map>
 #include <optional>
@@ -71,6 +71,8 @@
     /// While this replica leads: the replicas that changeVoters() could add now.
     [[nodiscard]] auto readyLearners() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> const VoterIdentity & { return self_; }
+    /// The last vote that this replica refused since the call before.
+    auto takeRefusedVote() -> std::optional<RefusedVote>;
     /// When this replica last heard from a leader or led itself; when it was opened if it has not.
     [[nodiscard]] auto lastLeaderTime() const -> MonotonicTime;
     /// The answers to the last vote or pre-vote that this replica asked for and that has ended;
@@ -147,9 +149,8 @@
     /// timeout.
     [[nodiscard]] auto mustRefuseVotes() const -> bool;
     [[nodiscard]] auto hasVoteQuorum() const -> bool;
-    /// Queues a ReportVoteRefused, but for restart probes, which any live leader makes fail.
-    auto reportRefusal(const EntryId &candidate, const VoteRequest &body, VoteRefusal reason)
-        -> void;
+    /// Notes a refused vote, but no refused restart probe: any live leader makes those fail.
+    auto noteRefusal(const EntryId &candidate, const VoteRequest &body, VoteRefusal reason) -> void;
 
     auto handle(const EntryId &from, const LogMessage &message, const AppendRequest &body) -> void;
     auto handle(const EntryId &from, const LogMessage &message, const AppendReply &body) -> void;
@@ -238,7 +239,7 @@
     bool pendingInstall_ = false;
     std::vector<SendMessage> sendsBeforeSync_;
     std::vector<SendMessage> sendsAfterSync_;
-    std::vector<ReportVoteRefused> refusalReports_;
+    std::optional<RefusedVote> refusedVote_;
 };
 
 } // namespace lycheereach
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -137,8 +137,8 @@
     // before, unless that leader is known to have restarted as well.
     const auto bothJustStarted = body.restartRound_ != 0 && noLeaderSinceStart_;
     if (state_.cluster_.empty() || (!bothJustStarted && mustRefuseVotes())) {
-        reportRefusal(from, body,
-                      state_.cluster_.empty() ? VoteRefusal::NoCluster : VoteRefusal::LeaderHeard);
+        noteRefusal(from, body,
+                    state_.cluster_.empty() ? VoteRefusal::NoCluster : VoteRefusal::LeaderHeard);
         return;
     }
     const auto upToDate = body.lastPosition_.term_ > log_.last().term_
@@ -148,7 +148,7 @@
         const auto granted = upToDate && message.term_ > state_.term_;
         const auto restartRound = bothJustStarted ? body.restartRound_ : 0;
         if (!granted)
-            reportRefusal(from, body, upToDate ? VoteRefusal::OlderTerm : VoteRefusal::OlderLog);
+            noteRefusal(from, body, upToDate ? VoteRefusal::OlderTerm : VoteRefusal::OlderLog);
         sendWithTerm(from, VoteReply{true, granted, restartRound},
                      granted ? message.term_ : state_.term_);
         return;
@@ -165,16 +165,21 @@
     } else {
         const auto termReason
             = message.term_ == state_.term_ ? VoteRefusal::VotedForAnother : VoteRefusal::OlderTerm;
-        reportRefusal(from, body, upToDate ? termReason : VoteRefusal::OlderLog);
+        noteRefusal(from, body, upToDate ? termReason : VoteRefusal::OlderLog);
     }
     send(from, VoteReply{false, granted});
 }
 
-auto LogCore::reportRefusal(const EntryId &candidate, const VoteRequest &body, VoteRefusal reason)
+auto LogCore::noteRefusal(const EntryId &candidate, const VoteRequest &body, VoteRefusal reason)
     -> void
 {
     if (body.restartRound_ == 0)
-        refusalReports_.push_back({candidate, reason});
+        refusedVote_ = RefusedVote{candidate, reason};
+}
+
+auto LogCore::takeRefusedVote() -> std::optional<RefusedVote>
+{
+    return std::exchange(refusedVote_, std::nullopt);
 }
 
 auto LogCore::handle(const EntryId &from, const LogMessage &message, const VoteReply &body) -> void
--- a/packages/log/Replica.cpp
+++ b/packages/log/Replica.cpp
@@ -306,17 +306,6 @@
         hooks_.apply_(record);
 }
 
-auto Replica::perform(const ReportVoteRefused &action) -> void
-{
-    if (now_ < nextRefusalReportAt_)
-        return;
-    nextRefusalReportAt_ = now_ + refusalReportInterval;
-    emit(EventNumber::VoteRefused,
-         {{"entry", action.candidate_.text()},
-          {"version", std::to_string(term())},
-          {"reason", refusalText(action.reason_)}});
-}
-
 auto Replica::takeSnapshotWhenDue() -> void
 {
     const auto &log = core_->log();
@@ -393,6 +382,7 @@
 auto Replica::emitChanges() -> void
 {
     emitDiskSpace();
+    emitRefusedVote();
     emitLeaderMissing();
     const auto now = leader();
     const auto termText = std::to_string(term());
@@ -411,6 +401,18 @@
     emit(EventNumber::VotersChanged, {{"reason", names}});
 }
 
+auto Replica::emitRefusedVote() -> void
+{
+    const auto refused = core_->takeRefusedVote();
+    if (!refused || now_ < nextRefusalReportAt_)
+        return;
+    nextRefusalReportAt_ = now_ + refusalReportInterval;
+    emit(EventNumber::VoteRefused,
+         {{"entry", refused->candidate_.text()},
+          {"version", std::to_string(term())},
+          {"reason", refusalText(refused->reason_)}});
+}
+
 auto Replica::emitLeaderMissing() -> void
 {
     const auto silence = now_ - core_->lastLeaderTime();
--- a/packages/log/Replica.h
+++ b/packages/log/Replica.h
@@ -88,7 +88,6 @@
     auto perform(const InstallSnapshot &action) -> void;
     auto perform(const SendMessage &action) -> void;
     auto perform(const ApplyRecords &action) -> void;
-    auto perform(const ReportVoteRefused &action) -> void;
     auto takeSnapshotWhenDue() -> void;
     auto takeSnapshot() -> void;
     auto markDiskFailed(const Failure &failure) -> void;
@@ -100,6 +99,7 @@
     auto stepDownWhenFull() -> void;
     auto emitDiskSpace() -> void;
     auto emitChanges() -> void;
+    auto emitRefusedVote() -> void;
     /// Emits an event, from time to time, while this replica has no leader.
     auto emitLeaderMissing() -> void;
     /// The voters, each with its answer to the last vote that this replica asked for.
