control: Drop proposals that have timed out before sending proposals again

A process that goes on after a pause sent its proposals again in the same tick in which it gave them up, and in that order.

Proposal.aForwardedProposalOlderThanItsDeadline_theProcessGoesOnAfterAPause_isNotSentAgain failed before (the proposal was applied 7 s after it was made, with a limit of 6 s) and passes now.

--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -83,8 +83,9 @@
     registerWhenNeeded(now);
     reconcileVoters(now);
     pushRecords(now);
-    resendProposals(now);
+    // In this order, since a process that was paused must not send what has timed out meanwhile.
     failTimedOutProposals(now);
+    resendProposals(now);
     emitLeaseChange(now);
 }
 
--- a/tests/control/ProposalTest.cpp
+++ b/tests/control/ProposalTest.cpp
@@ -1,5 +1,7 @@
 #include "control/ControlFleet.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lycheereach;
@@ -169,3 +171,27 @@
         fleet.run(std::chrono::milliseconds(20 * fleet.random(70)));
     }
 }
+
+/// Guards against an order that is carried out after its caller has given up, and undoes a later
+/// one.
+TEST(Proposal, aForwardedProposalOlderThanItsDeadline_theProcessGoesOnAfterAPause_isNotSentAgain)
+{
+    auto fleet = ControlFleet(3, 3, 0);
+    startAll(fleet);
+    const auto paused = (*fleet.leader() + 1) % 3;
+    fleet.dropsMessage_ = [](std::size_t, std::size_t, const std::string &method) {
+        return method == "control.propose";
+    };
+    const auto operation = fleet.proposeDeclaration(paused);
+    fleet.node(paused).frozen_ = true;
+    fleet.dropsMessage_ = nullptr;
+    fleet.run(fleet.settings_.proposalTimeout_ + 1s);
+    fleet.node(paused).frozen_ = false;
+    fleet.run(2s);
+    CHECK_EQUAL(1, fleet.failed_);
+    const auto isApplied = fleet.service(*fleet.leader()).readState([&](const FleetState &state) {
+        return std::any_of(state.operations_.begin(), state.operations_.end(),
+                           [&](const auto &item) { return item.operation_ == operation; });
+    });
+    CHECK_FALSE(isApplied);
+}
