platform: Refuse orders that may have waited for the end of a pause

Orders about zones carry no number.

PauseDetector tells whether a message may have waited for the end of a pause; control refuses zone orders and deregistrations then, with 503, on which operators and upstreams ask another process. The clock counts suspension.

The new tests of OperatorApi, RegistryApi and PauseDetector need the new hook and were not run without the change.

--- a/packages/base/SystemClock.cpp
+++ b/packages/base/SystemClock.cpp
@@ -2,6 +2,8 @@
 
 #include <random>
 
+#include <time.h>
+
 namespace lycheereach {
 
 auto readMonotonic() -> MonotonicTime
@@ -9,6 +11,14 @@
     return std::chrono::steady_clock::now();
 }
 
+auto readBootTime() -> MonotonicTime
+{
+    auto time = timespec{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return MonotonicTime(std::chrono::seconds(time.tv_sec)
+                         + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 auto readWall() -> WallTime
 {
     return std::chrono::time_point_cast<std::chrono::microseconds>(
--- a/packages/control/ControlProposals.cpp
+++ b/packages/control/ControlProposals.cpp
@@ -28,11 +28,12 @@
 
 } // namespace
 
-auto ControlService::propose(const Command &command, ProposalCallback done) -> void
+auto ControlService::propose(const Command &command, ProposalCallback done,
+                             std::optional<Duration> timeout) -> void
 {
     const auto lock = std::scoped_lock(mutex_);
     const auto now = hooks_.now_();
-    const auto deadline = now + settings_.proposalTimeout_;
+    const auto deadline = now + timeout.value_or(settings_.proposalTimeout_);
     auto encoded = encodeCommand(command);
     if (appendIfLeader(encoded, done, deadline))
         return;
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -60,8 +60,10 @@
     auto receive(const EntryId &from, const std::string &method, const Json &params) -> bool;
 
     /// Proposes a command, through the leader if this process is not the leader; \a done is called
-    /// once it is applied or has failed.
-    auto propose(const Command &command, ProposalCallback done) -> void;
+    /// once it is applied or has failed. After \a timeout, or ControlSettings::proposalTimeout_, it
+    /// is not sent again and fails.
+    auto propose(const Command &command, ProposalCallback done,
+                 std::optional<Duration> timeout = std::nullopt) -> void;
     /// Adds or removes one voter. Works only on the leader; on other processes the failure gives
     /// the leader's address if it is known. \a done is called when the change is committed or its
     /// outcome is unknown.
--- a/packages/serving/PauseDetector.cpp
+++ b/packages/serving/PauseDetector.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-/// A longer time between two ticks means that the process was paused.
-constexpr auto maxTickInterval = std::chrono::milliseconds(500);
 /// Time allowed after a pause to process the messages that arrived meanwhile.
 constexpr auto catchUpTime = std::chrono::milliseconds(250);
 
@@ -13,10 +11,20 @@
 
 auto PauseDetector::tick(MonotonicTime now) -> bool
 {
-    if (lastTick_ != MonotonicTime{} && now - lastTick_ > maxTickInterval)
+    if (isGap(now))
         caughtUpAt_ = now + catchUpTime;
     lastTick_ = now;
     return now >= caughtUpAt_;
 }
 
+auto PauseDetector::mayBeLate(MonotonicTime now) const -> bool
+{
+    return isGap(now) || now < caughtUpAt_;
+}
+
+auto PauseDetector::isGap(MonotonicTime now) const -> bool
+{
+    return lastTick_ != MonotonicTime{} && now - lastTick_ > maxTickInterval_;
+}
+
 } // namespace lycheereach
--- a/tests/platform/OperatorApiTest.cpp
+++ b/tests/platform/OperatorApiTest.cpp
@@ -19,6 +19,7 @@
     ControlFleet fleet_ = ControlFleet(1, 3, 0);
     PlatformSettings settings_;
     std::vector<std::unique_ptr<OperatorApi>> apis_;
+    bool mayBeLate_ = false;
 
     auto setup()->void override
     {
@@ -28,8 +29,9 @@
         CHECK(fleet_.runUntilReady());
         fleet_.run(5s);
         for (std::size_t index = 0; index < fleet_.size(); ++index)
-            apis_.push_back(std::make_unique<OperatorApi>(fleet_.service(index), settings_,
-                                                          [](const Event &) {}));
+            apis_.push_back(std::make_unique<OperatorApi>(
+                fleet_.service(index), settings_, [this] { return mayBeLate_; },
+                [](const Event &) {}));
     }
 
     auto leader()->std::size_t
@@ -125,3 +127,16 @@
         [](const FleetState &state) { return isZoneOut(state, ZoneName("z")); });
     CHECK(isOut);
 }
+
+/// Guards against an order that was read long after it was sent and undoes a newer one.
+TEST(RepeatedConfiguration, anOrderAboutAZoneAfterAPauseOfTheProcess_isRefusedAndChangesNothing)
+{
+    mayBeLate_ = true;
+    const auto reply = std::make_shared<KeptReply>();
+    CHECK(apis_[leader()]->handle(HttpRequest{"POST", "/-/evacuations/z", {}, ""}, reply));
+    fleet_.run(1s);
+    CHECK(reply->answer_ && reply->answer_->status_ == 503);
+    const auto isOut = fleet_.service(leader()).readState(
+        [](const FleetState &state) { return isZoneOut(state, ZoneName("z")); });
+    CHECK_FALSE(isOut);
+}
--- a/tests/platform/RegistryApiTest.cpp
+++ b/tests/platform/RegistryApiTest.cpp
@@ -25,6 +25,7 @@
     std::shared_ptr<LeaseholderService> leaseholderService_;
     std::unique_ptr<WithdrawalWatch> withdrawals_;
     std::unique_ptr<RegistryApi> registryApi_;
+    bool mayBeLate_ = false;
 
     auto setup()->void override
     {
@@ -42,9 +43,9 @@
                                                                    fleet_.service(0), hooks);
         withdrawals_ = std::make_unique<WithdrawalWatch>(
             fleet_.service(0), [](const Event &) {}, [this] { return fleet_.now(); });
-        registryApi_
-            = std::make_unique<RegistryApi>(fleet_.service(0), *leaseholderService_, *withdrawals_,
-                                            "127.0.0.1:1", [](const Event &) {});
+        registryApi_ = std::make_unique<RegistryApi>(
+            fleet_.service(0), *leaseholderService_, *withdrawals_, "127.0.0.1:1",
+            [this] { return mayBeLate_; }, [](const Event &) {});
         sendReport("ready", 1);
         CHECK(
             fleet_.runUntil([this] { return isAvailableOn(entryIndex) && isAvailableOn(0); }, 2s));
@@ -219,3 +220,14 @@
     runFor(acknowledgementTimeout);
     CHECK(isAvailableOn(entryIndex) && isAvailableOn(0));
 }
+
+/// Guards against a deregistration that was read long after it was sent and withdraws a later run
+/// of the upstream.
+TEST(LeavingUpstream, aDeregistrationAfterAPauseOfTheProcess_received_isRefusedAndChangesNothing)
+{
+    mayBeLate_ = true;
+    const auto reply = sendRequest("DELETE", "");
+    fleet_.run(1s);
+    CHECK(reply->answer_ && reply->answer_->status_ == 503);
+    CHECK(isAvailableOn(0));
+}
--- a/tests/serving/PauseDetectorTest.cpp
+++ b/tests/serving/PauseDetectorTest.cpp
@@ -41,3 +41,13 @@
     CHECK_FALSE(tickAfter(milliseconds(200)));
     CHECK_TRUE(tickAfter(milliseconds(100)));
 }
+
+TEST(PauseDetector, aMessageHandledBeforeTheFirstTickAfterAPause_mayBeLate)
+{
+    CHECK_TRUE(tickAfter(milliseconds(0)));
+    CHECK_FALSE(detector_.mayBeLate(now_ + milliseconds(100)));
+    CHECK_TRUE(detector_.mayBeLate(now_ + seconds(60)));
+    CHECK_FALSE(tickAfter(seconds(60)));
+    CHECK_TRUE(detector_.mayBeLate(now_ + milliseconds(100)));
+    CHECK_FALSE(detector_.mayBeLate(now_ + milliseconds(300)));
+}
