--- a/packages/log/LogCore.cpp
+++ b/packages/log/LogCore.cpp
@@ -39,7 +39,7 @@
 
 auto LogCore::lastLeaderTime() const -> MonotonicTime
 {
-    return role_ == ReplicaRole::Leader ? now_ : lastLeaderContact_;
+    return role_ == ReplicaRole::Leader ? now_ : std::max(lastLeaderContact_, ledUntil_);
 }
 
 auto LogCore::setDiskHasSpace(bool hasSpace) -> void
--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -228,6 +228,8 @@
     MonotonicTime nextGreetingAt_;
 
     MonotonicTime becameLeaderAt_;
+    /// When this replica last stepped down.
+    MonotonicTime ledUntil_;
     /// The index of the NoOp record with which this leader started its term.
     LogIndex termStartIndex_ = 0;
     std::map<EntryId, Peer> peers_;
--- a/packages/log/LogCoreElection.cpp
+++ b/packages/log/LogCoreElection.cpp
@@ -232,8 +232,10 @@
         state_.votedFor_ = EntryId();
         markUnsynced();
     }
-    if (role_ == ReplicaRole::Leader)
+    if (role_ == ReplicaRole::Leader) {
         resetElectionTimer();
+        ledUntil_ = now_;
+    }
     role_ = ReplicaRole::Follower;
     leader_ = std::move(leader);
 }
--- a/tests/log/ReplicaTest.cpp
+++ b/tests/log/ReplicaTest.cpp
@@ -233,6 +233,22 @@
     STRCMP_EQUAL("candidate", attributes.at("role").c_str());
 }
 
+/// As above, on the leader itself: its own lead counts until it ends.
+TEST(Replica, aLeaderWhoseFollowersAreGone_run_reportsNoLeaderFromItsOwnEndOn)
+{
+    const auto leader = startCluster(3, 3);
+    commit(leader, 3);
+    cluster_->run(2s);
+    cluster_->events_.clear();
+    cluster_->crash((leader + 1) % 3);
+    cluster_->crash((leader + 2) % 3);
+    cluster_->run(500ms);
+    CHECK(cluster_->events_.contains(EventNumber::LeaderLost));
+    CHECK(!cluster_->events_.contains(EventNumber::LeaderMissing));
+    cluster_->run(700ms);
+    CHECK(cluster_->events_.contains(EventNumber::LeaderMissing));
+}
+
 TEST(Replica, aVoterThatHeardFromTheLeader_isAskedForItsVote_reportsWhyItRefused)
 {
     const auto leader = startCluster(3, 3);
