--- a/packages/base/SystemClock.cpp
+++ b/packages/base/SystemClock.cpp
@@ -1,9 +1,8 @@
 #include "base/SystemClock.h"
 
+#include <ctime>
 #include <random>
 
-#include <time.h>
-
 namespace lycheereach {
 
 auto readMonotonic() -> MonotonicTime
