--- a/tests/control/VoterScheduleTest.cpp
+++ b/tests/control/VoterScheduleTest.cpp
@@ -43,7 +43,7 @@
     const auto *text = std::getenv("LYCHEEREACH_SCHEDULES");
     const auto count
         = text == nullptr ? defaultScheduleCount : std::strtoull(text, nullptr, 10) / 10;
-    return kind.isMixed_ ? count / 3 : count;
+    return std::max<std::uint64_t>(1, kind.isMixed_ ? count / 3 : count);
 }
 
 /// Draws losses of control machines, in turn and overlapping, within the stated limits.
--- a/tests/log/FileLogStorageTest.cpp
+++ b/tests/log/FileLogStorageTest.cpp
@@ -322,6 +322,20 @@
     CHECK(applied == expected);
 }
 
+/// As the next test, where the disk refuses the sync: nothing may be acknowledged.
+TEST(FileLogStorage, aSyncThatFails_loaded_isRefusedAndLoadsOnceTheDiskWorks)
+{
+    writeLog(5);
+    auto syncFails = true;
+    hooks_.sync_ = [&](int file) {
+        errno = EIO;
+        return syncFails ? -1 : ::fdatasync(file);
+    };
+    CHECK(load().failure().code_ == Error::DiskFailed);
+    syncFails = false;
+    CHECK_EQUAL(5, load()->records_.size());
+}
+
 /// Guards against records that are acknowledged after a restart though only the page cache holds
 /// them: the process was killed before their sync, or before that of a renamed file, and a loss of
 /// power follows.
--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -32,20 +32,32 @@
 
     @staticmethod
     async def read(reader):
+        head, headers, body = await Http.readWhole(reader)
+        return head, body
+
+    @staticmethod
+    async def readWhole(reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        length = next((int(line.split(":")[1]) for line in head if line.lower().startswith("content-length")), 0)
-        return head[0], await reader.readexactly(length)
+        headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in head[1:] if ": " in line)}
+        return head[0], headers, await reader.readexactly(int(headers.get("content-length", 0)))
 
     @staticmethod
-    async def call(address, method, path, body, timeout=2):
+    async def exchange(address, method, path, body, timeout=2):
+        """Sends a request on a connection of its own; the status, the body and the headers of the answer."""
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         data = json.dumps(body).encode()
         writer.write(f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
                      f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n".encode() + data)
-        start, answer = await asyncio.wait_for(Http.read(reader), timeout)
-        writer.close()
-        return int(start.split()[1]), answer
+        try:
+            start, headers, answer = await asyncio.wait_for(Http.readWhole(reader), timeout)
+        finally:
+            writer.close()
+        return int(start.split()[1]), answer, headers
+
+    @staticmethod
+    async def call(address, method, path, body, timeout=2):
+        return (await Http.exchange(address, method, path, body, timeout))[:2]
 
 
 class Fleet:
--- a/tests/platform/simulated_upstreams.py
+++ b/tests/platform/simulated_upstreams.py
@@ -97,13 +97,18 @@
         await self.speaks_.wait()
         if start.startswith("POST /-/order"):
             self.write(writer, self.order(json.loads(body)), "", b"")
+        elif headers.get("x-expect-instance", self.id_) != self.id_:
+            self.refuse(writer, headers)
         elif start.startswith(PROBES):
             self.write(writer, 200, "", b"{}")
-        elif headers.get("x-expect-instance", self.id_) != self.id_ or not self.accepts():
-            self.write(writer, 421, f"X-Request-Id: {headers.get('x-request-id', '')}\r\nX-Not-Executed: 1\r\n", b"")
+        elif not self.accepts():
+            self.refuse(writer, headers)
         else:
             await self.respond(headers, writer)
 
+    def refuse(self, writer, headers):
+        self.write(writer, 421, f"X-Request-Id: {headers.get('x-request-id', '')}\r\nX-Not-Executed: 1\r\n", b"")
+
     @staticmethod
     def write(writer, status, headers, body):
         writer.write(f"HTTP/1.1 {status} X\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body)
--- a/tests/timeline/LineWriterTest.cpp
+++ b/tests/timeline/LineWriterTest.cpp
@@ -1,6 +1,7 @@
 #include "timeline/LineWriter.h"
 
 #include <array>
+#include <chrono>
 #include <cstdio>
 #include <string>
 
@@ -88,7 +89,9 @@
     CHECK_EQUAL(0, ::pipe(ends_.data()));
     auto writer = LineWriter(ends_[1], limitBytes);
     overfill(writer);
+    const auto begin = std::chrono::steady_clock::now();
     writer.finish(20ms);
+    CHECK(std::chrono::steady_clock::now() - begin < 1s);
     CHECK(!readAll().empty());
 }
 
