--- a/tests/platform/platform_fleet.py
+++ b/tests/platform/platform_fleet.py
@@ -13,7 +13,7 @@
 UNREAD_PIPE_BYTES = 4096
 
 
-def settings(name, ip, zone, seeds, data_dir, tolerated, bootstrap):
+def settings(name, ip, zone, seeds, data_dir, tolerated, bootstrap, limits):
     listen = (f'control = "{ip}:{CONTROL_PORT}"\ndirectory = "{ip}:{DIRECTORY_PORT}"' if data_dir else
               f'front = "{ip}:{FRONT_PORT}"\nreadiness = "{ip}:{READY_PORT}"\n'
               f'directory = "{ip}:{DIRECTORY_PORT}"')
@@ -24,6 +24,7 @@
     if data_dir:
         lines.append(f'dataDir = "{data_dir}"')
     lines += ["[zones]"] + [f'{known} = "region"' for known in ZONES]
+    lines += ["[limits]"] + [f"{name} = {value}" for name, value in limits.items()]
     return "\n".join(lines + ["[listen]", listen, "[faultTolerance]", f"machines = {tolerated}", ""])
 
 
@@ -77,7 +78,8 @@
         if data_dir:
             data_dir.mkdir(exist_ok=True)
         path = self.folder_ / (name + ".toml")
-        path.write_text(settings(name, ip, zone, seeds or self.controls_[:3], data_dir, self.tolerated_, bootstrap))
+        path.write_text(settings(name, ip, zone, seeds or self.controls_[:3], data_dir, self.tolerated_, bootstrap,
+                                 getattr(self.options_, "limits", {})))
         log = open(self.folder_ / (name + ".log"), "a", encoding="utf-8")
         isUnread = getattr(self.options_, "unread_logs", False)
         self.processes_[name] = subprocess.Popen([self.options_.program, role],
