transport: Share the body of a request among its copies

Cause: each body existed three times. ForwardRequest::http_ held one, writeRequest() copied it for the call of each attempt, and the HTTP server kept its own; a chat request of the gateway was copied the same way.

HttpBody holds the text once; copies share it and it is released with the last of them.

--- a/packages/gateway/CallerRequest.h
+++ b/packages/gateway/CallerRequest.h
@@ -7,6 +7,7 @@
 #include "requests/ChatRequest.h"
 #include "requests/ResponseFraming.h"
 #include "routing/PrefixIndex.h"
+#include "transport/HttpBody.h"
 
 #include <optional>
 #include <string>
@@ -29,7 +30,7 @@
     std::string method_;
     /// Path and query at the upstream.
     std::string target_;
-    std::string body_;
+    HttpBody body_;
     std::string contentType_;
     /// Value of the `Idempotency-Key` header; empty without one.
     std::string idempotencyKeyHeader_;
--- a/packages/gateway/RequestReader.cpp
+++ b/packages/gateway/RequestReader.cpp
@@ -84,7 +84,7 @@
 
 auto readChatCompletion(CallerRequest &callerRequest, const RouteTable &routes) -> Result<Nothing>
 {
-    auto chat = parseChatRequest(callerRequest.body_);
+    auto chat = parseChatRequest(callerRequest.body_.text());
     if (!chat)
         return chat.failure();
     auto pool = routes.poolOf(chat->model_);
@@ -174,7 +174,8 @@
     if (auto result = readPriorityAndDeadline(request, declaration, callerRequest, now); !result)
         return result.failure();
     const auto routeName = callerRequest.pool_.text() + callerRequest.target_;
-    callerRequest.digest_ = requestDigest(callerRequest.method_, routeName, callerRequest.body_);
+    callerRequest.digest_
+        = requestDigest(callerRequest.method_, routeName, callerRequest.body_.text());
     callerRequest.fingerprints_ = fingerprintsOf(callerRequest);
     return callerRequest;
 }
--- a/packages/transport/HttpRequest.h
+++ b/packages/transport/HttpRequest.h
@@ -2,6 +2,7 @@
 /// \brief An HTTP request.
 #pragma once
 
+#include "transport/HttpBody.h"
 #include "transport/HttpHeaders.h"
 
 #include <string>
@@ -15,7 +16,7 @@
     /// Path and query.
     std::string target_;
     HttpHeaders headers_;
-    std::string body_;
+    HttpBody body_;
 
     auto operator==(const HttpRequest &) const -> bool = default;
 };
--- a/tests/client/RunClientTest.cpp
+++ b/tests/client/RunClientTest.cpp
@@ -75,7 +75,7 @@
     responses_ = {lostResponse(), acceptedResponse()};
     CHECK(runWith({"zone", "out", "a"}) == ExitCode::Ok);
     LONGS_EQUAL(2, calls_.size());
-    STRCMP_EQUAL(calls_[0].request_.body_.c_str(), calls_[1].request_.body_.c_str());
+    STRCMP_EQUAL(calls_[0].request_.body_.text().c_str(), calls_[1].request_.body_.text().c_str());
     CHECK(calls_[0].address_ != calls_[1].address_);
 }
 
--- a/tests/platform/OrderWriterTest.cpp
+++ b/tests/platform/OrderWriterTest.cpp
@@ -24,7 +24,7 @@
     auto orderBodyOf(OrderKind kind)->Json
     {
         order_.kind_ = kind;
-        return Json::parse(writeOrder(order_).body_);
+        return Json::parse(writeOrder(order_).body_.text());
     }
 };
 
--- a/tests/standins/StandinEngine.cpp
+++ b/tests/standins/StandinEngine.cpp
@@ -153,7 +153,7 @@
 {
     if (crashIfMarked(request.body_))
         return;
-    const auto body = Json::parse(request.body_, nullptr, false);
+    const auto body = Json::parse(request.body_.text(), nullptr, false);
     if (!body.is_object()) {
         reply->send(refusal(request, 400, "the body is not a JSON object"));
         return;
@@ -297,7 +297,7 @@
 
 auto StandinEngine::handleCancel(const HttpRequest &request, const Reply &reply) -> void
 {
-    const auto body = Json::parse(request.body_, nullptr, false);
+    const auto body = Json::parse(request.body_.text(), nullptr, false);
     if (!body.is_object()) {
         reply->send(refusal(request, 400, "the body is not a JSON object"));
         return;
--- a/tests/standins/StandinService.cpp
+++ b/tests/standins/StandinService.cpp
@@ -86,7 +86,8 @@
     ++running_;
     const auto lost = loseAnswers_ > 0;
     loseAnswers_ -= lost ? 1 : 0;
-    auto answer = jsonAnswer(request, {{"booked", key}, {"runs", runs}, {"echo", request.body_}});
+    auto answer
+        = jsonAnswer(request, {{"booked", key}, {"runs", runs}, {"echo", request.body_.text()}});
     auto timer = std::make_shared<std::shared_ptr<Timer>>();
     *timer = bookings_.workers_.after(
         std::chrono::milliseconds(settings_.runMs_),
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -32,7 +32,7 @@
 auto echo(const HttpRequest &request, const std::shared_ptr<HttpReply> &reply) -> void
 {
     auto response = HttpResponse{200, {}, request.method_ + " " + request.target_};
-    response.body_ += " " + request.headers_.value("X-Workspace") + " " + request.body_;
+    response.body_ += " " + request.headers_.value("X-Workspace") + " " + request.body_.text();
     response.headers_.add("X-Entry", "entry-1");
     reply->send(std::move(response));
 }
