transport: Bound what requests hold while they are received and handled

What callers saw: a process that ran out of memory, with all requests in progress, because some clients sent many bodies at once, in large or very small chunks, stopped short of their end and stayed connected, or sent bodies far over the limit.

Cause: RESTinio gathers a whole body before a handler sees it, up to twice the limit, and nothing counted what all connections hold together. Beside the bytes it keeps 16 bytes for each chunk, reserves an announced length at once, and a growing string may hold twice its content. The handler's check for the size came after all that.

Change: ClientSocket is RESTinio's socket type, so that HttpInput sees each byte where it is parsed, on every listener of both programs. It gathers the body itself, without a list of chunks, in steps of a half, and counts its capacity in the ConnectionRegistry of the process, a quarter of its memory. A request that is too large is answered at once with 413 or 431, one for which there is no memory with 503 and Retry-After; none of these has run, no byte behind them is parsed, and what the client still sends is read for a second, so that the refusal isn't lost in a reset. Earlier requests of the connection are answered first. When memory is full, incomplete requests that make no progress are closed, the largest first, then the largest of all; a request that is being handled never is. A quarter is kept for small requests. A head or body that doesn't arrive in time is closed.

A request to change the protocol is served as an ordinary one now: nothing here speaks another.

--- a/packages/base/EventCatalogue.cpp
+++ b/packages/base/EventCatalogue.cpp
@@ -87,6 +87,8 @@
     {OutcomeUnknown, "outcome-unknown", "A claimed request may have run; it never runs again."},
     {RequestShed, "request-shed", "A request was refused early because of load."},
     {BudgetExceeded, "budget-exceeded", "A workspace spent its budget."},
+    {ClientsLimited, "clients-limited",
+     "Requests were refused, or connections closed, because of the limits for clients."},
     {KeyRejected, "key-rejected", "A missing or wrong key was refused."},
 });
 
--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -81,6 +81,7 @@
     OutcomeUnknown = 1803,
     RequestShed = 1901,
     BudgetExceeded = 1902,
+    ClientsLimited = 1903,
     KeyRejected = 2001,
 };
 
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -21,11 +21,13 @@
 #include "serving/PlannerService.h"
 #include "settings/TextFile.h"
 #include "timeline/EventRecorder.h"
+#include "transport/ConnectionRegistry.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 #include "transport/PeerNetwork.h"
 #include "transport/WorkerPool.h"
 
+#include <limits>
 #include <thread>
 #include <utility>
 
@@ -38,6 +40,10 @@
 constexpr auto servingTick = std::chrono::milliseconds(100);
 constexpr auto queueTick = std::chrono::milliseconds(20);
 constexpr auto eventTick = std::chrono::milliseconds(200);
+/// Requests that are received or handled may hold the memory of the process divided by this.
+constexpr std::size_t heldRequestsMemoryDivisor = 4;
+/// Responses in progress may hold the memory of the process divided by this.
+constexpr std::size_t heldResponsesMemoryDivisor = 4;
 constexpr auto stopPoll = std::chrono::milliseconds(20);
 /// Time for the server to read the requests on the last connections and to send the last answers.
 constexpr auto finalAnswerTime = std::chrono::milliseconds(200);
@@ -67,15 +73,23 @@
     return std::make_unique<FileLogStorage>(*settings.dataFolder_);
 }
 
-auto serverSettings(const std::string &address, const EventSink &event) -> HttpServerSettings
+auto serverSettings(const std::string &address, std::shared_ptr<ConnectionRegistry> connections,
+                    const EventSink &event) -> HttpServerSettings
 {
     const auto colon = address.rfind(':');
     const auto port = std::stoul(address.substr(colon + 1));
     return HttpServerSettings{.address_ = address.substr(0, colon),
                               .port_ = static_cast<std::uint16_t>(port),
+                              .connections_ = std::move(connections),
                               .event_ = event};
 }
 
+auto memoryBytes(const DaemonSettings &settings) -> std::size_t
+{
+    constexpr std::size_t bytesPerMb = 1'000'000;
+    return settings.memoryLimitMb_ * bytesPerMb;
+}
+
 /// The key in \a file, which the check of the settings has read before.
 auto keyIn(const std::optional<std::string> &file) -> std::optional<std::string>
 {
@@ -118,6 +132,7 @@
     EventSink event_;
     Metrics metrics_;
     WorkerPool workers_;
+    std::shared_ptr<ConnectionRegistry> connections_;
     PeerNetwork network_;
     HttpClient client_;
     ControlService control_;
@@ -146,11 +161,17 @@
     , event_(recorder_.sink())
     , metrics_(settings_.id_.text())
     , workers_(settings_.workers_)
+    , connections_(std::make_shared<ConnectionRegistry>(
+          ConnectionLimits{.connections_ = std::numeric_limits<std::size_t>::max(),
+                           .heldBytes_ = memoryBytes(settings_) / heldRequestsMemoryDivisor},
+          event_, readMonotonic))
     , network_(workers_, clock_,
                PeerNetworkSettings{.self_ = settings_.id_,
                                    .address_ = settings_.peerAddress_,
                                    .key_ = keyIn(settings_.peerKeyFile_).value_or("")},
                networkHooks())
+    , client_(HttpClientSettings{.heldBytesLimit_
+                                 = memoryBytes(settings_) / heldResponsesMemoryDivisor})
     , control_(controlSettings(settings_), storageFor(settings_), controlHooks())
     , expiry_(control_, readMonotonic, readWall)
     , settler_([this](const Command &command,
@@ -165,14 +186,14 @@
                                                 plannerHooks()))
     , requests_(requestContext(), settings_.zone_,
                 std::chrono::milliseconds(settings_.addressKeepMs_), budgets_)
-    , callers_(control_, requests_, broker_, metrics_, network_,
+    , callers_(control_, requests_, broker_, metrics_, network_, *connections_,
                std::chrono::milliseconds(settings_.addressKeepMs_))
     , upstreams_(control_, *leaseholder_, keyIn(settings_.upstreamKeyFile_), event_)
     , admin_(
           control_, keyIn(settings_.operatorKeyFile_),
           [this](const EventFilter &filter) { return recorder_.recent(filter); }, event_, readWall)
     , routes_(callers_, upstreams_, admin_, requests_)
-    , server_(workers_, serverSettings(settings_.address_, event_),
+    , server_(workers_, serverSettings(settings_.address_, connections_, event_),
               [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
                   routes_.handle(std::move(request), std::move(reply));
               })
@@ -337,7 +358,10 @@
         broker_.tick();
         suspicion_.tick();
     }));
-    timers_.push_back(workers_.every(eventTick, [this] { recorder_.flush(); }));
+    timers_.push_back(workers_.every(eventTick, [this] {
+        connections_->tick();
+        recorder_.flush();
+    }));
 }
 
 auto Daemon::Parts::waitUntil(const std::function<bool()> &done, Duration limit,
--- a/packages/gateway/CallerApi.cpp
+++ b/packages/gateway/CallerApi.cpp
@@ -5,6 +5,7 @@
 #include "gateway/Metrics.h"
 #include "gateway/RequestService.h"
 #include "serving/PermitBroker.h"
+#include "transport/ConnectionRegistry.h"
 #include "transport/PeerNetwork.h"
 
 namespace lycheereach {
@@ -17,12 +18,14 @@
 } // namespace
 
 CallerApi::CallerApi(ControlService &control, RequestService &requests, PermitBroker &broker,
-                     Metrics &metrics, const PeerNetwork &network, Duration entryListTtl)
+                     Metrics &metrics, const PeerNetwork &network,
+                     const ConnectionRegistry &connections, Duration entryListTtl)
     : control_(control)
     , requests_(requests)
     , broker_(broker)
     , metrics_(metrics)
     , network_(network)
+    , connections_(connections)
     , entryListTtl_(entryListTtl)
 { }
 
@@ -80,6 +83,7 @@
     metrics_.setGauge("lycheereach_may_take_work", "Whether the state lease is live",
                       status.mayTakeWork_ ? 1 : 0);
     setPeerGauges();
+    setConnectionGauges();
     return HttpResponse{
         statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.serialize()};
 }
@@ -102,4 +106,30 @@
              counters.messagesDropped_);
 }
 
+auto CallerApi::setConnectionGauges() const -> void
+{
+    const auto counters = connections_.counters();
+    const auto setGauge = [this](const char *name, const char *help, std::uint64_t value) {
+        metrics_.setGauge(name, help, static_cast<double>(value));
+    };
+    setGauge("lycheereach_connections_open", "Connections of clients and of other entries",
+             counters.open_);
+    setGauge("lycheereach_connections_held_bytes", "Bytes of requests and responses that are held",
+             counters.heldBytes_);
+    setGauge("lycheereach_requests_too_large", "Requests refused as too large since the start",
+             counters.tooLarge_);
+    setGauge("lycheereach_requests_no_memory",
+             "Requests refused for want of memory since the start", counters.noMemory_);
+    setGauge("lycheereach_connections_closed_for_memory",
+             "Connections closed to make room for requests or responses since the start",
+             counters.closedForMemory_);
+    setGauge("lycheereach_connections_closed_for_connections",
+             "Connections closed to make room for new ones since the start",
+             counters.closedForConnections_);
+    setGauge("lycheereach_connections_timed_out",
+             "Connections closed because a request was late since the start", counters.timedOut_);
+    setGauge("lycheereach_connections_rejected",
+             "Connections closed at once for want of room since the start", counters.rejected_);
+}
+
 } // namespace lycheereach
--- a/packages/gateway/CallerApi.h
+++ b/packages/gateway/CallerApi.h
@@ -10,6 +10,7 @@
 
 namespace lycheereach {
 
+class ConnectionRegistry;
 class ControlService;
 class Metrics;
 class PeerNetwork;
@@ -22,7 +23,8 @@
 public:
     /// \a entryListTtl is how long callers may cache the list of entries.
     CallerApi(ControlService &control, RequestService &requests, PermitBroker &broker,
-              Metrics &metrics, const PeerNetwork &network, Duration entryListTtl);
+              Metrics &metrics, const PeerNetwork &network, const ConnectionRegistry &connections,
+              Duration entryListTtl);
 
     /// The response to \a request; nothing when it is for another API.
     auto handle(const HttpRequest &request) -> std::optional<HttpResponse>;
@@ -32,12 +34,14 @@
     auto readiness() const -> HttpResponse;
     auto metrics() const -> HttpResponse;
     auto setPeerGauges() const -> void;
+    auto setConnectionGauges() const -> void;
 
     ControlService &control_;
     RequestService &requests_;
     PermitBroker &broker_;
     Metrics &metrics_;
     const PeerNetwork &network_;
+    const ConnectionRegistry &connections_;
     Duration entryListTtl_;
 };
 
--- a/packages/settings/DaemonSettings.h
+++ b/packages/settings/DaemonSettings.h
@@ -59,6 +59,8 @@
     std::uint32_t shutdownLimitMs_ = 0;
     std::uint32_t logHeartbeatMs_ = 100;
     std::uint32_t logElectionMs_ = 600;
+    /// The memory that the process may use, in MB; sets its limits for clients and responses.
+    std::uint32_t memoryLimitMb_ = 256;
 
     auto operator==(const DaemonSettings &) const -> bool = default;
     static constexpr auto fields()
@@ -79,7 +81,8 @@
                           optionalField("addressKeepMs", &DaemonSettings::addressKeepMs_),
                           optionalField("shutdownLimitMs", &DaemonSettings::shutdownLimitMs_),
                           optionalField("logHeartbeatMs", &DaemonSettings::logHeartbeatMs_),
-                          optionalField("logElectionMs", &DaemonSettings::logElectionMs_)};
+                          optionalField("logElectionMs", &DaemonSettings::logElectionMs_),
+                          optionalField("memoryLimitMb", &DaemonSettings::memoryLimitMb_)};
     }
 };
 
--- a/packages/settings/DaemonSettingsCheck.cpp
+++ b/packages/settings/DaemonSettingsCheck.cpp
@@ -32,6 +32,7 @@
 constexpr auto shutdownRange = Range{0, 86400000};
 constexpr auto heartbeatRange = Range{10, 10000};
 constexpr auto electionRange = Range{50, 60000};
+constexpr auto memoryLimitRange = Range{64, 1048576};
 
 auto checkRange(const char *path, std::uint32_t value, Range range, Faults &faults) -> void
 {
@@ -52,6 +53,7 @@
     checkRange("/shutdownLimitMs", settings.shutdownLimitMs_, shutdownRange, faults);
     checkRange("/logHeartbeatMs", settings.logHeartbeatMs_, heartbeatRange, faults);
     checkRange("/logElectionMs", settings.logElectionMs_, electionRange, faults);
+    checkRange("/memoryLimitMb", settings.memoryLimitMb_, memoryLimitRange, faults);
 }
 
 auto checkRelations(const DaemonSettings &settings, Faults &faults) -> void
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -1,6 +1,10 @@
 #include "transport/HttpServer.h"
 
+#include "transport/ClientSocket.h"
+#include "transport/ConnectionRegistry.h"
+#include "transport/ConnectionUsage.h"
 #include "transport/HookGate.h"
+#include "transport/HttpParserCallbacks.h"
 #include "transport/TcpListener.h"
 #include "transport/WorkerPool.h"
 
@@ -16,6 +20,20 @@
 
 namespace lycheereach {
 
+// RESTinio finds these by the namespace of their argument.
+template <typename Connection, typename Start, typename Failed>
+auto prepare_connection_and_start_read( // NOLINT(readability-identifier-naming)
+    ClientSocket &, Connection &, Start start, Failed) -> void
+{
+    start();
+}
+
+static auto make_tls_socket_pointer_for_state_listener( // NOLINT(readability-identifier-naming)
+    ClientSocket &) noexcept -> restinio::impl::tls_socket_t *
+{
+    return nullptr;
+}
+
 namespace {
 
 using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
@@ -24,11 +42,9 @@
 /// Requests read from one connection before the first is answered; reading on shows when the
 /// caller closes the connection.
 constexpr std::size_t pipelinedRequests = 2;
-/// Bodies up to this many times the limit are read and answered with 413; larger ones close the
-/// connection.
-constexpr std::uint64_t hardBodyLimitFactor = 2;
-constexpr std::size_t headerLimitBytes = 64U << 10U;
 constexpr std::size_t headerCountLimit = 128;
+/// Retry-After of a request for which there is no memory.
+constexpr auto noMemoryRetryAfterSeconds = "1";
 constexpr auto timeoutCheckPeriod = std::chrono::milliseconds(250);
 
 auto reasonPhrase(std::uint16_t status) -> std::string
@@ -48,6 +64,7 @@
                                                Phrase{413, "Content Too Large"},
                                                Phrase{422, "Unprocessable Content"},
                                                Phrase{429, "Too Many Requests"},
+                                               Phrase{431, "Request Header Fields Too Large"},
                                                Phrase{500, "Internal Server Error"},
                                                Phrase{502, "Bad Gateway"},
                                                Phrase{503, "Service Unavailable"},
@@ -91,9 +108,11 @@
 class ReplyCore : public std::enable_shared_from_this<ReplyCore>
 {
 public:
-    /// Reads \a lastRequest as the number of \a request.
+    /// Reads \a lastRequest as the number of \a request. Counts what the response holds in
+    /// \a usage.
     ReplyCore(asio::io_context &context, restinio::request_handle_t request,
-              std::shared_ptr<HookGate> gate, std::shared_ptr<const LastRequest> lastRequest)
+              std::shared_ptr<HookGate> gate, std::shared_ptr<const LastRequest> lastRequest,
+              std::shared_ptr<ConnectionUsage> usage)
         : strand_(asio::make_strand(context))
         , request_(std::move(request))
         , connection_(restinio::impl::access_req_connection(*request_))
@@ -101,6 +120,8 @@
         , number_(*lastRequest)
         , lastRequest_(std::move(lastRequest))
         , remote_(fmt::format("{}", fmt::streamed(request_->remote_endpoint())))
+        , usage_(std::move(usage))
+        , openRequest_(usage_->beginResponse())
     { }
 
     /// Queues \a operation, which gets this object.
@@ -214,6 +235,7 @@
         done_ = true;
         closed_ = nullptr;
         connection_.reset();
+        openRequest_.reset();
     }
 
     asio::strand<asio::io_context::executor_type> strand_;
@@ -223,6 +245,8 @@
     std::uint64_t number_;
     std::shared_ptr<const LastRequest> lastRequest_;
     std::string remote_;
+    std::shared_ptr<ConnectionUsage> usage_;
+    ConnectionUsage::Hold openRequest_;
     std::optional<ChunkedBuilder> stream_;
     std::function<void()> closed_;
     bool isClosed_ = false;
@@ -288,7 +312,7 @@
     std::shared_ptr<ReplyCore> core_;
 };
 
-auto toRequest(restinio::request_t &source) -> HttpRequest
+auto toRequest(const restinio::request_t &source, HttpBody body) -> HttpRequest
 {
     auto request = HttpRequest{};
     request.method_ = source.header().method().c_str();
@@ -296,24 +320,40 @@
     source.header().for_each_field([&](const restinio::http_header_field_t &field) {
         request.headers_.add(field.name(), field.value());
     });
-    request.body_ = source.body();
+    request.body_ = std::move(body);
     return request;
 }
 
+auto problemResponse(std::uint16_t status, const std::string &detail, const char *verdict)
+    -> HttpResponse
+{
+    auto body = fmt::format(R"({{"type":"about:blank","title":"{}","status":{},"detail":"{}",)"
+                            R"("verdict":"{}"}})",
+                            reasonPhrase(status), status, detail, verdict);
+    return {status, {{"Content-Type", "application/problem+json"}}, std::move(body)};
+}
+
 auto internalError() -> HttpResponse
 {
-    return {500,
-            {{"Content-Type", "application/problem+json"}},
-            R"({"type":"about:blank","title":"Internal Server Error","status":500,)"
-            R"("detail":"the request could not be handled","verdict":"may-have-run"})"};
+    return problemResponse(500, "the request could not be handled", "may-have-run");
 }
 
-auto bodyTooLarge(std::size_t limit) -> HttpResponse
+auto refusalResponse(HttpRefusal refusal, const HttpInputLimits &limits) -> HttpResponse
 {
-    auto body = fmt::format(R"({{"type":"about:blank","title":"Content Too Large","status":413,)"
-                            R"("detail":"the body may have {} bytes","verdict":"not-run"}})",
-                            limit);
-    return {413, {{"Content-Type", "application/problem+json"}}, std::move(body)};
+    switch (refusal) {
+    case HttpRefusal::HeadTooLarge:
+        return problemResponse(431, fmt::format("the head may have {} bytes", limits.headBytes_),
+                               "not-run");
+    case HttpRefusal::BodyTooLarge:
+        return problemResponse(413, fmt::format("the body may have {} bytes", limits.bodyBytes_),
+                               "not-run");
+    case HttpRefusal::NoMemory:
+        break;
+    }
+    auto response = problemResponse(
+        503, "requests in progress take all memory; send the request again later", "not-run");
+    response.headers_.add("Retry-After", noMemoryRetryAfterSeconds);
+    return response;
 }
 
 /// The part of a server that open connections keep alive.
@@ -322,19 +362,20 @@
 public:
     ServerCore(asio::io_context &context, const HttpServerSettings &settings, HttpHandler handler)
         : context_(context)
-        , bodyLimit_(settings.bodyLimitBytes_)
         , event_(settings.event_)
         , handler_(std::move(handler))
     { }
 
     auto handle(const restinio::request_handle_t &request) -> restinio::request_handling_status_t
     {
-        auto core = addRequest(request);
-        if (request->body().size() > bodyLimit_) {
-            core->send(bodyTooLarge(bodyLimit_), true);
+        auto &input = *ClientSocket::current();
+        auto core = addRequest(request, input.usage());
+        if (const auto refusal = input.refusal()) {
+            core->send(refusalResponse(*refusal, input.limits()), true);
             return restinio::request_accepted();
         }
-        if (!gate_->run([&] { callHandler(*request, core); }))
+        auto body = input.takeCompleted();
+        if (!gate_->run([&] { callHandler(*request, std::move(body), core); }))
             core->abort();
         return restinio::request_accepted();
     }
@@ -381,11 +422,12 @@
     }
 
     /// RESTinio would close the connection of a handler that throws, with all answers on it.
-    auto callHandler(restinio::request_t &request, const std::shared_ptr<ReplyCore> &core) -> void
+    auto callHandler(const restinio::request_t &request, HttpBody body,
+                     const std::shared_ptr<ReplyCore> &core) -> void
     {
         const auto reply = std::make_shared<Reply>(core);
         try {
-            handler_(toRequest(request), reply);
+            handler_(toRequest(request, std::move(body)), reply);
         } catch (const std::exception &error) {
             if (event_)
                 event_(Event{EventNumber::HandlerFailed,
@@ -397,19 +439,20 @@
         }
     }
 
-    auto addRequest(const restinio::request_handle_t &request) -> std::shared_ptr<ReplyCore>
+    auto addRequest(const restinio::request_handle_t &request,
+                    const std::shared_ptr<ConnectionUsage> &usage) -> std::shared_ptr<ReplyCore>
     {
         const auto lock = std::scoped_lock(mutex_);
         auto &connection = connections_[request->connection_id()];
         ++*connection.lastRequest_;
-        auto reply = std::make_shared<ReplyCore>(context_, request, gate_, connection.lastRequest_);
+        auto reply
+            = std::make_shared<ReplyCore>(context_, request, gate_, connection.lastRequest_, usage);
         std::erase_if(connection.replies_, [](const auto &weak) { return weak.expired(); });
         connection.replies_.push_back(reply);
         return reply;
     }
 
     asio::io_context &context_;
-    std::size_t bodyLimit_;
     EventSink event_;
     HttpHandler handler_;
     std::shared_ptr<HookGate> gate_ = std::make_shared<HookGate>();
@@ -439,7 +482,10 @@
     std::weak_ptr<ServerCore> core_;
 };
 
-struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t>
+struct ServerTraits
+    : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
+                         restinio::details::autodetect_request_handler_type, ClientChannel::Strand,
+                         ClientSocket>
 {
     using connection_state_listener_t = ClosedListener; // NOLINT(readability-identifier-naming)
 };
@@ -451,8 +497,12 @@
 public:
     using Settings = restinio::server_settings_t<ServerTraits>;
 
-    Connections(asio::io_context &context, Settings settings)
-        : factory_(shareSettings(context, settings), settings.socket_options_setter())
+    Connections(asio::io_context &context, Settings settings,
+                std::shared_ptr<ConnectionRegistry> registry, HttpInputLimitsSource inputLimits)
+        : context_(context)
+        , registry_(std::move(registry))
+        , inputLimits_(std::move(inputLimits))
+        , factory_(shareSettings(context, settings), settings.socket_options_setter())
     { }
 
     /// Serves the requests on \a socket; one call at a time.
@@ -464,8 +514,17 @@
             socket.set_option(asio::ip::tcp::no_delay(true), error);
         if (error) // The caller is gone already.
             return;
-        const auto connection
-            = factory_.create_new_connection(std::move(socket), remote, LifetimeMonitor{nullptr});
+        auto channel
+            = std::make_shared<ClientChannel>(asio::make_strand(context_), std::move(socket));
+        auto usage = registry_->admit([weak = std::weak_ptr(channel)] {
+            if (const auto open = weak.lock())
+                open->reset();
+        });
+        if (!usage) // Counted by the registry.
+            return;
+        channel->setInput(std::make_unique<HttpInput>(std::move(usage), inputLimits_));
+        const auto connection = factory_.create_new_connection(ClientSocket(std::move(channel)),
+                                                               remote, LifetimeMonitor{nullptr});
         connection->init();
     }
 
@@ -481,11 +540,14 @@
         -> std::shared_ptr<SharedSettings>
     {
         settings.ensure_valid_connection_state_listener();
-        return std::make_shared<SharedSettings>(
-            settings, restinio::impl::create_parser_settings<MethodsMapper>(),
-            settings.timer_factory()->create(context));
+        return std::make_shared<SharedSettings>(settings,
+                                                HttpParserCallbacks<MethodsMapper>::settings(),
+                                                settings.timer_factory()->create(context));
     }
 
+    asio::io_context &context_;
+    std::shared_ptr<ConnectionRegistry> registry_;
+    HttpInputLimitsSource inputLimits_;
     Factory factory_;
 };
 
@@ -496,7 +558,7 @@
 public:
     Impl(WorkerPool &workers, HttpServerSettings settings, HttpHandler handler)
         : context_(workers.context())
-        , settings_(std::move(settings))
+        , settings_(complete(std::move(settings)))
         , core_(std::make_shared<ServerCore>(context_, settings_, std::move(handler)))
     { }
 
@@ -517,7 +579,8 @@
         const auto lock = std::scoped_lock(mutex_);
         if (listener_)
             listener_->close();
-        auto connections = std::make_shared<Connections>(context_, connectionSettings());
+        auto connections = std::make_shared<Connections>(
+            context_, connectionSettings(), settings_.connections_, settings_.inputLimits_);
         listener_ = std::make_shared<TcpListener>(
             context_, [connections = std::move(connections)](asio::ip::tcp::socket socket) {
                 connections->serve(std::move(socket));
@@ -537,14 +600,20 @@
     [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
 
 private:
+    static auto complete(HttpServerSettings settings) -> HttpServerSettings
+    {
+        if (!settings.connections_)
+            settings.connections_
+                = std::make_shared<ConnectionRegistry>(ConnectionLimits{}, settings.event_);
+        if (!settings.inputLimits_)
+            settings.inputLimits_ = [] { return HttpInputLimits{}; };
+        return settings;
+    }
+
     auto connectionSettings() -> Connections::Settings
     {
         auto limits = restinio::incoming_http_msg_limits_t{};
-        limits.max_url_size(headerLimitBytes);
-        limits.max_field_name_size(headerLimitBytes);
-        limits.max_field_value_size(headerLimitBytes);
         limits.max_field_count(headerCountLimit);
-        limits.max_body_size(settings_.bodyLimitBytes_ * hardBodyLimitFactor);
         auto result = Connections::Settings{};
         result.incoming_http_msg_limits(limits)
             .max_pipelined_requests(pipelinedRequests)
--- a/packages/transport/HttpServer.h
+++ b/packages/transport/HttpServer.h
@@ -4,10 +4,10 @@
 
 #include "base/Event.h"
 #include "base/Time.h"
+#include "transport/HttpInput.h"
 #include "transport/HttpReply.h"
 #include "transport/HttpRequest.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -15,6 +15,7 @@
 
 namespace lycheereach {
 
+class ConnectionRegistry;
 class WorkerPool;
 
 /// How a server listens.
@@ -24,7 +25,11 @@
     std::string address_ = "127.0.0.1";
     /// 0 takes any free port.
     std::uint16_t port_ = 0;
-    std::size_t bodyLimitBytes_ = 8U << 20U;
+    /// The limits of requests, read for each of them; the defaults of HttpInputLimits if not set.
+    /// A head may have 64 KiB at most.
+    HttpInputLimitsSource inputLimits_;
+    /// The connections of the process; of this server alone if not set.
+    std::shared_ptr<ConnectionRegistry> connections_;
     /// An idle connection is closed after this time.
     Duration idleTimeout_ = std::chrono::seconds(60);
     /// The longest time from request to the end of its answer.
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -216,7 +216,7 @@
 TEST(HttpServer, aBodyOverTheLimit_isAnsweredWith413)
 {
     auto settings = HttpServerSettings{};
-    settings.bodyLimitBytes_ = 10;
+    settings.inputLimits_ = [] { return HttpInputLimits{.bodyBytes_ = 10}; };
     serve(echo, settings);
     const auto answer = http_->client_.fetch(http_->call("POST", "/", "eleven byte"));
     CHECK(answer.ok());
