transport: Bound the connections of a process

What callers saw: nothing at first; with enough connections that send nothing, or heads and frames that don't end, a process was over its limit of descriptors. At the system's own limit (lycheereachd) accept fails, and then connections to upstreams and peers and files of the log have no descriptor either: an ordinary request was answered only when the idle time of 60 s had closed the crowd's connections.

Cause: TcpListener and PeerNetwork accept without a bound, and the limit of descriptors isn't read.

Change: connections on all listeners, those of peers too, are counted in the ConnectionRegistry. Half of the descriptors (on the platform without the 200 that it keeps, at lycheereachd of RLIMIT_NOFILE) and an eighth of the memory at 16 KiB each are for them. Beyond that the connection is closed that costs its client least: one that has never sent a whole request, then the one that has been idle longest, never one with a request in progress or of a peer that has proved itself; if there is none, the new one. A peer that has not proved itself is closed after three silences, and gets a buffer of 4 KiB instead of 64 until then.

Defaults: 1,950 connections on an entry of 260 MB and 4,100 descriptors, 2,048 at lycheereachd with 256 MB (fewer where RLIMIT_NOFILE is low); nobody is closed below that.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -27,10 +27,11 @@
 #include "transport/PeerNetwork.h"
 #include "transport/WorkerPool.h"
 
-#include <limits>
 #include <thread>
 #include <utility>
 
+#include <sys/resource.h>
+
 namespace lycheereach {
 
 namespace {
@@ -40,8 +41,6 @@
 constexpr auto servingTick = std::chrono::milliseconds(100);
 constexpr auto queueTick = std::chrono::milliseconds(20);
 constexpr auto eventTick = std::chrono::milliseconds(200);
-/// Requests that are received or handled may hold the memory of the process divided by this.
-constexpr std::size_t heldRequestsMemoryDivisor = 4;
 /// Responses in progress may hold the memory of the process divided by this.
 constexpr std::size_t heldResponsesMemoryDivisor = 4;
 constexpr auto stopPoll = std::chrono::milliseconds(20);
@@ -90,6 +89,14 @@
     return settings.memoryLimitMb_ * bytesPerMb;
 }
 
+/// The files that the system allows this process to have open.
+auto openFileLimit() -> std::size_t
+{
+    auto limit = rlimit{};
+    constexpr std::size_t usualLimit = 1024;
+    return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : usualLimit;
+}
+
 /// The key in \a file, which the check of the settings has read before.
 auto keyIn(const std::optional<std::string> &file) -> std::optional<std::string>
 {
@@ -162,13 +169,12 @@
     , metrics_(settings_.id_.text())
     , workers_(settings_.workers_)
     , connections_(std::make_shared<ConnectionRegistry>(
-          ConnectionLimits{.connections_ = std::numeric_limits<std::size_t>::max(),
-                           .heldBytes_ = memoryBytes(settings_) / heldRequestsMemoryDivisor},
-          event_, readMonotonic))
+          connectionLimitsFor(memoryBytes(settings_), openFileLimit()), event_, readMonotonic))
     , network_(workers_, clock_,
                PeerNetworkSettings{.self_ = settings_.id_,
                                    .address_ = settings_.peerAddress_,
-                                   .key_ = keyIn(settings_.peerKeyFile_).value_or("")},
+                                   .key_ = keyIn(settings_.peerKeyFile_).value_or(""),
+                                   .connections_ = connections_},
                networkHooks())
     , client_(HttpClientSettings{.heldBytesLimit_
                                  = memoryBytes(settings_) / heldResponsesMemoryDivisor})
--- a/packages/transport/ConnectionLimits.h
+++ b/packages/transport/ConnectionLimits.h
@@ -17,4 +17,9 @@
     auto operator==(const ConnectionLimits &) const -> bool = default;
 };
 
+/// The limits of a process that may use \a memoryBytes and \a descriptors open files. A quarter of
+/// the memory is for requests and responses and an eighth for the connections themselves; half of
+/// the descriptors are kept for connections to other processes and for files.
+auto connectionLimitsFor(std::size_t memoryBytes, std::size_t descriptors) -> ConnectionLimits;
+
 } // namespace lycheereach
--- a/packages/transport/PeerNetwork.cpp
+++ b/packages/transport/PeerNetwork.cpp
@@ -2,6 +2,7 @@
 
 #include "base/ErrorCode.h"
 #include "base/RankedMutex.h"
+#include "transport/ConnectionRegistry.h"
 #include "transport/PeerContext.h"
 #include "transport/PeerLink.h"
 #include "transport/PeerSession.h"
@@ -192,6 +193,15 @@
                 const auto self = weak.lock();
                 return self ? self->replaceSession(peer, accepted) : strand;
             });
+        if (const auto &connections = context_->settings_.connections_) {
+            auto usage = connections->admit([weak = std::weak_ptr(session)] {
+                if (const auto open = weak.lock())
+                    open->close();
+            });
+            if (!usage) // Counted by the registry.
+                return;
+            session->setUsage(std::move(usage));
+        }
         const auto lock = std::scoped_lock(mutex_);
         if (stopped_)
             return;
--- a/packages/transport/PeerNetwork.h
+++ b/packages/transport/PeerNetwork.h
@@ -15,6 +15,7 @@
 
 namespace lycheereach {
 
+class ConnectionRegistry;
 class WorkerPool;
 
 /// How a process talks to its peers.
@@ -25,6 +26,8 @@
     std::string address_;
     /// The secret that all processes of one fleet share.
     std::string key_;
+    /// Bounds the connections of the process; those that peers make are without a bound if not set.
+    std::shared_ptr<ConnectionRegistry> connections_;
     /// A connection silent for this long is given up and made anew.
     Duration silenceTimeout_ = std::chrono::milliseconds(1500);
     /// A connection on which nothing came or went for this long carries a heartbeat.
--- a/packages/transport/PeerSession.cpp
+++ b/packages/transport/PeerSession.cpp
@@ -1,5 +1,7 @@
 #include "transport/PeerSession.h"
 
+#include "transport/ConnectionUsage.h"
+
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 
@@ -7,6 +9,13 @@
 
 namespace lycheereach {
 
+namespace {
+
+/// The longest time for the handshake, in silence timeouts.
+constexpr auto handshakeSilences = 3;
+
+} // namespace
+
 PeerSession::PeerSession(std::shared_ptr<PeerContext> context, PeerStrand strand,
                          asio::ip::tcp::socket socket, Accepted accepted)
     : context_(std::move(context))
@@ -16,7 +25,8 @@
     , timer_(strand_)
     , accepted_(std::move(accepted))
     , nonce_(makeNonce())
-    , lastHeard_(std::chrono::steady_clock::now())
+    , startedAt_(std::chrono::steady_clock::now())
+    , lastHeard_(startedAt_)
 { }
 
 auto PeerSession::start() -> void
@@ -54,6 +64,8 @@
 auto PeerSession::take(std::size_t size) -> void
 {
     lastHeard_ = std::chrono::steady_clock::now();
+    if (usage_)
+        usage_->recordReceived();
     context_->bytesReceived_ += size;
     frames_.append({buffer_.data(), size});
     while (!proved_ && !closed_) {
@@ -116,6 +128,9 @@
     }
     proved_ = true;
     frames_.setLimit(context_->frameLimit());
+    buffer_.resize(readBufferBytes);
+    if (usage_)
+        usage_->exempt();
     peerStrand_ = accepted_(hello_.from_, shared_from_this());
 }
 
@@ -193,8 +208,12 @@
     timer_.async_wait([self = shared_from_this()](const std::error_code &error) {
         if (error || self->closed_)
             return;
-        const auto silence = std::chrono::steady_clock::now() - self->lastHeard_;
-        if (silence > self->context_->settings_.silenceTimeout_ && !self->handling_)
+        const auto &limit = self->context_->settings_.silenceTimeout_;
+        const auto now = std::chrono::steady_clock::now();
+        const auto isSilent = now - self->lastHeard_ > limit && !self->handling_;
+        const auto isUnproved
+            = !self->proved_ && now - self->startedAt_ > handshakeSilences * limit;
+        if (isSilent || isUnproved)
             self->closeNow();
         else
             self->watchSilence();
--- a/packages/transport/PeerSession.h
+++ b/packages/transport/PeerSession.h
@@ -8,7 +8,6 @@
 
 #include <asio/steady_timer.hpp>
 
-#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -17,6 +16,8 @@
 
 namespace lycheereach {
 
+class ConnectionUsage;
+
 /// Proves the key, then hands over what the peer sends, answers its heartbeats and carries messages
 /// to it.
 class PeerSession : public std::enable_shared_from_this<PeerSession>
@@ -29,6 +30,8 @@
     PeerSession(std::shared_ptr<PeerContext> context, PeerStrand strand,
                 asio::ip::tcp::socket socket, Accepted accepted);
 
+    /// Set before start(); keeps \a usage as long as the session.
+    auto setUsage(std::shared_ptr<ConnectionUsage> usage) -> void { usage_ = std::move(usage); }
     auto start() -> void;
     /// Ends the connection; nothing is handed over after the message that is under way.
     auto close() -> void;
@@ -65,8 +68,11 @@
     bool proved_ = false;
     std::atomic<bool> closed_ = false;
     bool handling_ = false;
+    MonotonicTime startedAt_;
     MonotonicTime lastHeard_;
-    std::array<char, readBufferBytes> buffer_{};
+    /// Small until the peer has proved the key.
+    std::vector<char> buffer_ = std::vector<char>(handshakeFrameLimit);
+    std::shared_ptr<ConnectionUsage> usage_;
     FrameReader frames_{handshakeFrameLimit};
     std::string writing_;
     std::string waiting_;
--- a/tests/transport/ConnectionRegistryTest.cpp
+++ b/tests/transport/ConnectionRegistryTest.cpp
@@ -253,3 +253,11 @@
     CHECK(events_[0].number_ == EventNumber::ClientsLimited);
     CHECK(events_[0].attributes_.at("tooLarge") == "100");
 }
+
+TEST(ConnectionRegistry, memoryAndDescriptors_limits_leaveRoomForTheRest)
+{
+    const auto limits = connectionLimitsFor(260'000'000, 3900);
+    UNSIGNED_LONGS_EQUAL(65'000'000, limits.heldBytes_);
+    UNSIGNED_LONGS_EQUAL(1950, limits.connections_);
+    UNSIGNED_LONGS_EQUAL(976, connectionLimitsFor(128'000'000, 3900).connections_);
+}
