transport: Count responses that clients do not read

What callers saw: an entry that ran out of memory while 30 clients, one after the other, asked for a response of 12 MB and read only its first byte.

Cause: the bound of responses in progress (HeldBytes) ends with the transfer from the upstream. From then on RESTinio holds what the client hasn't taken, for up to its write timeout of 40 s, and nothing counts it.

Change: the bytes that a reply hands to RESTinio count in the ConnectionRegistry, with those of requests, until they are written.

--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -142,11 +142,12 @@
         auto builder = request_->create_response<restinio::restinio_controlled_output_t>(
             statusLine(response.status_));
         appendHeaders(builder, response.headers_, isLast());
+        auto held = usage_->holdOutput(response.body_.size());
         if (!isHead)
             builder.set_body(std::move(response.body_));
         if (isHead || close)
             builder.connection_close();
-        builder.done();
+        builder.done([held = std::move(held)](const std::error_code &) {});
         release();
     }
 
@@ -157,9 +158,10 @@
         stream_.emplace(
             request_->create_response<restinio::chunked_output_t>(statusLine(head.status_)));
         appendHeaders(*stream_, head.headers_, isLast());
+        auto held = usage_->holdOutput(head.body_.size());
         if (!head.body_.empty())
             stream_->append_chunk(std::move(head.body_));
-        stream_->flush();
+        stream_->flush([held = std::move(held)](const std::error_code &) {});
     }
 
     auto write(std::string part, HttpReply::Written written) -> void
@@ -168,10 +170,12 @@
             tell(written, std::make_error_code(std::errc::not_connected));
             return;
         }
+        auto held = usage_->holdOutput(part.size());
         if (!part.empty())
             stream_->append_chunk(std::move(part));
-        stream_->flush([self = shared_from_this(), written = std::move(written)](
-                           const std::error_code &error) { self->tell(written, error); });
+        stream_->flush(
+            [self = shared_from_this(), written = std::move(written),
+             held = std::move(held)](const std::error_code &error) { self->tell(written, error); });
     }
 
     auto finish() -> void
