base: Bound the values of JSON from clients

What callers saw: a process over its memory limit while a few clients sent 7 MiB of `[{},{},...]`, a body within the limits. Nobody needs a key for that: the body is parsed before it is checked.

Cause: an empty object is three bytes of the text and about 110 of memory. The depth was bounded, the number of values was not.

Texts that come from the state itself and from peers have no such limit. The refusal names the limit.

--- a/packages/base/JsonCodec.cpp
+++ b/packages/base/JsonCodec.cpp
@@ -37,10 +37,10 @@
 
 } // namespace
 
-auto parseBoundedJson(std::string_view text) -> Json
+auto parseBoundedJson(std::string_view text, std::size_t valueLimit) -> Json
 {
     auto value = Json();
-    auto parser = BoundedJsonParser(value, jsonDepthLimit);
+    auto parser = BoundedJsonParser(value, jsonDepthLimit, valueLimit);
     if (!Json::sax_parse(text, &parser))
         return Json(Json::value_t::discarded);
     return value;
@@ -51,16 +51,20 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-auto parseJson(const std::string &text, const std::string &source) -> Result<Json>
+auto parseJson(const std::string &text, const std::string &source, std::size_t valueLimit)
+    -> Result<Json>
 {
     try {
         auto value = Json();
-        auto parser = BoundedJsonParser(value, jsonDepthLimit, true);
+        auto parser = BoundedJsonParser(value, jsonDepthLimit, valueLimit, true);
         if (Json::sax_parse(text, &parser, Json::input_format_t::json, true, true))
             return value;
         return Failure{Error::InvalidJson,
                        source + ": nests more deeply than " + std::to_string(jsonDepthLimit)
-                           + " arrays and objects"};
+                           + " arrays and objects"
+                           + (valueLimit == noJsonValueLimit ? std::string()
+                                                             : ", or holds more than "
+                                      + std::to_string(valueLimit) + " values")};
     } catch (const Json::parse_error &error) {
         const auto byte = error.byte == 0 ? std::size_t{0} : error.byte - 1;
         const auto where = source + ":" + std::to_string(lineOf(text, byte));
--- a/packages/base/JsonCodec.h
+++ b/packages/base/JsonCodec.h
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -312,22 +313,29 @@
 /// and writing a value recurse, so a deeper one could overflow the stack.
 constexpr auto jsonDepthLimit = 128;
 
-/// Parses \a text; the value is discarded when it is not valid JSON or nests more deeply than
-/// jsonDepthLimit.
-auto parseBoundedJson(std::string_view text) -> Json;
+/// How many values a text from a client may hold: a value takes up to 110 bytes of memory, an empty
+/// object only three of the text.
+constexpr auto clientJsonValueLimit = std::size_t{200'000};
+constexpr auto noJsonValueLimit = std::numeric_limits<std::size_t>::max();
+
+/// Parses \a text; the value is discarded when it is not valid JSON, nests more deeply than
+/// jsonDepthLimit or holds more than \a valueLimit values.
+auto parseBoundedJson(std::string_view text, std::size_t valueLimit = noJsonValueLimit) -> Json;
 /// \a json as text. Bytes of a string that are not UTF-8 are replaced: text from outside may hold
 /// any, and Json::dump() throws on them.
 auto toJsonText(const Json &json) -> std::string;
 
 /// Parses \a text, with comments allowed; the failure names \a source and the line. Nesting is
-/// limited by jsonDepthLimit.
-auto parseJson(const std::string &text, const std::string &source) -> Result<Json>;
+/// limited by jsonDepthLimit, the number of values by \a valueLimit.
+auto parseJson(const std::string &text, const std::string &source,
+               std::size_t valueLimit = noJsonValueLimit) -> Result<Json>;
 
 /// parseJson() and decode() in one.
 template <typename T>
-auto decodeText(const std::string &text, const std::string &source) -> Result<T>
+auto decodeText(const std::string &text, const std::string &source,
+                std::size_t valueLimit = noJsonValueLimit) -> Result<T>
 {
-    const auto json = parseJson(text, source);
+    const auto json = parseJson(text, source, valueLimit);
     if (!json)
         return json.failure();
     auto result = decode<T>(*json);
--- a/packages/gateway/UpstreamApi.cpp
+++ b/packages/gateway/UpstreamApi.cpp
@@ -34,7 +34,8 @@
         return failureResponse(Failure{Error::Unauthorized, "X-Upstream-Key: is missing or wrong"},
                                RequestId());
     }
-    const auto announcement = decodeText<Announcement>(request.body_, "announcement");
+    const auto announcement
+        = decodeText<Announcement>(request.body_, "announcement", clientJsonValueLimit);
     if (!announcement)
         return refuseAnnouncement(announcement.failure());
     if (const auto error = validationError(*announcement); !error.empty())
--- a/packages/requests/ChatRequest.cpp
+++ b/packages/requests/ChatRequest.cpp
@@ -40,11 +40,13 @@
 auto parseChatRequest(std::string_view body) -> Result<ChatRequest>
 {
     auto request = ChatRequest{};
-    request.body_ = parseBoundedJson(body);
+    request.body_ = parseBoundedJson(body, clientJsonValueLimit);
     if (request.body_.is_discarded())
         return Failure{Error::InvalidJson,
-                       "request body: is no valid JSON or nests more deeply than "
-                           + std::to_string(jsonDepthLimit) + " arrays and objects",
+                       "request body: is no valid JSON, nests more deeply than "
+                           + std::to_string(jsonDepthLimit)
+                           + " arrays and objects, or holds more than "
+                           + std::to_string(clientJsonValueLimit) + " values",
                        Verdict::NotRun, std::nullopt};
     if (!request.body_.is_object())
         return invalidBody("/", "expected an object with model and messages");
--- a/packages/transport/PeerNotification.cpp
+++ b/packages/transport/PeerNotification.cpp
@@ -36,7 +36,7 @@
 auto decodeNotification(std::string_view bytes) -> Result<StampedMessage>
 {
     auto parts = Json();
-    auto parser = BoundedJsonParser(parts, depthLimit);
+    auto parser = BoundedJsonParser(parts, depthLimit, noJsonValueLimit);
     if (!Json::sax_parse(bytes, &parser, Json::input_format_t::msgpack))
         return invalidNotification("not MessagePack");
     if (!parts.is_array() || parts.size() != partCount)
--- a/tests/base/JsonCodecTest.cpp
+++ b/tests/base/JsonCodecTest.cpp
@@ -49,6 +49,17 @@
     CHECK(decodeText<Port>("{\"number\": 1 /* one */} // end", "port.json").ok());
 }
 
+/// Guards against a short text whose values take many times its memory.
+TEST(JsonCodec, moreValuesThanTheLimit_read_isRefused)
+{
+    CHECK(!parseBoundedJson("[{},1,null]", 4).is_discarded());
+    CHECK(parseBoundedJson("[{},1,null]", 3).is_discarded());
+    CHECK(parseBoundedJson(R"({"a": "b", "c": [true]})", 3).is_discarded());
+    const auto result = parseJson("[1, 2.5, -1]", "list", 3);
+    STRCMP_EQUAL("list: nests more deeply than 128 arrays and objects, or holds more than 3 values",
+                 result.failure().message_.c_str());
+}
+
 TEST(JsonCodec, aMissingKey_read_isNamed)
 {
     STRCMP_EQUAL("port.json: /number: is missing; add this key", messageOf("{}").c_str());
