state, platform: Take the limits for requests from the declaration

What callers saw: an operator's limits for requests did nothing. Bodies of up to 8 MiB were taken and up to 16 MiB read where 4 MiB were declared, and a head could take 40 s.

Cause: no process read `limits`; the HTTP server had constants of its own.

Change: Declaration has requestLimits (headBytes, bodyBytes, headTimeoutMs, idleTimeoutMs), checked, with defaults; platform/ translates. An entry obeys those of the declaration in force when a request begins.

--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -47,6 +47,14 @@
     return {};
 }
 
+auto limitsOf(const RequestLimits &limits) -> HttpInputLimits
+{
+    return {.headBytes_ = limits.headBytes_,
+            .bodyBytes_ = limits.bodyBytes_,
+            .headTimeout_ = std::chrono::milliseconds(limits.headTimeoutMs_),
+            .bodySilenceTimeout_ = std::chrono::milliseconds(limits.idleTimeoutMs_)};
+}
+
 } // namespace
 
 ForwardService::ForwardService(ControlService &control, ForwardContext context, RandomSource random)
@@ -69,12 +77,15 @@
 {
     auto index = std::shared_ptr<const RouteIndex>{};
     auto version = Version{0};
+    auto inputLimits = HttpInputLimits{};
     control_.readState([&](const FleetState &state) {
         version = state.version_;
         if (state.hasTraffic_)
             isTrafficRecorded_ = true;
-        if (version != 0 && version != indexVersion_)
+        if (version != 0 && version != indexVersion_) {
             index = std::make_shared<const RouteIndex>(state.declaration_);
+            inputLimits = limitsOf(state.declaration_.requestLimits_.value_or(RequestLimits{}));
+        }
         context_.targets_.update(state);
         context_.crashes_.update(state);
     });
@@ -89,12 +100,19 @@
     if (version < indexVersion_)
         return;
     index_ = std::move(index);
+    inputLimits_ = inputLimits;
     indexVersion_ = version;
     const auto accountingLock = std::scoped_lock(accountingMutex_);
     declarationVersion_ = version;
     declarationSince_ = context_.clock_();
 }
 
+auto ForwardService::inputLimits() const -> HttpInputLimits
+{
+    const auto lock = std::scoped_lock(mutex_);
+    return inputLimits_;
+}
+
 auto ForwardService::declarationAge() const -> DeclarationAge
 {
     const auto lock = std::scoped_lock(accountingMutex_);
--- a/packages/forward/ForwardService.h
+++ b/packages/forward/ForwardService.h
@@ -10,6 +10,7 @@
 #include "forward/ForwardContext.h"
 #include "forward/ForwardRetryBudget.h"
 #include "forward/HeldRequests.h"
+#include "transport/HttpInputLimits.h"
 #include "transport/HttpRequest.h"
 
 #include <atomic>
@@ -59,6 +60,8 @@
     [[nodiscard]] auto activeRequestCount() const -> std::size_t;
     /// The recent demand of callers for each pool.
     [[nodiscard]] auto demand() const -> std::vector<PoolDemand>;
+    /// The limits of the declaration for requests; the defaults before there is one.
+    [[nodiscard]] auto inputLimits() const -> HttpInputLimits;
     /// Whether the entry has a declaration and a live state lease, as new requests need.
     [[nodiscard]] auto isReady() const -> bool;
 
@@ -93,6 +96,7 @@
     RandomSource random_;
     mutable RankedMutex mutex_;
     std::shared_ptr<const RouteIndex> index_;
+    HttpInputLimits inputLimits_;
     /// Version of the replicated state that index_ was built from.
     std::uint64_t indexVersion_ = 0;
     std::map<const ForwardedRequest *, std::shared_ptr<ForwardedRequest>> activeRequests_;
--- a/packages/state/Declaration.h
+++ b/packages/state/Declaration.h
@@ -8,10 +8,12 @@
 #include "state/HttpRoute.h"
 #include "state/Policy.h"
 #include "state/Pool.h"
+#include "state/RequestLimits.h"
 #include "state/Service.h"
 #include "state/UpstreamProfile.h"
 #include "state/Workspace.h"
 
+#include <optional>
 #include <vector>
 
 namespace lycheereach {
@@ -28,6 +30,8 @@
     /// Routes whose requests are forwarded unchanged.
     std::vector<HttpRoute> routes_;
     std::vector<UpstreamProfile> profiles_;
+    /// The limits of requests on routes; the defaults without it.
+    std::optional<RequestLimits> requestLimits_;
     /// The outcome under an Idempotency-Key is kept for this time, in hours.
     std::uint32_t claimRetentionHours_ = 24;
 
@@ -42,6 +46,7 @@
                           optionalField("exceptions", &Declaration::exceptions_),
                           optionalField("routes", &Declaration::routes_),
                           optionalField("profiles", &Declaration::profiles_),
+                          field("requestLimits", &Declaration::requestLimits_),
                           optionalField("claimRetentionHours", &Declaration::claimRetentionHours_)};
     }
 };
--- a/packages/state/DeclarationCheck.cpp
+++ b/packages/state/DeclarationCheck.cpp
@@ -106,6 +106,18 @@
     }
 }
 
+auto checkRequestLimits(const RequestLimits &limits, Problems &problems) -> void
+{
+    const auto positive = [&](std::uint32_t value, const char *key) {
+        if (value == 0)
+            problems.push_back(std::string("/requestLimits/") + key + ": must be at least 1");
+    };
+    positive(limits.headBytes_, "headBytes");
+    positive(limits.bodyBytes_, "bodyBytes");
+    positive(limits.headTimeoutMs_, "headTimeoutMs");
+    positive(limits.idleTimeoutMs_, "idleTimeoutMs");
+}
+
 auto isDigest(const std::string &text) -> bool
 {
     const auto hexadecimal
@@ -239,6 +251,8 @@
     checkWorkspaces(declaration, problems);
     checkProfiles(declaration, problems);
     checkRoutes(declaration, problems);
+    if (declaration.requestLimits_)
+        checkRequestLimits(*declaration.requestLimits_, problems);
     for (auto position = std::size_t{0}; position < declaration.exceptions_.size(); ++position)
         checkException(declaration, position, problems);
     checkResolvedPolicies(declaration, problems);
--- a/tests/platform/ConfigurationReaderTest.cpp
+++ b/tests/platform/ConfigurationReaderTest.cpp
@@ -115,3 +115,30 @@
     const auto body = R"({"version": 8, "services": [], "routes": [)" + nested + "]}";
     CHECK_FALSE(readConfiguration(body, settings_).ok());
 }
+
+// Guards against limits that the operator declares and no process obeys.
+TEST(ConfigurationReader, limitsForRequests_read_areThoseOfTheDeclaration)
+{
+    configuration_["limits"] = {{"maxHeaderBytes", 16384},
+                                {"maxBodyBytes", 4194304},
+                                {"headerTimeoutMs", 3000},
+                                {"idleTimeoutMs", 15000}};
+    const auto command = read();
+    CHECK(command.ok());
+    CHECK(command->declaration_.requestLimits_ == (RequestLimits{16384, 4194304, 3000, 15000}));
+}
+
+TEST(ConfigurationReader, limitsOfZeroOrMissing_read_areTheDefaults)
+{
+    CHECK(!read()->declaration_.requestLimits_);
+    configuration_["limits"] = {{"maxBodyBytes", 0}, {"idleTimeoutMs", 5000}};
+    auto expected = RequestLimits{};
+    expected.idleTimeoutMs_ = 5000;
+    CHECK(read()->declaration_.requestLimits_ == expected);
+}
+
+TEST(ConfigurationReader, limitsThatAreNoNumbers_read_fails)
+{
+    configuration_["limits"] = {{"maxBodyBytes", "many"}};
+    CHECK_FALSE(read().ok());
+}
--- a/tests/state/DeclarationCheckTest.cpp
+++ b/tests/state/DeclarationCheckTest.cpp
@@ -44,6 +44,8 @@
          d.workspaces_ = {Workspace{WorkspaceName("w"), 0}};
      },
      "/workspaces/0/weight: must be at least 1"},
+    {[](Declaration &d) { d.requestLimits_ = RequestLimits{.bodyBytes_ = 0}; },
+     "/requestLimits/bodyBytes: must be at least 1"},
 };
 
 } // namespace
