forward: Answer a failure that was broken off with 502

Cause: attemptFailed() sent the gathered body wherever the head had a status of 500 or more, whether or not the attempt had ended with an error. Other statuses were refused with 502 already.

Change: an attempt knows whether its whole response has arrived; only then is a failure forwarded.

Evidence: ForwardStateMachine.aFailureThatIsBrokenOff_ended_isNotForwardedAsAWholeOne fails without the condition.

--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -236,6 +236,7 @@
     if (event.isRefused_ || isOtherInstance)
         ended.failureOutcome_ = TargetOutcome::Unavailable;
     const auto hasFailed = event.error_ && event.verdict_ == Verdict::MayHaveRun;
+    ended.isWhole_ = !event.error_;
     ended.isBroken_ = (hasFailed || isBrokenOff) && !ended.isCancelled_;
     // An attempt without a connection has not reached an upstream.
     if (event.verdict_ == Verdict::NotRun && !ended.head_) {
@@ -320,7 +321,7 @@
         emit(forward_action::AbortResponse{failure});
         return;
     }
-    const auto hasErrorResponse = attempt.head_ && attempt.rejectReason_.empty()
+    const auto hasErrorResponse = attempt.head_ && attempt.isWhole_ && attempt.rejectReason_.empty()
         && !attempt.head_->notRun_ && attempt.head_->status_ >= firstServerErrorStatus;
     if (hasErrorResponse) {
         replied_ = true;
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -71,6 +71,8 @@
         EventStreamReader reader_;
         bool isCancelled_ = false;
         bool hasDelivered_ = false;
+        /// Whether the whole response has arrived.
+        bool isWhole_ = false;
         /// Whether the upstream ended the connection after the request was sent.
         bool isBroken_ = false;
         /// What a failure of the attempt shows about its target.
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -174,6 +174,23 @@
     CHECK(find<action::SendResponse>()->body_ == "why");
 }
 
+/// Guards against MIXED: the part of a failure that had arrived was sent as the whole of it, with
+/// the signature of the upstream.
+TEST(ForwardStateMachine, aFailureThatIsBrokenOff_ended_isNotForwardedAsAWholeOne)
+{
+    for (const auto kind : {RouteKind::Safe, RouteKind::Unsafe, RouteKind::Stream}) {
+        retryLimit_ = 0;
+        auto request = makeStateMachine(kind);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        handle(request, ResponseHeadReceived{1, head(500)});
+        handle(request, AttemptData{1, "half of"});
+        handle(request, brokenConnection(1, Verdict::MayHaveRun));
+        CHECK(find<action::SendResponse>() == nullptr);
+        UNSIGNED_LONGS_EQUAL(502, find<action::SendRefusal>()->refusal_.status_);
+    }
+}
+
 TEST(ForwardStateMachine, aResponseToAnotherRequest_head_isNeverForwarded)
 {
     auto request = makeStateMachine(RouteKind::Safe);
