forward, platform: Wait at a planned stop until responses are sent

Cause: a request no longer counts as active once the HTTP server has its response, and ShutdownGate allowed 400 ms for what the server still had to send.

A client that never reads is closed by the write timeout.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -388,7 +388,9 @@
     control_.registerAsLeaving();
     requests_.leave();
     waitUntil([] { return false; }, std::min<Duration>(keep, limit), hurry);
-    waitUntil([this] { return requests_.active() == 0; }, limit, hurry);
+    waitUntil(
+        [this] { return requests_.active() == 0 && connections_->counters().unsentBytes_ == 0; },
+        limit, hurry);
     waitUntil([this] { return leaseholder_->holdsNoGroupLease(); },
               std::min<Duration>(handoverLimit, limit), hurry);
     server_.stopListening();
--- a/packages/forward/ShutdownGate.cpp
+++ b/packages/forward/ShutdownGate.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// Time for the HTTP server to send a response; the request no longer counts as active once the
-/// server has the response.
+/// Time for the HTTP server to take a response, which counts as unsent from then on, and for the
+/// system to send its last bytes.
 constexpr auto responseSendTime = std::chrono::milliseconds(400);
 
 } // namespace
@@ -15,9 +15,9 @@
     , idleSince_(leaveStartedAt)
 { }
 
-auto ShutdownGate::mayExit(std::size_t active, MonotonicTime now) -> bool
+auto ShutdownGate::mayExit(bool isActive, MonotonicTime now) -> bool
 {
-    if (active != 0)
+    if (isActive)
         idleSince_ = now;
     return now >= addressHeldUntil_ && now - idleSince_ >= responseSendTime;
 }
--- a/packages/forward/ShutdownGate.h
+++ b/packages/forward/ShutdownGate.h
@@ -4,8 +4,6 @@
 
 #include "base/Time.h"
 
-#include <cstddef>
-
 namespace lycheereach {
 
 /// Decides when an entry that shuts down may exit: not before callers have stopped using its
@@ -16,13 +14,13 @@
     /// Callers use the entry's address until \a addressHoldTime after \a leaveStartedAt.
     ShutdownGate(Duration addressHoldTime, MonotonicTime leaveStartedAt);
 
-    /// Whether the process may exit at \a now, with \a active requests in progress. Call it often:
-    /// idle time counts from the last call with active requests.
-    auto mayExit(std::size_t active, MonotonicTime now) -> bool;
+    /// Whether the process may exit at \a now; \a isActive says whether requests are in progress or
+    /// responses unsent. Call it often: idle time counts from the last call with activity.
+    auto mayExit(bool isActive, MonotonicTime now) -> bool;
 
 private:
     MonotonicTime addressHeldUntil_;
-    /// When a request was last seen in progress, or when the shutdown began.
+    /// When activity was last seen, or when the shutdown began.
     MonotonicTime idleSince_;
 };
 
--- a/packages/transport/ConnectionCounters.h
+++ b/packages/transport/ConnectionCounters.h
@@ -7,11 +7,13 @@
 
 namespace lycheereach {
 
-/// What a ConnectionRegistry has counted; all but the first two since the start of the process.
+/// What a ConnectionRegistry has counted; all but the first three since the start of the process.
 struct ConnectionCounters
 {
     std::size_t open_ = 0;
     std::size_t heldBytes_ = 0;
+    /// Of responses that clients have not taken yet.
+    std::size_t unsentBytes_ = 0;
     /// Requests refused because their head or body was too large.
     std::uint64_t tooLarge_ = 0;
     /// Requests refused for want of memory.
--- a/packages/transport/ConnectionRegistry.cpp
+++ b/packages/transport/ConnectionRegistry.cpp
@@ -122,6 +122,8 @@
     auto counters = counters_;
     counters.open_ = records_.size();
     counters.heldBytes_ = heldBytes_;
+    for (const auto &[id, record] : records_)
+        counters.unsentBytes_ += record.outputBytes_;
     return counters;
 }
 
--- a/tests/forward/ShutdownGateTest.cpp
+++ b/tests/forward/ShutdownGateTest.cpp
@@ -15,15 +15,15 @@
 
 TEST(ShutdownGate, callersHoldTheAddress_mayEnd_waits)
 {
-    CHECK_FALSE(gate_.mayExit(0, leaveStartedAt_ + 3900ms));
-    CHECK(gate_.mayExit(0, leaveStartedAt_ + 4s));
+    CHECK_FALSE(gate_.mayExit(false, leaveStartedAt_ + 3900ms));
+    CHECK(gate_.mayExit(false, leaveStartedAt_ + 4s));
 }
 
 /// Failure: the process exits after the last event of a stream was handed to the HTTP server and
 /// before its last byte is sent.
 TEST(ShutdownGate, theLastAnswerWasJustHandedOver_mayEnd_waitsUntilItIsSent)
 {
-    CHECK_FALSE(gate_.mayExit(1, leaveStartedAt_ + 5300ms));
-    CHECK_FALSE(gate_.mayExit(0, leaveStartedAt_ + 5350ms));
-    CHECK(gate_.mayExit(0, leaveStartedAt_ + 5700ms));
+    CHECK_FALSE(gate_.mayExit(true, leaveStartedAt_ + 5300ms));
+    CHECK_FALSE(gate_.mayExit(false, leaveStartedAt_ + 5350ms));
+    CHECK(gate_.mayExit(false, leaveStartedAt_ + 5700ms));
 }
--- a/tests/transport/RefusedRequestTest.cpp
+++ b/tests/transport/RefusedRequestTest.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -93,6 +94,16 @@
         return text;
     }
 
+    auto waitUntilSent()->bool
+    {
+        for (auto attempt = 0; attempt < 3000; ++attempt) {
+            if (registry_->counters().unsentBytes_ == 0)
+                return true;
+            std::this_thread::sleep_for(10ms);
+        }
+        return false;
+    }
+
     auto requestCount()->std::size_t
     {
         return requests_.get().size();
@@ -183,6 +194,21 @@
     CHECK(answers.find("served 2") < answers.find("served 3"));
 }
 
+/// Guards against LOST: a process that stops took a response for sent once RESTinio had it.
+TEST(RefusedRequest, aResponseThatIsNotRead_countsAsUnsentUntilItIs)
+{
+    constexpr auto responseBytes = std::size_t{32} * 1024 * 1024;
+    serve();
+    write(head("/keep", "Connection: close\r\nContent-Length: 0\r\n"));
+    CHECK(kept_.waitFor([](const auto &kept) { return !kept.empty(); }));
+    kept_.get().front()->send({200, {}, std::string(responseBytes, 'x')});
+    auto byte = std::string(1, ' ');
+    asio::read(*socket_, asio::buffer(byte));
+    CHECK(registry_->counters().unsentBytes_ > 0);
+    CHECK(readAll().size() > responseBytes);
+    CHECK(waitUntilSent());
+}
+
 /// Guards against descriptors that silent connections take from everybody else.
 TEST(RefusedRequest, allConnectionsSilent_another_isServed)
 {
