--- a/packages/gateway/CallerApi.cpp
+++ b/packages/gateway/CallerApi.cpp
@@ -88,12 +88,14 @@
         statusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.serialize()};
 }
 
+auto CallerApi::setGauge(const char *name, const char *help, std::uint64_t value) const -> void
+{
+    metrics_.setGauge(name, help, static_cast<double>(value));
+}
+
 auto CallerApi::setPeerGauges() const -> void
 {
     const auto counters = network_.counters();
-    const auto setGauge = [this](const char *name, const char *help, std::uint64_t value) {
-        metrics_.setGauge(name, help, static_cast<double>(value));
-    };
     setGauge("lycheereach_peer_bytes_sent", "Bytes sent to other entries since the start",
              counters.bytesSent_);
     setGauge("lycheereach_peer_bytes_received", "Bytes received from other entries since the start",
@@ -109,9 +111,6 @@
 auto CallerApi::setConnectionGauges() const -> void
 {
     const auto counters = connections_.counters();
-    const auto setGauge = [this](const char *name, const char *help, std::uint64_t value) {
-        metrics_.setGauge(name, help, static_cast<double>(value));
-    };
     setGauge("lycheereach_connections_open", "Connections of clients and of other entries",
              counters.open_);
     setGauge("lycheereach_connections_held_bytes", "Bytes of requests and responses that are held",
--- a/packages/gateway/CallerApi.h
+++ b/packages/gateway/CallerApi.h
@@ -6,6 +6,7 @@
 #include "transport/HttpRequest.h"
 #include "transport/HttpResponse.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace lycheereach {
@@ -33,6 +34,7 @@
     auto entries() const -> HttpResponse;
     auto readiness() const -> HttpResponse;
     auto metrics() const -> HttpResponse;
+    auto setGauge(const char *name, const char *help, std::uint64_t value) const -> void;
     auto setPeerGauges() const -> void;
     auto setConnectionGauges() const -> void;
 
