transport: Read heads of answers in one place, and reject malformed status lines

Cause: libcurl and HttpTransfer each read the head, both leniently, and neither asked whether the first line is a status line. HttpAnswerReader now takes each raw line before anything is told; a call whose status line is none (RFC 9112, section 4; 100 to 599 by RFC 9110, section 15) ends with the new MalformedAnswer, which closes the connection. All calls go through HttpTransfer, so that requests, orders, probes and the command line have the same mend.

Ruled out: the parser of RESTinio, which takes any three digits and blanks in names.

MalformedAnswer.aStatusLine failed before (the connection was not even closed), its sound answers passed before and after.

--- a/packages/base/ErrorCode.cpp
+++ b/packages/base/ErrorCode.cpp
@@ -55,6 +55,8 @@
         return "shutting down";
     case Error::Cancelled:
         return "cancelled";
+    case Error::MalformedAnswer:
+        return "malformed answer";
     }
     return "unknown error";
 }
--- a/packages/base/ErrorCode.h
+++ b/packages/base/ErrorCode.h
@@ -33,6 +33,7 @@
     DiskFull,
     ShuttingDown,
     Cancelled,
+    MalformedAnswer,
 };
 
 /// The category of Error.
--- a/packages/requests/ProblemDocument.cpp
+++ b/packages/requests/ProblemDocument.cpp
@@ -24,6 +24,7 @@
     ErrorStatus{Error::UpstreamFailed, 502},   ErrorStatus{Error::IncompleteAnswer, 502},
     ErrorStatus{Error::WrongAnswer, 502},      ErrorStatus{Error::ConnectionFailed, 502},
     ErrorStatus{Error::ConnectionSilent, 504}, ErrorStatus{Error::DeadlineExceeded, 504},
+    ErrorStatus{Error::MalformedAnswer, 502},
 };
 constexpr auto defaultStatus = std::uint16_t{503};
 
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
 #include <utility>
 
 namespace lycheereach {
@@ -27,25 +26,6 @@
         || one.find("Connection") || one.find("Expect");
 }
 
-auto trimmed(std::string_view text) -> std::string_view
-{
-    constexpr auto space = " \t\r\n";
-    const auto first = text.find_first_not_of(space);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(space) - first + 1);
-}
-
-/// The status of `HTTP/1.1 200 OK`.
-auto parseStatus(std::string_view line) -> std::uint16_t
-{
-    const auto space = line.find(' ');
-    auto status = std::uint16_t{0};
-    if (space != std::string_view::npos)
-        std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
-    return status;
-}
-
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now,
@@ -84,7 +64,7 @@
 auto HttpTransfer::bodyLimitBytes() const -> std::size_t
 {
     constexpr std::uint16_t firstErrorStatus = 400;
-    return head_.status_ < firstErrorStatus
+    return reader_.head().status_ < firstErrorStatus
         ? call_.bodyLimitBytes_
         : std::min(call_.bodyLimitBytes_, call_.errorBodyLimitBytes_);
 }
@@ -161,7 +141,7 @@
 {
     if (!connected_)
         return false;
-    const auto allowed = headTold_ ? call_.idleTimeout_ : call_.firstByteTimeout_;
+    const auto allowed = reader_.isHeadComplete() ? call_.idleTimeout_ : call_.firstByteTimeout_;
     return now - std::max(lastHeard_, silenceToldAt_) > allowed;
 }
 
@@ -183,8 +163,8 @@
 
 auto HttpTransfer::endWith(CURLcode code) -> void
 {
-    if (code == CURLE_OK && headTold_) {
-        hooks_.ended_(HttpOutcome{.verdict_ = Verdict::Ran, .isDelimited_ = isDelimited_});
+    if (code == CURLE_OK && reader_.isHeadComplete()) {
+        hooks_.ended_(HttpOutcome{.verdict_ = Verdict::Ran, .isDelimited_ = reader_.isDelimited()});
         return;
     }
     if (forbidden_) {
@@ -199,6 +179,10 @@
         endWith(Error::IncompleteAnswer, call_.address_ + ": the answer is longer than is taken");
         return;
     }
+    if (!reader_.problem().empty()) {
+        endWith(Error::MalformedAnswer, call_.address_ + ": the answer has " + reader_.problem());
+        return;
+    }
     const auto message = call_.address_ + ": " + curl_easy_strerror(code);
     if (verdict() == Verdict::NotRun)
         endWith(code == CURLE_URL_MALFORMAT ? Error::InvalidArgument : Error::ConnectionFailed,
@@ -212,7 +196,8 @@
     auto osError = 0L;
     curl_easy_getinfo(easy_.get(), CURLINFO_OS_ERRNO, &osError);
     const auto isRefused = !connected_ && osError == ECONNREFUSED;
-    hooks_.ended_(HttpOutcome{error, verdict(), message, isRefused, isDelimited_, isTooLong_});
+    hooks_.ended_(
+        HttpOutcome{error, verdict(), message, isRefused, reader_.isDelimited(), isTooLong_});
 }
 
 auto HttpTransfer::endAsTooLong() -> void
@@ -223,31 +208,24 @@
                 + std::to_string(heldBytes_) + " bytes");
 }
 
-auto HttpTransfer::takeHeaderLine(std::string_view line) -> void
+auto HttpTransfer::takeHeadLine(std::string_view line) -> bool
 {
     lastHeard_ = now();
-    if (headTold_)
-        return;
-    if (line.starts_with("HTTP/")) {
-        head_ = HttpResponse{};
-        head_.status_ = parseStatus(line);
-        return;
-    }
-    const auto colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        head_.headers_.add(std::string(trimmed(line.substr(0, colon))),
-                           std::string(trimmed(line.substr(colon + 1))));
-        return;
-    }
-    constexpr std::uint16_t firstFinalStatus = 200;
-    if (!trimmed(line).empty() || head_.status_ < firstFinalStatus)
-        return;
-    headTold_ = true;
-    isDelimited_
-        = head_.headers_.find("Content-Length") || head_.headers_.find("Transfer-Encoding");
+    // The lines behind the head are trailer fields.
+    if (reader_.isHeadComplete())
+        return true;
+    if (!reader_.takeHeadLine(line))
+        return false;
+    if (reader_.isHeadComplete())
+        takeHead();
+    return !isWrongAnswer_;
+}
+
+auto HttpTransfer::takeHead() -> void
+{
     if (hooks_.head_)
-        hooks_.head_(head_);
-    isWrongAnswer_ = hooks_.answersThisCall_ && !hooks_.answersThisCall_(head_);
+        hooks_.head_(reader_.head());
+    isWrongAnswer_ = hooks_.answersThisCall_ && !hooks_.answersThisCall_(reader_.head());
 }
 
 auto HttpTransfer::takeBody(std::string_view part) -> void
@@ -266,8 +244,7 @@
     transfer.isTooLong_ = transfer.headBytes_ > transfer.call_.headLimitBytes_;
     if (transfer.isTooLong_)
         return CURL_WRITEFUNC_ERROR;
-    transfer.takeHeaderLine({data, size * count});
-    return transfer.isWrongAnswer_ ? CURL_WRITEFUNC_ERROR : size * count;
+    return transfer.takeHeadLine({data, size * count}) ? size * count : CURL_WRITEFUNC_ERROR;
 }
 
 auto HttpTransfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -4,6 +4,7 @@
 
 #include "base/Time.h"
 #include "transport/HeldBytes.h"
+#include "transport/HttpAnswerReader.h"
 #include "transport/HttpCall.h"
 
 #include <curl/curl.h>
@@ -48,7 +49,8 @@
     auto configureHeaders() -> void;
     auto appendHeader(const std::string &line) -> void;
     [[nodiscard]] auto verdict() const -> Verdict;
-    auto takeHeaderLine(std::string_view line) -> void;
+    auto takeHeadLine(std::string_view line) -> bool;
+    auto takeHead() -> void;
     auto takeBody(std::string_view part) -> void;
     /// The longest body that is taken, given the status of the answer.
     [[nodiscard]] auto bodyLimitBytes() const -> std::size_t;
@@ -63,7 +65,7 @@
     HttpCallHooks hooks_;
     EasyHandle easy_;
     HeaderList headers_;
-    HttpResponse head_;
+    HttpAnswerReader reader_;
     std::size_t headBytes_ = 0;
     std::size_t bodyBytes_ = 0;
     std::size_t heldBytes_ = 0;
@@ -72,9 +74,6 @@
     MonotonicTime lastHeard_;
     MonotonicTime silenceToldAt_;
     bool connected_ = false;
-    bool headTold_ = false;
-    /// HttpOutcome::isDelimited_.
-    bool isDelimited_ = false;
     bool isTooLong_ = false;
     /// Whether HttpCallHooks::answersThisCall_ said no.
     bool isWrongAnswer_ = false;
--- /dev/null
+++ b/tests/transport/MalformedAnswerTest.cpp
@@ -0,0 +1,80 @@
+#include "base/ErrorCode.h"
+#include "transport/AnswerSample.h"
+#include "transport/HttpClient.h"
+#include "transport/HttpFixture.h"
+#include "transport/ScriptedServer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lycheereach;
+
+/// Both programs and the command line take answers from this client.
+TEST_GROUP(MalformedAnswer)
+{
+    HttpClient client_;
+
+    /// What a call to an upstream that sends \a bytes tells. The upstream closes last if
+    /// \a waitsForClient.
+    auto play(const std::string &bytes, std::string body, bool waitsForClient)->CallRecord
+    {
+        auto isClosed = Watched<bool>{};
+        auto record = Watched<CallRecord>{};
+        const auto server = ScriptedServer(1, [&](asio::ip::tcp::socket &socket) {
+            ScriptedServer::write(socket, bytes);
+            auto error = std::error_code{};
+            socket.shutdown(asio::socket_base::shutdown_send, error);
+            if (waitsForClient)
+                ScriptedServer::read(socket);
+            isClosed.change([](bool &value) { value = true; });
+        });
+        auto call = HttpCall{};
+        call.address_ = server.address();
+        call.request_ = {"POST", "/", {}, std::move(body)};
+        client_.start(std::move(call), HttpFixture::recordInto(record));
+        HttpFixture::outcomeOf(record);
+        CHECK(isClosed.waitFor([](bool value) { return value; }));
+        return record.get();
+    }
+
+    auto checkAllMalformed(const std::vector<AnswerSample> &samples)->void
+    {
+        for (const auto &sample : samples) {
+            const auto record = play(sample.bytes_, "", true);
+            const auto &outcome = *record.outcome_;
+            const auto *name = sample.name_.c_str();
+            CHECK_TEXT(outcome.error_ == Error::MalformedAnswer
+                           || outcome.error_ == Error::IncompleteAnswer,
+                       name);
+            CHECK_TEXT(outcome.verdict_ == Verdict::MayHaveRun, name);
+        }
+    }
+
+    auto checkNothingPassedOn(const std::vector<AnswerSample> &samples)->void
+    {
+        for (const auto &sample : samples) {
+            const auto record = play(sample.bytes_, "", true);
+            CHECK_TEXT(record.head_ == HttpResponse{}, sample.name_.c_str());
+            LONGS_EQUAL_TEXT(0, record.parts_, sample.name_.c_str());
+        }
+    }
+};
+
+// Guards against strictness that refuses what the protocol allows.
+TEST(MalformedAnswer, soundOnesBeside_received_areWhole)
+{
+    for (const auto &sample : soundAnswers()) {
+        for (const auto *body : {"", "a request"}) {
+            const auto record = play(sample.bytes_, body, false);
+            CHECK_FALSE_TEXT(record.outcome_->error_, sample.name_.c_str());
+            LONGS_EQUAL_TEXT(sample.status_, record.head_.status_, sample.name_.c_str());
+            CHECK_TEXT(record.body_ == sample.body_, sample.name_.c_str());
+        }
+    }
+}
+
+// Guards against an answer without a status, such as 000, that reaches the caller (issue 52).
+TEST(MalformedAnswer, aStatusLine_received_isAnErrorAndNothingIsPassedOn)
+{
+    checkAllMalformed(malformedStatusLines());
+    checkNothingPassedOn(malformedStatusLines());
+}
