transport: Reject heads with lines that are no header fields

Callers got answers in whose head the name of a field held a blank, a tab or a control byte: 40 of 40 times each on real processes, with that line passed on; with "Content-Length : 5" or a control byte in "Content-Length" they got 28 bytes where the upstream's intention can't be known.

Cause: HttpTransfer trimmed names, dropped lines without a colon and ended the head at a line of blanks, libcurl did none of these, so that the two disagreed about which fields there are. A line that is no field by RFC 9110, section 5, now makes the head malformed, in interim answers too; what the reader accepts, libcurl reads in the same way.

MalformedAnswer.aField failed before; it plays each byte that is no part of a token or value.

--- a/packages/transport/HttpAnswerReader.cpp
+++ b/packages/transport/HttpAnswerReader.cpp
@@ -28,10 +28,9 @@
         return fail("a line that is not part of the head");
     if (!minorVersion_)
         return takeStatusLine(*text);
-    if (withoutBlanksAround(*text).empty())
-        endHead();
-    else
-        takeFieldLine(*text);
+    if (!text->empty())
+        return takeFieldLine(*text);
+    endHead();
     return true;
 }
 
@@ -48,12 +47,13 @@
     return true;
 }
 
-auto HttpAnswerReader::takeFieldLine(std::string_view text) -> void
+auto HttpAnswerReader::takeFieldLine(std::string_view text) -> bool
 {
-    const auto colon = text.find(':');
-    if (colon != std::string_view::npos)
-        head_.headers_.add(std::string(withoutBlanksAround(text.substr(0, colon))),
-                           std::string(withoutBlanksAround(text.substr(colon + 1))));
+    auto field = parseFieldLine(text);
+    if (!field)
+        return fail("a malformed header field");
+    head_.headers_.add(std::move(field->name_), std::move(field->value_));
+    return true;
 }
 
 auto HttpAnswerReader::endHead() -> void
--- a/packages/transport/HttpAnswerReader.h
+++ b/packages/transport/HttpAnswerReader.h
@@ -28,7 +28,7 @@
 
 private:
     auto takeStatusLine(std::string_view text) -> bool;
-    auto takeFieldLine(std::string_view text) -> void;
+    auto takeFieldLine(std::string_view text) -> bool;
     auto endHead() -> void;
     auto fail(std::string problem) -> bool;
 
--- a/packages/transport/HttpSyntax.cpp
+++ b/packages/transport/HttpSyntax.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string>
 #include <system_error>
 
 namespace lycheereach {
@@ -10,6 +11,30 @@
 
 constexpr auto blanks = std::string_view(" \t");
 
+auto isLetterOrDigit(char c) -> bool
+{
+    return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z');
+}
+
+auto isTokenCharacter(char c) -> bool
+{
+    constexpr auto marks = std::string_view("!#$%&'*+-.^_`|~");
+    return isLetterOrDigit(c) || marks.find(c) != std::string_view::npos;
+}
+
+auto isToken(std::string_view text) -> bool
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+auto withoutBlanksAround(std::string_view text) -> std::string_view
+{
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
 auto parseNumber(std::string_view digits, int base) -> std::optional<std::uint64_t>
 {
     auto number = std::uint64_t{0};
@@ -61,12 +86,16 @@
     return HttpStatusLine{version - '0', static_cast<std::uint16_t>(*status)};
 }
 
-auto withoutBlanksAround(std::string_view text) -> std::string_view
+auto parseFieldLine(std::string_view text) -> std::optional<HttpHeader>
 {
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+    const auto colon = text.find(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const auto name = text.substr(0, colon);
+    const auto value = withoutBlanksAround(text.substr(colon + 1));
+    if (!isToken(name) || !isFieldValue(value))
+        return std::nullopt;
+    return HttpHeader{std::string(name), std::string(value)};
 }
 
 } // namespace lycheereach
--- a/packages/transport/HttpSyntax.h
+++ b/packages/transport/HttpSyntax.h
@@ -2,6 +2,8 @@
 /// \brief The grammar of the lines of an HTTP/1.1 response: RFC 9110, section 5, and RFC 9112.
 #pragma once
 
+#include "transport/HttpHeaders.h"
+
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -28,7 +30,7 @@
 /// from 100 to 599.
 auto parseStatusLine(std::string_view text) -> std::optional<HttpStatusLine>;
 
-/// \a text without blanks and tabs at its ends.
-auto withoutBlanksAround(std::string_view text) -> std::string_view;
+/// Parses `Name: value`; nothing unless the name is a token that ends at the colon.
+auto parseFieldLine(std::string_view text) -> std::optional<HttpHeader>;
 
 } // namespace lycheereach
--- a/tests/transport/AnswerSample.cpp
+++ b/tests/transport/AnswerSample.cpp
@@ -125,4 +125,43 @@
     };
 }
 
+auto malformedFields() -> std::vector<AnswerSample>
+{
+    auto samples = std::vector<AnswerSample>{
+        withField("a blank before the colon", "X-Note : 1"),
+        withField("a tab before the colon", "X-Note\t: 1"),
+        withField("a blank before the colon of a length", "Content-Length : 5"),
+        withField("a control byte in the name of a length", "Content\x01-Length: 5"),
+        withField("a blank before the name", " X-Note: 1"),
+        withField("a line that goes on in the next", "X-Note: 1\r\n more"),
+        withField("no name", ": 1"),
+        withField("no colon", "X-Note"),
+        withField("a line of blanks", "   "),
+        withField("a line with a tab", "\t"),
+        withField("a CR alone", "\r"),
+        withField("a CR at the start of a line", "\rX-Note: 1"),
+        withField("a malformed field of an interim answer's kind", "Link;x"),
+        {"a malformed field of an interim answer",
+         "HTTP/1.1 103 Early Hints\r\nLi nk: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+         "9\r\n\r\nnine char"},
+        {"a blank line before the fields",
+         "HTTP/1.1 200 OK\r\n \r\nContent-Length: 9\r\n\r\nnine char"},
+    };
+    // All bytes that are no part of a token, but for the colon, which ends the name, and LF.
+    for (auto byte = 0; byte < 256; ++byte) {
+        const auto character = static_cast<char>(byte);
+        const auto isToken = (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z')
+            || (byte >= 'a' && byte <= 'z')
+            || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+        if (!isToken && character != ':' && character != '\n')
+            samples.push_back(withField("byte " + std::to_string(byte) + " in a name",
+                                        "X"s + character + "Note: 1"));
+        const auto isInValue = byte == '\t' || (byte >= ' ' && byte != 0x7f);
+        if (!isInValue && character != '\n')
+            samples.push_back(withField("byte " + std::to_string(byte) + " in a value",
+                                        "X-Note: a"s + character + "b"));
+    }
+    return samples;
+}
+
 } // namespace lycheereach
--- a/tests/transport/AnswerSample.h
+++ b/tests/transport/AnswerSample.h
@@ -22,5 +22,7 @@
 auto soundAnswers() -> std::vector<AnswerSample>;
 /// Bytes whose status line is none.
 auto malformedStatusLines() -> std::vector<AnswerSample>;
+/// Heads with a line that is no field.
+auto malformedFields() -> std::vector<AnswerSample>;
 
 } // namespace lycheereach
--- a/tests/transport/MalformedAnswerTest.cpp
+++ b/tests/transport/MalformedAnswerTest.cpp
@@ -78,3 +78,11 @@
     checkAllMalformed(malformedStatusLines());
     checkNothingPassedOn(malformedStatusLines());
 }
+
+// Guards against an answer with a blank or a control byte in the name of a field that reaches the
+// caller, with that line or with a body that is not the upstream's (issue 52).
+TEST(MalformedAnswer, aField_received_isAnErrorAndNothingIsPassedOn)
+{
+    checkAllMalformed(malformedFields());
+    checkNothingPassedOn(malformedFields());
+}
