transport: Decide in one place where an answer ends

Bytes behind a chunked body were dropped and the connection was used again; a whole answer with a length was lost when a reset followed it during the upload.

Cause: libcurl framed the body leniently, and whether an answer was delimited hung on the presence of a field, not on its value. HttpAnswerReader now reads length and coding by RFC 9112, section 6.3, and takes the raw bytes (CURLOPT_HTTP_TRANSFER_DECODING off), with ChunkedBody as its decoder: an answer with a length or chunks is whole when the reader has it all, whatever libcurl's call ends with. libcurl still finds the end of a transfer; where it disagrees, the answer isn't whole.

--- a/packages/transport/HttpHeaders.cpp
+++ b/packages/transport/HttpHeaders.cpp
@@ -14,13 +14,13 @@
         == std::tolower(static_cast<unsigned char>(right));
 }
 
-auto sameName(std::string_view left, std::string_view right) -> bool
+} // namespace
+
+auto isSameFieldName(std::string_view left, std::string_view right) -> bool
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), sameLetter);
 }
 
-} // namespace
-
 HttpHeaders::HttpHeaders(std::initializer_list<HttpHeader> headers)
     : headers_(headers)
 { }
@@ -33,8 +33,9 @@
 auto HttpHeaders::find(std::string_view name) const -> std::optional<std::string>
 {
     const auto found
-        = std::find_if(headers_.begin(), headers_.end(),
-                       [&](const HttpHeader &header) { return sameName(header.name_, name); });
+        = std::find_if(headers_.begin(), headers_.end(), [&](const HttpHeader &header) {
+              return isSameFieldName(header.name_, name);
+          });
     if (found == headers_.end())
         return std::nullopt;
     return found->value_;
--- a/packages/transport/HttpHeaders.h
+++ b/packages/transport/HttpHeaders.h
@@ -18,6 +18,9 @@
     auto operator==(const HttpHeader &) const -> bool = default;
 };
 
+/// Whether two names of fields, or two tokens, are the same without regard to case.
+auto isSameFieldName(std::string_view left, std::string_view right) -> bool;
+
 /// Header fields in order; names compare without regard to case.
 class HttpHeaders
 {
--- a/packages/transport/HttpSyntax.cpp
+++ b/packages/transport/HttpSyntax.cpp
@@ -98,4 +98,40 @@
     return HttpHeader{std::string(name), std::string(value)};
 }
 
+auto listElements(const HttpHeaders &headers, std::string_view name)
+    -> std::vector<std::string_view>
+{
+    auto elements = std::vector<std::string_view>{};
+    for (const auto &header : headers.all()) {
+        if (!isSameFieldName(header.name_, name))
+            continue;
+        auto rest = std::string_view(header.value_);
+        while (!rest.empty()) {
+            const auto comma = std::min(rest.find(','), rest.size());
+            const auto element = withoutBlanksAround(rest.substr(0, comma));
+            if (!element.empty())
+                elements.push_back(element);
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return elements;
+}
+
+auto parseLength(std::string_view text) -> std::optional<std::uint64_t>
+{
+    constexpr auto decimal = 10;
+    return parseNumber(text, decimal);
+}
+
+auto parseChunkSize(std::string_view text) -> std::optional<std::uint64_t>
+{
+    const auto end = std::min(text.find_first_not_of("0123456789abcdefABCDEF"), text.size());
+    const auto extension = text.substr(end);
+    const auto mark = extension.find_first_not_of(blanks);
+    const auto isFormed = extension.empty()
+        || (mark != std::string_view::npos && extension[mark] == ';' && isFieldValue(extension));
+    constexpr auto hexadecimal = 16;
+    return isFormed ? parseNumber(text.substr(0, end), hexadecimal) : std::nullopt;
+}
+
 } // namespace lycheereach
--- a/packages/transport/HttpSyntax.h
+++ b/packages/transport/HttpSyntax.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 namespace lycheereach {
 
@@ -33,4 +34,14 @@
 /// Parses `Name: value`; nothing unless the name is a token that ends at the colon.
 auto parseFieldLine(std::string_view text) -> std::optional<HttpHeader>;
 
+/// The elements of all fields of that name, each a comma-separated list, without empty ones.
+auto listElements(const HttpHeaders &headers, std::string_view name)
+    -> std::vector<std::string_view>;
+
+/// Parses decimal digits; nothing for anything else or more than fits.
+auto parseLength(std::string_view text) -> std::optional<std::uint64_t>;
+
+/// Parses the line before a chunk, `1a;extension=value`; nothing unless it is well-formed.
+auto parseChunkSize(std::string_view text) -> std::optional<std::uint64_t>;
+
 } // namespace lycheereach
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -34,6 +34,7 @@
     , hooks_(std::move(hooks))
     , easy_(curl_easy_init(), &curl_easy_cleanup)
     , headers_(nullptr, &curl_slist_free_all)
+    , reader_(call_.request_.method_ == "HEAD")
     , heldByAll_(heldByAll)
     , startedAt_(now)
     , lastHeard_(now)
@@ -92,6 +93,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &HttpTransfer::onConnected);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    // The answer reader decodes chunks, so that it sees every byte.
+    curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
 }
 
@@ -161,12 +164,15 @@
     return connected_ || sent > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
 }
 
+auto HttpTransfer::isWholeAfter(CURLcode code) const -> bool
+{
+    if (reader_.isDelimited())
+        return reader_.isWhole();
+    return code == CURLE_OK && reader_.isHeadComplete();
+}
+
 auto HttpTransfer::endWith(CURLcode code) -> void
 {
-    if (code == CURLE_OK && reader_.isHeadComplete()) {
-        hooks_.ended_(HttpOutcome{.verdict_ = Verdict::Ran, .isDelimited_ = reader_.isDelimited()});
-        return;
-    }
     if (forbidden_) {
         endWith(Error::LeaseExpired, call_.address_ + ": the right to start ran out");
         return;
@@ -183,6 +189,10 @@
         endWith(Error::MalformedAnswer, call_.address_ + ": the answer has " + reader_.problem());
         return;
     }
+    if (isWholeAfter(code)) {
+        hooks_.ended_(HttpOutcome{.verdict_ = Verdict::Ran, .isDelimited_ = reader_.isDelimited()});
+        return;
+    }
     const auto message = call_.address_ + ": " + curl_easy_strerror(code);
     if (verdict() == Verdict::NotRun)
         endWith(code == CURLE_URL_MALFORMAT ? Error::InvalidArgument : Error::ConnectionFailed,
@@ -211,9 +221,6 @@
 auto HttpTransfer::takeHeadLine(std::string_view line) -> bool
 {
     lastHeard_ = now();
-    // The lines behind the head are trailer fields.
-    if (reader_.isHeadComplete())
-        return true;
     if (!reader_.takeHeadLine(line))
         return false;
     if (reader_.isHeadComplete())
@@ -228,12 +235,17 @@
     isWrongAnswer_ = hooks_.answersThisCall_ && !hooks_.answersThisCall_(reader_.head());
 }
 
-auto HttpTransfer::takeBody(std::string_view part) -> void
+auto HttpTransfer::takePart(std::string_view part) -> void
 {
-    lastHeard_ = now();
+    bodyBytes_ += part.size();
+    isTooLong_ = isTooLong_ || bodyBytes_ > bodyLimitBytes();
+    if (isTooLong_)
+        return;
     if (hooks_.part_)
         hooks_.part_(part);
     setHeldBytes(hooks_.heldBytes_ ? hooks_.heldBytes_(bodyBytes_) : bodyBytes_);
+    // libcurl may go on with the others before the client looks at what all hold.
+    isTooLong_ = heldByAll_.isExceeded() && heldBytes_ > heldByAll_.share();
 }
 
 auto HttpTransfer::onHeader(char *data, std::size_t size, std::size_t count, void *self)
@@ -251,15 +263,12 @@
     -> std::size_t
 {
     auto &transfer = *static_cast<HttpTransfer *>(self);
-    transfer.bodyBytes_ += size * count;
-    transfer.isTooLong_ = transfer.bodyBytes_ > transfer.bodyLimitBytes();
-    if (transfer.isTooLong_)
-        return CURL_WRITEFUNC_ERROR;
-    transfer.takeBody({data, size * count});
-    // libcurl may go on with the others before the client looks at what all hold.
-    const auto &heldByAll = transfer.heldByAll_;
-    transfer.isTooLong_ = heldByAll.isExceeded() && transfer.heldBytes_ > heldByAll.share();
-    return transfer.isTooLong_ ? CURL_WRITEFUNC_ERROR : size * count;
+    transfer.lastHeard_ = now();
+    const auto isBody = transfer.reader_.takeBody(
+        {data, size * count}, [&](std::string_view part) { transfer.takePart(part); });
+    // A connection with bytes that belong to no answer is closed.
+    const auto goesOn = isBody && !transfer.isTooLong_ && !transfer.reader_.hasExcess();
+    return goesOn ? size * count : CURL_WRITEFUNC_ERROR;
 }
 
 auto HttpTransfer::onConnected(void *self, char *, char *, int, int) -> int
--- a/packages/transport/HttpTransfer.h
+++ b/packages/transport/HttpTransfer.h
@@ -51,7 +51,9 @@
     [[nodiscard]] auto verdict() const -> Verdict;
     auto takeHeadLine(std::string_view line) -> bool;
     auto takeHead() -> void;
-    auto takeBody(std::string_view part) -> void;
+    auto takePart(std::string_view part) -> void;
+    /// Whether libcurl ended the call at the end of an answer.
+    [[nodiscard]] auto isWholeAfter(CURLcode code) const -> bool;
     /// The longest body that is taken, given the status of the answer.
     [[nodiscard]] auto bodyLimitBytes() const -> std::size_t;
     auto setHeldBytes(std::size_t bytes) -> void;
--- a/tests/transport/AnswerSample.cpp
+++ b/tests/transport/AnswerSample.cpp
@@ -164,4 +164,56 @@
     return samples;
 }
 
+auto malformedFramings() -> std::vector<AnswerSample>
+{
+    return {
+        withFraming("an empty length", "Content-Length:"),
+        withFraming("letters behind a length", "Content-Length: 9abc"),
+        withFraming("a letter as length", "Content-Length: x"),
+        withFraming("a negative length", "Content-Length: -9"),
+        withFraming("a length with a sign", "Content-Length: +9"),
+        withFraming("a hexadecimal length", "Content-Length: 0x9"),
+        withFraming("a length with a blank", "Content-Length: 9 9"),
+        withFraming("a fraction as length", "Content-Length: 9.0"),
+        withFraming("a length too large for a number", "Content-Length: 99999999999999999999999"),
+        withFraming("a list of two lengths", "Content-Length: 9, 5"),
+        withFraming("two lengths", "Content-Length: 9\r\nContent-Length: 5"),
+        withFraming("two lengths, the first short", "Content-Length: 5\r\nContent-Length: 9"),
+        withFraming("a length and a coding", "Content-Length: 9\r\nTransfer-Encoding: chunked",
+                    "9\r\nnine char\r\n0\r\n\r\n"),
+        withFraming("a coding and a length", "Transfer-Encoding: chunked\r\nContent-Length: 9",
+                    "9\r\nnine char\r\n0\r\n\r\n"),
+        withFraming("the coding identity", "Transfer-Encoding: identity"),
+        withFraming("an unknown coding", "Transfer-Encoding: x-own"),
+        withFraming("an empty coding", "Transfer-Encoding:"),
+        withFraming("a further coding behind chunked", "Transfer-Encoding: chunked, identity",
+                    "9\r\nnine char\r\n0\r\n\r\n"),
+        withFraming("gzip before chunked", "Transfer-Encoding: gzip, chunked",
+                    "9\r\nnine char\r\n0\r\n\r\n"),
+        withFraming("chunked twice", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                    "9\r\nnine char\r\n0\r\n\r\n"),
+        withFraming("a parameter of chunked", "Transfer-Encoding: chunked;q=1",
+                    "9\r\nnine char\r\n0\r\n\r\n"),
+        {"a coding in HTTP/1.0",
+         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "9\r\nnine char\r\n0\r\n\r\n"},
+        inChunks("no chunk size", "\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a chunk size that is none", "x\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a blank before a chunk size", " 9\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("text behind a chunk size", "9 nine\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a negative chunk size", "-9\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a chunk size with a prefix", "0x9\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a chunk size too large for a number",
+                 "99999999999999999\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a control byte in a chunk extension", "9;a=\x01\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a chunk size that ends with LF alone", "9\nnine char\r\n0\r\n\r\n"),
+        inChunks("a chunk longer than its size", "4\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a chunk shorter than its size", "a\r\nnine char\r\n0\r\n\r\n"),
+        inChunks("a chunk that ends with LF alone", "9\r\nnine char\n0\r\n\r\n"),
+        inChunks("a trailer line without a colon", "9\r\nnine char\r\n0\r\nX-Sum\r\n\r\n"),
+        inChunks("a blank in the name of a trailer field",
+                 "9\r\nnine char\r\n0\r\nX Sum: 1\r\n\r\n"),
+    };
+}
+
 } // namespace lycheereach
--- a/tests/transport/AnswerSample.h
+++ b/tests/transport/AnswerSample.h
@@ -24,5 +24,7 @@
 auto malformedStatusLines() -> std::vector<AnswerSample>;
 /// Heads with a line that is no field.
 auto malformedFields() -> std::vector<AnswerSample>;
+/// Heads that don't say where the body ends, and bodies that don't keep to what the head says.
+auto malformedFramings() -> std::vector<AnswerSample>;
 
 } // namespace lycheereach
--- a/tests/transport/MalformedAnswerTest.cpp
+++ b/tests/transport/MalformedAnswerTest.cpp
@@ -86,3 +86,28 @@
     checkAllMalformed(malformedFields());
     checkNothingPassedOn(malformedFields());
 }
+
+// Guards against a body that is longer or shorter than the upstream's and passes for a whole one.
+TEST(MalformedAnswer, aFraming_received_isAnError)
+{
+    checkAllMalformed(malformedFramings());
+}
+
+// Guards against bytes behind an answer that are taken for the start of the next one.
+TEST(MalformedAnswer, bytesBehindChunks_received_theConnectionIsNotUsedAgain)
+{
+    auto server = ScriptedServer(2, [](asio::ip::tcp::socket &socket) {
+        ScriptedServer::write(socket,
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nwhole\r\n0\r\n\r\nHTTP/1.1 200");
+        ScriptedServer::read(socket);
+    });
+    for (auto request = 0; request < 2; ++request) {
+        auto call = HttpCall{};
+        call.address_ = server.address();
+        call.request_ = {"GET", "/", {}, {}};
+        const auto answer = client_.fetch(call);
+        CHECK(answer.ok());
+        CHECK(answer->body_ == "whole");
+    }
+}
