transport: Check that the request arrives before an early answer without a length is whole

Cause: such an answer ends with its connection, and libcurl ends the call with CURLE_OK at the end of the other side, whatever is left of the request. On Linux a reset behind that end does not show in reads; it waits as the socket's error, which nobody asked for. Ruled out: an error of libcurl that was dropped.

HttpTransfer now takes the socket that libcurl closes (SocketHandover) and sends the rest of the body (UploadTail); the answer is whole once the other system has acknowledged all of it without a reset. Refusing all such answers would lose those of upstreams that end their side and read on.

--- a/packages/transport/HttpClient.cpp
+++ b/packages/transport/HttpClient.cpp
@@ -3,12 +3,14 @@
 #include "base/ErrorCode.h"
 #include "base/RankedMutex.h"
 #include "transport/HttpTransfer.h"
+#include "transport/SocketHandover.h"
 
 #include <algorithm>
 #include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -113,11 +115,14 @@
             auto running = 0;
             curl_multi_perform(multi_, &running);
             endFinished();
+            advanceUploadTails();
             endLargest();
             endSilent();
             const auto timeout = transfers_.empty() ? std::chrono::milliseconds(idlePollTimeout)
                                                     : silenceCheckPeriod;
-            curl_multi_poll(multi_, nullptr, 0, static_cast<int>(timeout.count()), nullptr);
+            auto sockets = uploadTailSockets();
+            curl_multi_poll(multi_, sockets.data(), static_cast<unsigned>(sockets.size()),
+                            static_cast<int>(timeout.count()), nullptr);
         }
     }
 
@@ -147,9 +152,9 @@
 
     auto begin(Start start) -> void
     {
-        auto transfer
-            = std::make_unique<HttpTransfer>(std::move(start.call_), std::move(start.hooks_),
-                                             std::chrono::steady_clock::now(), heldBytes_);
+        auto transfer = std::make_unique<HttpTransfer>(
+            std::move(start.call_), std::move(start.hooks_), std::chrono::steady_clock::now(),
+            heldBytes_, sockets_);
         curl_multi_add_handle(multi_, transfer->handle());
         idOf_[transfer->handle()] = start.id_;
         transfers_.emplace(start.id_, std::move(transfer));
@@ -163,6 +168,7 @@
             return nullptr;
         auto transfer = std::move(found->second);
         transfers_.erase(found);
+        uploadTails_.erase(id);
         idOf_.erase(transfer->handle());
         curl_multi_remove_handle(multi_, transfer->handle());
         return transfer;
@@ -181,11 +187,37 @@
             if (message->msg != CURLMSG_DONE)
                 continue;
             const auto code = message->data.result;
-            if (const auto transfer = remove(idOf_.at(message->easy_handle)))
-                transfer->endWith(code);
+            const auto id = idOf_.at(message->easy_handle);
+            if (code == CURLE_OK && transfers_.at(id)->uploadTail() != nullptr) {
+                curl_multi_remove_handle(multi_, message->easy_handle);
+                uploadTails_.insert(id);
+            } else {
+                remove(id)->endWith(code);
+            }
         }
     }
 
+    auto advanceUploadTails() -> void
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto id : std::vector(uploadTails_.begin(), uploadTails_.end())) {
+            if (!transfers_.at(id)->advanceUploadTail(now))
+                remove(id);
+        }
+    }
+
+    /// The sockets that libcurl has closed and that still send the rest of a request.
+    auto uploadTailSockets() const -> std::vector<curl_waitfd>
+    {
+        auto sockets = std::vector<curl_waitfd>{};
+        for (const auto id : uploadTails_) {
+            const auto &tail = *transfers_.at(id)->uploadTail();
+            if (tail.unsentBytes() > 0)
+                sockets.push_back({tail.socket(), CURL_WAIT_POLLOUT, 0});
+        }
+        return sockets;
+    }
+
     /// Ends the calls whose receivers hold most while all together hold too much.
     auto endLargest() -> void
     {
@@ -222,7 +254,10 @@
 
     CURLM *multi_ = nullptr;
     HeldBytes heldBytes_;
+    SocketHandover sockets_;
     Transfers transfers_;
+    /// The calls with an HttpTransfer::uploadTail().
+    std::set<HttpCallId> uploadTails_;
     std::map<CURL *, HttpCallId> idOf_;
     MonotonicTime nextSilenceCheck_;
     std::thread thread_;
--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -1,6 +1,7 @@
 #include "transport/HttpTransfer.h"
 
 #include "base/ErrorCode.h"
+#include "transport/SocketHandover.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -29,7 +30,7 @@
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpCall call, HttpCallHooks hooks, MonotonicTime now,
-                           HeldBytes &heldByAll)
+                           HeldBytes &heldByAll, SocketHandover &sockets)
     : call_(std::move(call))
     , hooks_(std::move(hooks))
     , easy_(curl_easy_init(), &curl_easy_cleanup)
@@ -38,6 +39,7 @@
     , heldByAll_(heldByAll)
     , startedAt_(now)
     , lastHeard_(now)
+    , sockets_(sockets)
 {
     configure();
     configureBody();
@@ -49,6 +51,8 @@
 {
     --heldByAll_.calls_;
     setHeldBytes(0);
+    if (wantsSocket_)
+        sockets_.forget(localAddress_);
 }
 
 auto HttpTransfer::setHeldBytes(std::size_t bytes) -> void
@@ -93,6 +97,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &HttpTransfer::onConnected);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpTransfer::onClose);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &sockets_);
     // The answer reader decodes chunks, so that it sees every byte.
     curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
@@ -164,11 +170,35 @@
     return connected_ || sent > 0 ? Verdict::MayHaveRun : Verdict::NotRun;
 }
 
+auto HttpTransfer::sentBodyBytes() const -> std::size_t
+{
+    auto sent = curl_off_t{0};
+    curl_easy_getinfo(easy_.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+    return std::min(static_cast<std::size_t>(sent), call_.request_.body_.size());
+}
+
 auto HttpTransfer::isWholeAfter(CURLcode code) const -> bool
 {
     if (reader_.isDelimited())
         return reader_.isWhole();
-    return code == CURLE_OK && reader_.isHeadComplete();
+    return code == CURLE_OK && reader_.isHeadComplete()
+        && (tail_ || sentBodyBytes() == call_.request_.body_.size());
+}
+
+auto HttpTransfer::advanceUploadTail(MonotonicTime now) -> bool
+{
+    const auto unsent = tail_->unsentBytes();
+    const auto state = tail_->advance();
+    if (tail_->unsentBytes() < unsent)
+        lastHeard_ = now;
+    if (state == UploadTail::State::Sending)
+        return true;
+    if (state == UploadTail::State::Received)
+        endWith(CURLE_OK);
+    else
+        endWith(Error::IncompleteAnswer,
+                call_.address_ + ": the connection was reset while the request was being sent");
+    return false;
 }
 
 auto HttpTransfer::endWith(CURLcode code) -> void
@@ -193,6 +223,11 @@
         hooks_.ended_(HttpOutcome{.verdict_ = Verdict::Ran, .isDelimited_ = reader_.isDelimited()});
         return;
     }
+    if (code == CURLE_OK && reader_.isHeadComplete()) {
+        endWith(Error::IncompleteAnswer,
+                call_.address_ + ": the answer ended before the request was sent");
+        return;
+    }
     const auto message = call_.address_ + ": " + curl_easy_strerror(code);
     if (verdict() == Verdict::NotRun)
         endWith(code == CURLE_URL_MALFORMAT ? Error::InvalidArgument : Error::ConnectionFailed,
@@ -233,6 +268,18 @@
     if (hooks_.head_)
         hooks_.head_(reader_.head());
     isWrongAnswer_ = hooks_.answersThisCall_ && !hooks_.answersThisCall_(reader_.head());
+    if (!reader_.isDelimited() && !call_.request_.body_.empty())
+        wantSocket();
+}
+
+auto HttpTransfer::wantSocket() -> void
+{
+    wantsSocket_ = true;
+    sockets_.want(localAddress_, [this](int socket) {
+        const auto body
+            = std::string_view(call_.request_.body_.data(), call_.request_.body_.size());
+        tail_ = std::make_unique<UploadTail>(socket, body.substr(sentBodyBytes()));
+    });
 }
 
 auto HttpTransfer::takePart(std::string_view part) -> void
@@ -271,7 +318,13 @@
     return goesOn ? size * count : CURL_WRITEFUNC_ERROR;
 }
 
-auto HttpTransfer::onConnected(void *self, char *, char *, int, int) -> int
+auto HttpTransfer::onClose(void *sockets, curl_socket_t socket) -> int
+{
+    return static_cast<SocketHandover *>(sockets)->close(socket);
+}
+
+auto HttpTransfer::onConnected(void *self, char * /*remoteIp*/, char *localIp, int /*remotePort*/,
+                               int localPort) -> int
 {
     auto *transfer = static_cast<HttpTransfer *>(self);
     // libcurl sends a request anew when a pooled connection breaks before the answer; whether to
@@ -283,6 +336,7 @@
     if (transfer->forbidden_)
         return CURL_PREREQFUNC_ABORT;
     transfer->connected_ = true;
+    transfer->localAddress_ = std::string(localIp) + ":" + std::to_string(localPort);
     transfer->lastHeard_ = now();
     return CURL_PREREQFUNC_OK;
 }
