transport: Give a status call no status from an answer that is not whole

The head of an answer that then broke off, or was malformed, still told its status: a probe took a 421 whose body was cut for the word of another process, so that an upstream could count as ended. Orders were safe, their callers look at the error too. startForStatus() now gives 0 unless the answer is whole, as it does where none came; a probe counts such an answer as none.

MalformedAnswer.ofAStatusCall failed before (421 where 0 was expected).

--- a/packages/transport/StatusCall.cpp
+++ b/packages/transport/StatusCall.cpp
@@ -22,8 +22,9 @@
         call.totalTimeout_ = call.connectTimeout_ + call.firstByteTimeout_ + call.idleTimeout_;
     auto status = std::make_shared<std::atomic<std::uint16_t>>(std::uint16_t{0});
     const auto head = [status](const HttpResponse &response) { *status = response.status_; };
-    const auto ended
-        = [status, done = std::move(done)](const HttpOutcome &outcome) { done(*status, outcome); };
+    const auto ended = [status, done = std::move(done)](const HttpOutcome &outcome) {
+        done(outcome.error_ ? std::uint16_t{0} : status->load(), outcome);
+    };
     client.start(std::move(call), HttpCallHooks{head, nullptr, ended});
 }
 
--- a/tests/transport/MalformedAnswerTest.cpp
+++ b/tests/transport/MalformedAnswerTest.cpp
@@ -3,6 +3,7 @@
 #include "transport/HttpClient.h"
 #include "transport/HttpFixture.h"
 #include "transport/ScriptedServer.h"
+#include "transport/StatusCall.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -111,3 +112,23 @@
         CHECK(answer->body_ == "whole");
     }
 }
+
+// Guards against an order that counts as carried out, or a process that counts as gone, by the head
+// of an answer that is not whole.
+TEST(MalformedAnswer, ofAStatusCall_thatIsNotWhole_hasNoStatus)
+{
+    for (const auto *bytes : {"HTTP/1.1 421 Misdirected\r\nContent-Length: 9\r\n\r\nhalf",
+                              "HTTP/1.1 202 Accepted\r\nContent-Length: 9x\r\n\r\nhalf"}) {
+        const auto server = ScriptedServer(
+            1, [&](asio::ip::tcp::socket &socket) { ScriptedServer::write(socket, bytes); });
+        auto call = HttpCall{};
+        call.address_ = server.address();
+        call.request_ = {"POST", "/", {}, {}};
+        auto statuses = Watched<std::vector<std::uint16_t>>{};
+        startForStatus(client_, std::move(call), [&](std::uint16_t status, const HttpOutcome &) {
+            statuses.change([&](auto &all) { all.push_back(status); });
+        });
+        CHECK(statuses.waitFor([](const auto &all) { return !all.empty(); }));
+        LONGS_EQUAL(0, statuses.get().front());
+    }
+}
