--- a/tests/transport/MutatedAnswerTest.cpp
+++ b/tests/transport/MutatedAnswerTest.cpp
@@ -70,28 +70,28 @@
             bytes = "\n";
     }
 
-    const std::vector<AnswerSample> sound_ = soundAnswers();
-    const std::vector<std::string> pieces_ = {"\r\n"s,
-                                              "\n"s,
-                                              "\r"s,
-                                              " "s,
-                                              "\t"s,
-                                              ":"s,
-                                              ","s,
-                                              ";"s,
-                                              "0"s,
-                                              "9"s,
-                                              "\0"s,
-                                              "\x7f"s,
-                                              "\xff"s,
-                                              "Content-Length: 4\r\n"s,
-                                              "Content-Length: 9\r\n"s,
-                                              "Transfer-Encoding: chunked\r\n"s,
-                                              "Transfer-Encoding"s,
-                                              "HTTP/1.0 200 OK\r\n"s,
-                                              "\r\n\r\n"s,
-                                              "0\r\n\r\n"s,
-                                              "5\r\n"s};
+    std::vector<AnswerSample> sound_ = soundAnswers();
+    std::vector<std::string> pieces_ = {"\r\n"s,
+                                        "\n"s,
+                                        "\r"s,
+                                        " "s,
+                                        "\t"s,
+                                        ":"s,
+                                        ","s,
+                                        ";"s,
+                                        "0"s,
+                                        "9"s,
+                                        "\0"s,
+                                        "\x7f"s,
+                                        "\xff"s,
+                                        "Content-Length: 4\r\n"s,
+                                        "Content-Length: 9\r\n"s,
+                                        "Transfer-Encoding: chunked\r\n"s,
+                                        "Transfer-Encoding"s,
+                                        "HTTP/1.0 200 OK\r\n"s,
+                                        "\r\n\r\n"s,
+                                        "0\r\n\r\n"s,
+                                        "5\r\n"s};
     std::mt19937 random_;
 };
 
@@ -110,7 +110,7 @@
 /// refused.
 TEST_GROUP(MutatedAnswer)
 {
-    const std::uint32_t firstSeed_ = number("LYCHEEREACH_FIRST_SEED", 1);
+    std::uint32_t firstSeed_ = number("LYCHEEREACH_FIRST_SEED", 1);
 };
 
 TEST(MutatedAnswer, ofAnySeed_read_isWhatTheGrammarSays)
