state: Take the upstreams of a zone that is brought in for cold until they announce otherwise

Cause: the upstreams of an evacuated zone may be cold when it comes back, and say so with their next announcement, 1.2 s later or more; until then their idle groups are the first choice of every entry. All upstreams of the breaks are in the zone that is brought in at that moment. Ruled out: entries with different lists of entries.

The command that brings a zone in now marks its upstreams cold where a cold rate limit is declared; the announcements that follow correct it.

--- a/packages/state/OperatorCommands.cpp
+++ b/packages/state/OperatorCommands.cpp
@@ -79,6 +79,24 @@
     return keep(context, std::move(outcome));
 }
 
+/// Takes a zone out or brings it in. The upstreams of a zone that is brought in may have become
+/// cold without having announced it yet, so those with a cold rate limit are cold until they
+/// announce that they are warm.
+auto changeZone(FleetState &state, const ZoneName &zone, bool out) -> void
+{
+    ++state.zonesVersion_;
+    if (out) {
+        state.zonesOut_.insert(zone);
+        return;
+    }
+    state.zonesOut_.erase(zone);
+    for (auto &[id, upstream] : state.upstreams_) {
+        const auto *profile = findProfile(state.declaration_, upstream.announced_.pool_);
+        if (upstream.announced_.zone_ == zone && profile != nullptr && profile->coldPerSecond_ > 0)
+            upstream.announced_.cold_ = true;
+    }
+}
+
 } // namespace
 
 auto handle(CommandContext &context, const ApplyDeclaration &command) -> CommandOutcome
@@ -129,11 +147,7 @@
     auto &state = context.state_;
     if (state.zonesOut_.contains(command.zone_) == command.out_)
         return accepted();
-    if (command.out_)
-        state.zonesOut_.insert(command.zone_);
-    else
-        state.zonesOut_.erase(command.zone_);
-    ++state.zonesVersion_;
+    changeZone(state, command.zone_, command.out_);
     state.requiredIndex_ = context.index_;
     const auto number = command.out_ ? EventNumber::ZoneTakenOut : EventNumber::ZoneBroughtIn;
     context.sink_(Event{number, {{"zone", command.zone_.text()}}});
@@ -165,11 +179,8 @@
         return refuse(context, std::move(outcome), OperationStatus::Refused,
                       "unknown zone '" + command.zone_.text()
                           + "'; the declaration names the zones");
-    if (command.out_)
-        state.zonesOut_.insert(command.zone_);
-    else
-        state.zonesOut_.erase(command.zone_);
-    outcome.version_ = ++state.zonesVersion_;
+    changeZone(state, command.zone_, command.out_);
+    outcome.version_ = state.zonesVersion_;
     const auto number = command.out_ ? EventNumber::ZoneTakenOut : EventNumber::ZoneBroughtIn;
     context.sink_(
         Event{number, {{"zone", command.zone_.text()}, {"operation", command.operation_.text()}}});
--- a/tests/state/PublishDeclarationTest.cpp
+++ b/tests/state/PublishDeclarationTest.cpp
@@ -71,3 +71,30 @@
     UNSIGNED_LONGS_EQUAL(version, fixture_.state().zonesVersion_);
     CHECK(fixture_.state().zonesOut_.contains(ZoneName("a")));
 }
+
+/// Guards against a cold upstream that gets as many requests as a warm one, because its zone comes
+/// back before its announcement does (FAILBACK).
+TEST(PublishDeclaration, aZoneBroughtIn_evacuate_itsUpstreamsAreColdUntilTheyAnnounceOtherwise)
+{
+    auto declaration = StateFixture::declaration();
+    declaration.profiles_ = {UpstreamProfile{.name_ = PoolName("llm"), .coldPerSecond_ = 15}};
+    CHECK(fixture_.run(PublishDeclaration{1, declaration, "x"}).accepted_);
+    const auto announceWarm = [this] {
+        auto announcement = Announcement{.upstream_ = UpstreamId("u1"),
+                                         .incarnation_ = 1,
+                                         .sequence_ = ++fixture_.sequence_,
+                                         .zone_ = ZoneName("a"),
+                                         .pool_ = PoolName("llm"),
+                                         .cold_ = false};
+        CHECK(fixture_.run(PutUpstream{announcement, EntryId("e1")}).accepted_);
+    };
+    const auto isCold
+        = [this] { return fixture_.state().upstreams_.at(UpstreamId("u1")).announced_.cold_; };
+    announceWarm();
+    CHECK(fixture_.run(EvacuateZone{ZoneName("a"), true}).accepted_);
+    CHECK_FALSE(isCold());
+    CHECK(fixture_.run(EvacuateZone{ZoneName("a"), false}).accepted_);
+    CHECK(isCold());
+    announceWarm();
+    CHECK_FALSE(isCold());
+}
