--- a/packages/transport/HttpCall.h
+++ b/packages/transport/HttpCall.h
@@ -46,7 +46,8 @@
 /// How a call ended.
 struct HttpOutcome
 {
-    /// Empty when the whole answer arrived.
+    /// Empty when the whole answer arrived; Error::MalformedAnswer when the bytes are no answer,
+    /// Error::IncompleteAnswer when it broke off or is longer than is taken.
     std::error_code error_;
     /// NotRun when no byte of the request left, Ran when the whole answer arrived.
     Verdict verdict_ = Verdict::NotRun;
