--- a/tests/transport/MutatedAnswerTest.cpp
+++ b/tests/transport/MutatedAnswerTest.cpp
@@ -3,6 +3,7 @@
 #include "transport/ReadAnswer.h"
 #include "transport/ReferenceAnswer.h"
 #include "transport/ScriptedServer.h"
+#include "transport/Waiter.h"
 
 #include <cstdlib>
 #include <random>
@@ -136,12 +137,14 @@
     auto whole = 0;
     for (auto seed = firstSeed_; seed < firstSeed_ + seeds; ++seed) {
         auto mutator = Mutator(seed);
-        auto bytes = std::string{};
+        // The server may still be writing one answer when the next is drawn.
+        auto sent = Watched<std::string>{};
         const auto server = ScriptedServer(drawsOfASeed, [&](asio::ip::tcp::socket &socket) {
-            ScriptedServer::write(socket, bytes);
+            ScriptedServer::write(socket, sent.get());
         });
         for (auto draw = 0; draw < drawsOfASeed; ++draw) {
-            bytes = mutator.draw();
+            const auto bytes = mutator.draw();
+            sent.change([&](std::string &value) { value = bytes; });
             auto call = HttpCall{};
             call.address_ = server.address();
             call.request_ = {"GET", "/", {}, {}};
