forward: Prove a part by an undelimited answer only if its upstream lives

Cause: the end of such an answer is the end of its connection, which a process that ends closes in the same way. The request counted as answered, so that CrashWatch took its parts for proven: left out of all crash reports, cleared where they were suspected.

Ruled out: only streams of 0.5 s or more prove (short sound ones would prove nothing and be reported with every crash nearby); holding the end back from callers (by the platform's pages the stream is complete).

Now such an answer proves its parts only once a probe that is sent after its end finds the upstream alive; if the process has ended, the request counts as in flight at a crash. An answer that ends while a probe is under way gets another: the first may be from before the crash. No probe where all parts are proven, and one at a time for each upstream.

--- a/packages/forward/CrashWatch.cpp
+++ b/packages/forward/CrashWatch.cpp
@@ -92,8 +92,21 @@
     }
 }
 
+auto CrashWatch::recordUndelimited(const ForwardTarget &target,
+                                   const std::vector<std::string> &fingerprints) -> void
+{
+    if (!arePartsProven(fingerprints) || !findSuspect(fingerprints).empty())
+        collect(target, fingerprints, fingerprints);
+}
+
 auto CrashWatch::recordBroken(const ForwardTarget &target,
                               const std::vector<std::string> &fingerprints) -> void
+{
+    collect(target, fingerprints, {});
+}
+
+auto CrashWatch::collect(const ForwardTarget &target, const std::vector<std::string> &fingerprints,
+                         const std::vector<std::string> &answered) -> void
 {
     const auto crashed = CrashedTarget{target.upstream_, target.incarnation_};
     const auto now = hooks_.now_();
@@ -102,13 +115,16 @@
         if (!cases_.contains(crashed) && cases_.size() >= maxCases)
             return;
         const auto [found, isNew]
-            = cases_.emplace(crashed, Case{target, now, std::nullopt, {}, nullptr});
+            = cases_.emplace(crashed, Case{target, now, std::nullopt, {}, {}, {}, nullptr});
         auto &inFlight = found->second.fingerprints_;
         for (const auto &fingerprint : fingerprints) {
             if (inFlight.size() < crash_message::maxFingerprints
                 && !proven_.contains(fingerprint, now))
                 inFlight.insert(fingerprint);
         }
+        auto &ended = isNew ? found->second.answered_ : found->second.answeredSince_;
+        if (ended.size() < crash_message::maxFingerprints)
+            ended.insert(answered.begin(), answered.end());
         if (!isNew)
             return;
     }
@@ -121,20 +137,33 @@
         if (const auto found = cases_.find(crashed); found != cases_.end())
             found->second.collectionTimer_ = std::move(timer);
     }
-    hooks_.probe_(target, [weak = weak_from_this(), crashed](bool hasEnded) {
+    hooks_.probe_(target, [weak = weak_from_this(), crashed](std::optional<bool> hasEnded) {
         if (const auto self = weak.lock())
             self->recordProbe(crashed, hasEnded);
     });
 }
 
-auto CrashWatch::recordProbe(const CrashedTarget &crashed, bool hasEnded) -> void
+auto CrashWatch::recordProbe(const CrashedTarget &crashed, std::optional<bool> hasEnded) -> void
 {
+    auto probed = std::optional<Case>{};
     {
         const auto lock = std::scoped_lock(mutex_);
-        if (const auto found = cases_.find(crashed); found != cases_.end())
-            found->second.hasEnded_ = hasEnded;
+        const auto found = cases_.find(crashed);
+        if (found == cases_.end())
+            return;
+        found->second.hasEnded_ = hasEnded.value_or(false);
+        probed = found->second;
+        probed->collectionTimer_.reset();
     }
     report();
+    if (hasEnded.value_or(false))
+        return;
+    if (hasEnded)
+        recordServed({probed->answered_.begin(), probed->answered_.end()});
+    if (!probed->answeredSince_.empty()) {
+        recordUndelimited(probed->target_,
+                          {probed->answeredSince_.begin(), probed->answeredSince_.end()});
+    }
 }
 
 auto CrashWatch::takeDueCases(MonotonicTime now) -> std::vector<Case>
--- a/packages/forward/CrashWatch.h
+++ b/packages/forward/CrashWatch.h
@@ -23,8 +23,9 @@
 
 /// One entry's part in finding requests, and parts of prompts, that crash upstreams. Collects what
 /// was in flight at an upstream whose connections break, and reports it to control once a probe
-/// shows that the upstream has ended. A fingerprint with which a request ended well recently is
-/// proven: it is not reported, and clears a suspicion. Fingerprints are those of
+/// shows that the upstream has ended. Where an answer ends with its connection a crash looks like
+/// the end, so that only a probe tells the two apart. A fingerprint with which a request ended well
+/// recently is proven: it is not reported, and clears a suspicion. Fingerprints are those of
 /// requests/RequestFingerprint.h; all memory is bounded, whatever callers send. Thread-safe;
 /// guarded by one lock of rank LockRank::Targets.
 class CrashWatch : public std::enable_shared_from_this<CrashWatch>
@@ -46,6 +47,11 @@
     [[nodiscard]] auto arePartsProven(const std::vector<std::string> &fingerprints) const -> bool;
     /// A request with \a fingerprints has been answered, or its answer has gone on long enough.
     auto recordServed(const std::vector<std::string> &fingerprints) -> void;
+    /// An answer to a request with \a fingerprints ended with its connection at \a target: the
+    /// request has been answered if a probe finds the upstream alive, and broke if it has ended.
+    /// Asks only where that is not known of every part.
+    auto recordUndelimited(const ForwardTarget &target,
+                           const std::vector<std::string> &fingerprints) -> void;
     /// The connection of a request with \a fingerprints broke at \a target, which may have crashed.
     auto recordBroken(const ForwardTarget &target, const std::vector<std::string> &fingerprints)
         -> void;
@@ -66,11 +72,19 @@
         std::optional<bool> hasEnded_;
         /// In flight and not reported yet.
         std::set<std::string> fingerprints_;
+        /// Of answers that ended with their connection before the probe was sent, and after: the
+        /// probe shows only of the former that the upstream has outlived them.
+        std::set<std::string> answered_;
+        std::set<std::string> answeredSince_;
         /// Ends the time in which further connections break.
         std::shared_ptr<Timer> collectionTimer_;
     };
 
-    auto recordProbe(const CrashedTarget &crashed, bool hasEnded) -> void;
+    /// Opens the case of \a target, or adds \a fingerprints to it; \a answered are those of answers
+    /// that ended with their connection.
+    auto collect(const ForwardTarget &target, const std::vector<std::string> &fingerprints,
+                 const std::vector<std::string> &answered) -> void;
+    auto recordProbe(const CrashedTarget &crashed, std::optional<bool> hasEnded) -> void;
     /// Reports the cases that are due.
     auto report() -> void;
     /// Cases with something to report; drops those that are no crash or old.
--- a/packages/forward/CrashWatchHooks.h
+++ b/packages/forward/CrashWatchHooks.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lycheereach {
@@ -18,8 +19,10 @@
 /// Functions that a CrashWatch calls in its process.
 struct CrashWatchHooks
 {
-    /// Finds out over a new connection whether the process that was \a target has ended.
-    std::function<void(const ForwardTarget &target, std::function<void(bool hasEnded)> done)>
+    /// Finds out over a new connection whether the process that was \a target has ended; nothing
+    /// when neither it nor its system answers.
+    std::function<void(const ForwardTarget &target,
+                       std::function<void(std::optional<bool> hasEnded)> done)>
         probe_;
     /// Calls \a work after \a delay unless the timer is dropped before.
     std::function<std::shared_ptr<Timer>(Duration delay, std::function<void()> work)> after_;
--- a/packages/forward/ForwardAction.h
+++ b/packages/forward/ForwardAction.h
@@ -65,6 +65,14 @@
     std::string events_;
 };
 
+/// Record that the caller gets a successful answer of the upstream; ahead of its end.
+struct RecordSuccess
+{
+    ForwardTarget target_;
+    /// Whether a length or chunks show that the answer is whole. A crash may have ended it else.
+    bool isDelimited_ = false;
+};
+
 /// End the streamed response normally.
 struct EndStream
 { };
@@ -94,10 +102,10 @@
 namespace lycheereach {
 
 /// One output of ForwardStateMachine.
-using ForwardAction = std::variant<forward_action::ChooseTarget, forward_action::StartAttempt,
-                                   forward_action::CancelAttempt, forward_action::ReleaseTarget,
-                                   forward_action::BeginStream, forward_action::SendEvents,
-                                   forward_action::EndStream, forward_action::SendResponse,
-                                   forward_action::SendRefusal, forward_action::AbortResponse>;
+using ForwardAction = std::variant<
+    forward_action::ChooseTarget, forward_action::StartAttempt, forward_action::CancelAttempt,
+    forward_action::ReleaseTarget, forward_action::BeginStream, forward_action::SendEvents,
+    forward_action::RecordSuccess, forward_action::EndStream, forward_action::SendResponse,
+    forward_action::SendRefusal, forward_action::AbortResponse>;
 
 } // namespace lycheereach
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -221,6 +221,7 @@
         return;
     const auto isBrokenOff = this->isBrokenOff(event);
     auto ended = take(*found);
+    ended.isDelimited_ = event.isDelimited_;
     const auto failure = failureOf(ended, event);
     const auto isWholeAnswer = failure.empty() && !ended.isStreaming(plan_.kind_);
     isCutWithinEvent_ = isCutWithinEvent_ || !ended.reader_.isAtEventBoundary();
@@ -288,6 +289,8 @@
         forward_action::ReleaseTarget{attempt.target_, "", Verdict::Ran, TargetOutcome::Responded});
     if (std::exchange(replied_, true))
         return;
+    if (headSent_ || attempt.head_->status_ < firstNonSuccessStatus)
+        emit(forward_action::RecordSuccess{attempt.target_, attempt.isDelimited_});
     if (headSent_)
         emit(forward_action::EndStream{});
     else
--- a/packages/forward/ForwardStateMachine.h
+++ b/packages/forward/ForwardStateMachine.h
@@ -73,6 +73,8 @@
         bool hasDelivered_ = false;
         /// Whether the whole response has arrived.
         bool isWhole_ = false;
+        /// Whether a length or chunks show where the response ends.
+        bool isDelimited_ = false;
         /// Whether the upstream ended the connection after the request was sent.
         bool isBroken_ = false;
         /// What a failure of the attempt shows about its target.
--- a/packages/forward/ForwardedRequest.cpp
+++ b/packages/forward/ForwardedRequest.cpp
@@ -18,7 +18,6 @@
 
 /// Retry-After while no upstream accepts requests.
 constexpr auto noTargetRetryAfter = std::chrono::milliseconds(2000);
-constexpr std::uint16_t firstNonSuccessStatus = 300;
 
 auto isStreaming(RouteKind kind) -> bool
 {
@@ -187,6 +186,11 @@
         context_.crashes_.recordServed(routed_.request_.fingerprints_);
 }
 
+auto ForwardedRequest::isSoundStream(MonotonicTime now) const -> bool
+{
+    return streamSince_ && now - *streamSince_ >= ProvenFingerprints::soundStreamTime;
+}
+
 auto ForwardedRequest::recordIfBroken(const ForwardTarget &target,
                                       const forward_event::AttemptEnded &ended) -> void
 {
@@ -204,7 +208,7 @@
     call.progressAt_ = context_.clock_();
     if (!streamSince_)
         streamSince_ = call.progressAt_;
-    if (call.progressAt_ - *streamSince_ >= ProvenFingerprints::soundStreamTime)
+    if (isSoundStream(call.progressAt_))
         recordServed();
     if (context_.targets_.recordProgress(call.target_, call.progressAt_))
         context_.onProgress_(call.target_.upstream_);
@@ -264,16 +268,21 @@
     reply_->write(action.events_, nullptr);
 }
 
+auto ForwardedRequest::perform(const forward_action::RecordSuccess &action) -> void
+{
+    if (action.isDelimited_ || isSoundStream(context_.clock_()))
+        recordServed();
+    else if (!isServedRecorded_)
+        context_.crashes_.recordUndelimited(action.target_, routed_.request_.fingerprints_);
+}
+
 auto ForwardedRequest::perform(const forward_action::EndStream & /*action*/) -> void
 {
-    recordServed();
     reply_->finish();
 }
 
 auto ForwardedRequest::perform(const forward_action::SendResponse &action) -> void
 {
-    if (action.head_.status_ < firstNonSuccessStatus)
-        recordServed();
     reply_->send(HttpResponse{action.head_.status_, responseHeaders(action.head_), action.body_});
 }
 
--- a/packages/forward/ForwardedRequest.h
+++ b/packages/forward/ForwardedRequest.h
@@ -60,6 +60,7 @@
     auto perform(const forward_action::ReleaseTarget &action) -> void;
     auto perform(const forward_action::BeginStream &action) -> void;
     auto perform(const forward_action::SendEvents &action) -> void;
+    auto perform(const forward_action::RecordSuccess &action) -> void;
     auto perform(const forward_action::EndStream &action) -> void;
     auto perform(const forward_action::SendResponse &action) -> void;
     auto perform(const forward_action::SendRefusal &action) -> void;
@@ -70,6 +71,8 @@
     auto handleProgress(std::uint32_t attempt) -> void;
     /// Records that the request has not crashed its upstream.
     auto recordServed() -> void;
+    /// Whether a stream has gone on for so long that the request has not crashed its upstream.
+    [[nodiscard]] auto isSoundStream(MonotonicTime now) const -> bool;
     /// Reports what was in flight at \a target, whose connection \a ended, if the request may have
     /// crashed it.
     auto recordIfBroken(const ForwardTarget &target, const forward_event::AttemptEnded &ended)
--- a/tests/forward/CrashWatchTest.cpp
+++ b/tests/forward/CrashWatchTest.cpp
@@ -22,7 +22,7 @@
 
     MonotonicTime now_{100s};
     bool isLeaving_ = false;
-    std::vector<std::function<void(bool)>> probes_;
+    std::vector<std::function<void(std::optional<bool>)>> probes_;
     std::vector<SentMessage> sent_;
     std::shared_ptr<CrashWatch> watch_;
     ForwardTarget target_{UpstreamId("u1"), 7, "127.0.0.1:1", PoolName("p"), {}};
@@ -32,9 +32,10 @@
     auto setup()->void override
     {
         watch_ = std::make_shared<CrashWatch>(CrashWatchHooks{
-            .probe_
-            = [this](const ForwardTarget &,
-                     std::function<void(bool)> done) { probes_.push_back(std::move(done)); },
+            .probe_ =
+                [this](const ForwardTarget &, std::function<void(std::optional<bool>)> done) {
+                    probes_.push_back(std::move(done));
+                },
             .after_ = [](Duration, const std::function<void()> &) { return nullptr; },
             .isLeaving_ = [this](const ForwardTarget &) { return isLeaving_; },
             .send_ =
@@ -115,6 +116,66 @@
     CHECK(report->fingerprints_ == std::vector<std::string>{poison_});
 }
 
+// Guards against a part that crashes upstreams behind a whole event and is taken for proven.
+TEST(CrashWatch, anUndelimitedAnswerEndsAndTheUpstreamHasEnded_probe_reportsItsParts)
+{
+    watch_->recordUndelimited(target_, {poison_, "request-1"});
+    LONGS_EQUAL(1, probes_.size());
+    CHECK_FALSE(watch_->arePartsProven({poison_}));
+    probes_[0](true);
+    tickLater();
+    CHECK(sent_.at(0).method_ == crash_message::report);
+    LONGS_EQUAL(2, decode<CrashReport>(sent_[0].params_)->fingerprints_.size());
+    CHECK_FALSE(watch_->arePartsProven({poison_}));
+}
+
+TEST(CrashWatch, anUndelimitedAnswerEndsAndTheUpstreamLives_probe_provesItsParts)
+{
+    watch_->receive(crash_message::suspects, Json{subject_});
+    watch_->recordUndelimited(target_, {subject_, "request-1"});
+    probes_[0](false);
+    CHECK(watch_->arePartsProven({subject_}));
+    tickLater();
+    LONGS_EQUAL(1, sent_.size());
+    CHECK(sent_[0].method_ == crash_message::served);
+    CHECK(sent_[0].params_ == Json{subject_});
+}
+
+TEST(CrashWatch, anUndelimitedAnswerEndsAndNothingAnswersTheProbe_probe_neitherProvesNorReports)
+{
+    watch_->recordUndelimited(target_, {subject_});
+    probes_[0](std::nullopt);
+    tickLater();
+    CHECK(sent_.empty());
+    CHECK_FALSE(watch_->arePartsProven({subject_}));
+}
+
+// Guards against a probe for each answer of an upstream that ends all with their connections.
+TEST(CrashWatch, allPartsAreProven_recordUndelimited_sendsNoProbe)
+{
+    watch_->recordServed({subject_});
+    watch_->recordUndelimited(target_, {subject_, "request-1"});
+    watch_->recordUndelimited(target_, {"request-2"});
+    CHECK(probes_.empty());
+}
+
+// Guards against a part that is proven by a probe from before the crash.
+TEST(CrashWatch, anotherUndelimitedAnswerEndsBehindTheProbe_probe_isRepeatedForThatOne)
+{
+    watch_->recordUndelimited(target_, {subject_});
+    watch_->recordUndelimited(target_, {poison_});
+    LONGS_EQUAL(1, probes_.size());
+    probes_[0](false);
+    CHECK(watch_->arePartsProven({subject_}));
+    CHECK_FALSE(watch_->arePartsProven({poison_}));
+    LONGS_EQUAL(2, probes_.size());
+    probes_[1](true);
+    tickLater();
+    LONGS_EQUAL(1, sent_.size());
+    CHECK(decode<CrashReport>(sent_[0].params_)->fingerprints_
+          == std::vector<std::string>{poison_});
+}
+
 // Guards against a retry that crashes a second upstream with the same request.
 TEST(CrashWatch, aPartThatIsNotProven_arePartsProven_isFalseUntilItIsServed)
 {
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -271,6 +271,34 @@
     CHECK(find<action::EndStream>() == nullptr);
 }
 
+// Guards against a crash behind a whole event that counts as a success without a doubt.
+TEST(ForwardStateMachine, anUndelimitedStream_ended_isASuccessThatACrashMayHaveEnded)
+{
+    for (const auto isDelimited : {false, true}) {
+        auto request = makeStateMachine(RouteKind::ResumableStream);
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        handle(request, ResponseHeadReceived{1, head(200)});
+        handle(request, AttemptData{1, "id: 1\ndata: a\n\n"});
+        handle(request,
+               AttemptEnded{.attempt_ = 1, .verdict_ = Verdict::Ran, .isDelimited_ = isDelimited});
+        CHECK(find<action::EndStream>() != nullptr);
+        CHECK(find<action::RecordSuccess>()->isDelimited_ == isDelimited);
+        CHECK(find<action::RecordSuccess>()->target_ == target("u1"));
+    }
+}
+
+TEST(ForwardStateMachine, anErrorResponse_ended_isNoSuccess)
+{
+    auto request = makeStateMachine(RouteKind::Unsafe);
+    handle(request, Start{});
+    startAttempt(request, "u1");
+    handle(request, ResponseHeadReceived{1, head(500)});
+    handle(request, endedNormally());
+    CHECK(find<action::SendResponse>() != nullptr);
+    CHECK(find<action::RecordSuccess>() == nullptr);
+}
+
 TEST(ForwardStateMachine, aStreamThatEndsWithinAnEvent_ended_doesNotLookComplete)
 {
     auto request = makeStateMachine(RouteKind::ResumableStream, 1);
