transport: Close idle connections by the limit in force

What callers saw: a connection without a request was closed after 40 s on the platform, 60 s on lycheereachd, whatever idleTimeoutMs said. A caller that reuses one after up to four fifths of idleTimeoutMs may find it closed once idleTimeoutMs is over 50 s, and an upload that takes longer than 40 s in all was cut, although never silent for that long.

Cause: both were RESTinio's one limit from the end of a response to the last byte of the next request, a constant of each process.

ConnectionRegistry, which closes connections whose heads and bodies are late, now takes the idle time as well: from accepting a connection, or the end of its last response, to the first byte of a request. HttpInputLimits carries it, for entries from requestLimits. A request that begins while its connection is being closed is not taken, so that it can't run without an answer. Idle connections don't count as timed out.

ConnectionRegistry.noRequest..., aClosedConnection..., RefusedRequest.anIdleConnection... are new; the last can't pass with a constant limit.

--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -52,7 +52,8 @@
     return {.headBytes_ = limits.headBytes_,
             .bodyBytes_ = limits.bodyBytes_,
             .headTimeout_ = std::chrono::milliseconds(limits.headTimeoutMs_),
-            .bodySilenceTimeout_ = std::chrono::milliseconds(limits.idleTimeoutMs_)};
+            .bodySilenceTimeout_ = std::chrono::milliseconds(limits.idleTimeoutMs_),
+            .idleTimeout_ = std::chrono::milliseconds(limits.idleTimeoutMs_)};
 }
 
 } // namespace
--- a/packages/transport/ConnectionRegistry.cpp
+++ b/packages/transport/ConnectionRegistry.cpp
@@ -77,12 +77,19 @@
         if (pause > longestTickInterval) {
             *record.dueAt_ += pause;
         } else if (now >= *record.dueAt_) {
-            ++counters_.timedOut_;
+            counters_.timedOut_ += record.isReceiving_ ? 1 : 0;
             close(record);
         }
     }
 }
 
+auto ConnectionRegistry::setIdleIfDone(Record &record) -> void
+{
+    const auto isBusy = record.isReceiving_ || record.openRequests_ > 0 || record.outputBytes_ > 0;
+    if (record.idleTimeout_ && !isBusy)
+        record.dueAt_ = now_() + *record.idleTimeout_;
+}
+
 auto ConnectionRegistry::report() -> void
 {
     const auto last = std::exchange(reported_, counters_);
--- a/packages/transport/ConnectionRegistry.h
+++ b/packages/transport/ConnectionRegistry.h
@@ -22,13 +22,13 @@
 
 /// The connections of clients of all listeners of a process, and the bytes that they hold.
 ///
-/// While the limits allow it nothing is closed but a connection on which a request does not arrive
-/// in time. Beyond them it closes the connections that cost their clients least: for memory those
-/// with an incomplete request, or an unread response, that makes no progress, then the largest
-/// incomplete request, and for a response the one that has waited longest; for connections those
-/// that have never sent a whole request, then the one that has been idle longest. A connection on
-/// which a request is being handled is closed only when its client does not read the response.
-/// Thread-safe.
+/// While the limits allow it nothing is closed but a connection on which a request, or the next
+/// one, does not arrive in time. Beyond them it closes the connections that cost their clients
+/// least: for memory those with an incomplete request, or an unread response, that makes no
+/// progress, then the largest incomplete request, and for a response the one that has waited
+/// longest; for connections those that have never sent a whole request, then the one that has been
+/// idle longest. A connection on which a request is being handled is closed only when its client
+/// does not read the response. Thread-safe.
 class ConnectionRegistry : public std::enable_shared_from_this<ConnectionRegistry>
 {
 public:
@@ -64,14 +64,19 @@
         /// Requests without a whole response.
         std::size_t openRequests_ = 0;
         bool hasSentRequest_ = false;
+        /// Whether a request has begun to arrive and is not complete.
+        bool isReceiving_ = false;
         /// Whether the connection is never closed to make room.
         bool isExempt_ = false;
         bool isClosing_ = false;
         MonotonicTime receivedAt_;
         /// When bytes were last sent, or began to wait.
         MonotonicTime sentAt_;
-        /// When the head of the request, or the next bytes of its body, must have arrived.
+        /// When the head of the request, the next bytes of its body or, without one, the next
+        /// request must have arrived.
         std::optional<MonotonicTime> dueAt_;
+        /// How long there may be no request; nothing where that is not limited.
+        std::optional<Duration> idleTimeout_;
         /// How long the body may be silent; nothing outside of a body.
         std::optional<Duration> bodySilenceTimeout_;
     };
@@ -94,6 +99,8 @@
     // All that follow need the lock.
     auto add(CloseHook close) -> std::uint64_t;
     auto closeLate() -> void;
+    /// The connection is idle from now on, unless a request arrives or its response is not sent.
+    auto setIdleIfDone(Record &record) -> void;
     auto remove(std::uint64_t id) -> void;
     /// Has the connection closed; what it holds no longer counts.
     auto close(Record &record) -> void;
--- a/packages/transport/ConnectionUsage.cpp
+++ b/packages/transport/ConnectionUsage.cpp
@@ -63,9 +63,23 @@
     withRecord([&](auto &record) { record.sentAt_ = registry_->now_(); });
 }
 
-auto ConnectionUsage::beginRequest(Duration headTimeout) -> void
+auto ConnectionUsage::limitIdleTime(Duration idleTimeout) -> void
 {
-    withRecord([&](auto &record) { record.dueAt_ = registry_->now_() + headTimeout; });
+    withRecord([&](auto &record) {
+        record.idleTimeout_ = idleTimeout;
+        registry_->setIdleIfDone(record);
+    });
+}
+
+auto ConnectionUsage::beginRequest(Duration headTimeout) -> bool
+{
+    auto isOpen = false;
+    withRecord([&](auto &record) {
+        isOpen = !record.isClosing_;
+        record.isReceiving_ = true;
+        record.dueAt_ = registry_->now_() + headTimeout;
+    });
+    return isOpen;
 }
 
 auto ConnectionUsage::endHead(Duration bodySilenceTimeout) -> void
@@ -98,6 +112,7 @@
 {
     withRecord([&](auto &record) {
         registry_->heldBytes_ -= std::exchange(record.inputBytes_, 0);
+        record.isReceiving_ = false;
         record.dueAt_.reset();
         record.bodySilenceTimeout_.reset();
     });
@@ -109,6 +124,7 @@
     withRecord([&](auto &record) {
         bytes = std::exchange(record.inputBytes_, 0);
         record.hasSentRequest_ = true;
+        record.isReceiving_ = false;
         record.dueAt_.reset();
         record.bodySilenceTimeout_.reset();
     });
@@ -124,7 +140,10 @@
     withRecord([](auto &record) { ++record.openRequests_; });
     return std::make_shared<Release>([weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->withRecord([](auto &record) { --record.openRequests_; });
+            self->withRecord([&](auto &record) {
+                --record.openRequests_;
+                self->registry_->setIdleIfDone(record);
+            });
     });
 }
 
@@ -148,6 +167,7 @@
             const auto released = std::min(bytes, record.outputBytes_);
             record.outputBytes_ -= released;
             self->registry_->heldBytes_ -= released;
+            self->registry_->setIdleIfDone(record);
         });
     });
 }
--- a/packages/transport/ConnectionUsage.h
+++ b/packages/transport/ConnectionUsage.h
@@ -26,8 +26,11 @@
 
     auto recordReceived() -> void;
     auto recordSent() -> void;
-    /// The first bytes of a request have arrived; its head is due within \a headTimeout.
-    auto beginRequest(Duration headTimeout) -> void;
+    /// From now on the connection is closed when it has no request for \a idleTimeout.
+    auto limitIdleTime(Duration idleTimeout) -> void;
+    /// The first bytes of a request have arrived; its head is due within \a headTimeout. False when
+    /// the connection is being closed, so that nothing more may be taken from it.
+    auto beginRequest(Duration headTimeout) -> bool;
     /// The head of the request is complete; each part of its body is due within
     /// \a bodySilenceTimeout of the one before.
     auto endHead(Duration bodySilenceTimeout) -> void;
--- a/packages/transport/HttpInput.cpp
+++ b/packages/transport/HttpInput.cpp
@@ -21,7 +21,9 @@
 HttpInput::HttpInput(std::shared_ptr<ConnectionUsage> usage, HttpInputLimitsSource limits)
     : usage_(std::move(usage))
     , limitsSource_(std::move(limits))
-{ }
+{
+    usage_->limitIdleTime(limitsSource_().idleTimeout_);
+}
 
 auto HttpInput::begin() -> bool
 {
@@ -29,7 +31,9 @@
         return false;
     limits_ = limitsSource_();
     headBytes_ = 0;
-    usage_->beginRequest(limits_.headTimeout_);
+    if (!usage_->beginRequest(limits_.headTimeout_))
+        return false;
+    usage_->limitIdleTime(limits_.idleTimeout_);
     return true;
 }
 
--- a/packages/transport/HttpInputLimits.h
+++ b/packages/transport/HttpInputLimits.h
@@ -18,6 +18,8 @@
     Duration headTimeout_ = std::chrono::seconds(40);
     /// The longest silence within the body.
     Duration bodySilenceTimeout_ = std::chrono::seconds(40);
+    /// How long a connection may stay open without a request.
+    Duration idleTimeout_ = std::chrono::seconds(60);
 
     auto operator==(const HttpInputLimits &) const -> bool = default;
 };
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -45,6 +45,8 @@
 constexpr std::size_t headerCountLimit = 128;
 /// Retry-After of a request for which there is no memory.
 constexpr auto noMemoryRetryAfterSeconds = "1";
+/// From one request to the last byte of the next. The silence within is limited by HttpInputLimits.
+constexpr auto longestRequestTime = std::chrono::hours(24);
 constexpr auto timeoutCheckPeriod = std::chrono::milliseconds(250);
 
 auto reasonPhrase(std::uint16_t status) -> std::string
@@ -622,8 +624,8 @@
         result.incoming_http_msg_limits(limits)
             .max_pipelined_requests(pipelinedRequests)
             .timer_manager(timeoutCheckPeriod)
-            .read_next_http_message_timelimit(settings_.idleTimeout_)
-            .write_http_response_timelimit(settings_.idleTimeout_)
+            .read_next_http_message_timelimit(longestRequestTime)
+            .write_http_response_timelimit(settings_.writeTimeout_)
             .handle_request_timeout(settings_.handleTimeout_)
             .connection_state_listener(std::make_shared<ClosedListener>(core_))
             .request_handler([core = core_](const restinio::request_handle_t &request) {
--- a/packages/transport/HttpServer.h
+++ b/packages/transport/HttpServer.h
@@ -30,8 +30,8 @@
     HttpInputLimitsSource inputLimits_;
     /// The connections of the process; of this server alone if not set.
     std::shared_ptr<ConnectionRegistry> connections_;
-    /// An idle connection is closed after this time.
-    Duration idleTimeout_ = std::chrono::seconds(60);
+    /// A connection is closed when its client takes nothing of a response for this time.
+    Duration writeTimeout_ = std::chrono::seconds(60);
     /// The longest time from request to the end of its answer.
     Duration handleTimeout_ = std::chrono::minutes(30);
     /// Takes an event for each handler that throws, if set.
--- a/tests/transport/ConnectionRegistryTest.cpp
+++ b/tests/transport/ConnectionRegistryTest.cpp
@@ -228,6 +228,65 @@
     CHECK(closed_[0]);
 }
 
+/// Guards against a limit for idle connections that is not the one that clients go by.
+TEST(ConnectionRegistry, noRequest_tick_closesTheConnectionAfterItsIdleTime)
+{
+    limit(10, mib);
+    const auto passTime = [&](Duration time) {
+        for (auto step = 0; step < time / 100ms; ++step) {
+            now_ += 100ms;
+            registry_->tick();
+        }
+    };
+    const auto unused = connect();
+    const auto used = connect();
+    unused->limitIdleTime(15s);
+    used->limitIdleTime(60s);
+    used->beginRequest(3s);
+    auto request = used->endRequest();
+    auto response = used->beginResponse();
+    passTime(14900ms);
+    CHECK(!closed_[0]);
+    passTime(100ms);
+    CHECK(closed_[0]);
+    passTime(100s);
+    auto output = used->holdOutput(1000);
+    response.reset();
+    passTime(100s);
+    output.reset();
+    passTime(59900ms);
+    CHECK(!closed_[1]);
+    passTime(100ms);
+    CHECK(closed_[1]);
+    UNSIGNED_LONGS_EQUAL(0, registry_->counters().timedOut_);
+}
+
+/// Guards against a request that runs although its connection is being closed for its idle time.
+TEST(ConnectionRegistry, aClosedConnection_beginRequest_isRefused)
+{
+    limit(10, mib);
+    const auto idle = connect();
+    idle->limitIdleTime(100ms);
+    now_ += 100ms;
+    registry_->tick();
+    CHECK(closed_[0]);
+    CHECK_FALSE(idle->beginRequest(3s));
+}
+
+TEST(ConnectionRegistry, aPipelinedRequest_theFirstResponseEnds_keepsItsHeadTimeout)
+{
+    limit(10, mib);
+    const auto usage = connectUsed();
+    usage->limitIdleTime(60s);
+    auto response = usage->beginResponse();
+    usage->beginRequest(100ms);
+    response.reset();
+    now_ += 100ms;
+    registry_->tick();
+    CHECK(closed_[0]);
+    UNSIGNED_LONGS_EQUAL(1, registry_->counters().timedOut_);
+}
+
 /// Guards against clients that lose their connections because this process was paused.
 TEST(ConnectionRegistry, aPause_tick_closesNothing)
 {
--- a/tests/transport/RefusedRequestTest.cpp
+++ b/tests/transport/RefusedRequestTest.cpp
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -31,13 +32,16 @@
     std::unique_ptr<HttpFixture> http_;
     asio::io_context context_;
     std::unique_ptr<asio::ip::tcp::socket> socket_;
+    Duration idleTimeout_ = 60s;
 
     auto serve(ConnectionLimits limits = {})->void
     {
         registry_ = std::make_shared<ConnectionRegistry>(limits, nullptr);
         auto settings = HttpServerSettings{};
-        settings.inputLimits_
-            = [] { return HttpInputLimits{.headBytes_ = 20000, .bodyBytes_ = bodyLimit}; };
+        settings.inputLimits_ = [this] {
+            return HttpInputLimits{
+                .headBytes_ = 20000, .bodyBytes_ = bodyLimit, .idleTimeout_ = idleTimeout_};
+        };
         settings.connections_ = registry_;
         http_ = std::make_unique<HttpFixture>(
             [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
@@ -222,6 +226,29 @@
     CHECK(registry_->counters().open_ <= 5);
 }
 
+/// Guards against idle connections that are closed by a limit of the server's own.
+TEST(RefusedRequest, anIdleConnection_itsTimeIsOver_isClosedBesideOneWithARequest)
+{
+    idleTimeout_ = 200ms;
+    serve();
+    write(head("/keep", "Content-Length: 0\r\n"));
+    CHECK(kept_.waitFor([](const auto &kept) { return !kept.empty(); }));
+    const auto idle = connect();
+    idle->non_blocking(true);
+    auto error = std::error_code{asio::error::would_block};
+    for (auto attempt = 0; attempt < 500 && error == asio::error::would_block; ++attempt) {
+        std::this_thread::sleep_for(10ms);
+        registry_->tick();
+        auto byte = std::string(1, ' ');
+        idle->read_some(asio::buffer(byte), error);
+    }
+    CHECK(error == asio::error::eof);
+    kept_.get().front()->send({200, {}, ""});
+    auto answer = std::string{};
+    asio::read_until(*socket_, asio::dynamic_buffer(answer), "\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 200 "));
+}
+
 TEST(RefusedRequest, aConnectionClosedForOthers_isClosedForItsClientToo)
 {
     serve({1, 1000000});
