transport: Refuse a request with too many header fields by an answer

What callers saw: a request with more than 128 header fields, 2 kB in all, found its connection closed without an answer.

Cause: RESTinio's parser counts the fields, and an error of the parser closes the connection. The sizes of heads are counted by HttpInput, in front of RESTinio's callbacks, which refuses with an answer.

HttpInput counts the fields too and refuses with 431, which names the limit. As before, 128 fields are taken, trailers are bounded by their bytes, and nothing behind the refused request is read.

RefusedRequest.moreFieldsThanTheLimit_areAnsweredWith431 failed before (no answer).

--- a/packages/transport/HttpInput.cpp
+++ b/packages/transport/HttpInput.cpp
@@ -31,6 +31,7 @@
         return false;
     limits_ = limitsSource_();
     headBytes_ = 0;
+    fields_ = 0;
     if (!usage_->beginRequest(limits_.headTimeout_))
         return false;
     usage_->limitIdleTime(limits_.idleTimeout_);
@@ -50,6 +51,13 @@
     return true;
 }
 
+auto HttpInput::beginField() -> bool
+{
+    if (refusal_)
+        return false;
+    return ++fields_ <= limits_.headerFields_ || refuse(HttpRefusal::TooManyFields);
+}
+
 auto HttpInput::endHead(std::optional<std::uint64_t> bodyBytes) -> bool
 {
     if (refusal_)
--- a/packages/transport/HttpInput.h
+++ b/packages/transport/HttpInput.h
@@ -33,6 +33,8 @@
     auto begin() -> bool;
     /// Takes a part of the target, or of the name or value of a header or trailer field.
     auto takeHead(std::size_t bytes) -> bool;
+    /// Another header field begins.
+    auto beginField() -> bool;
     /// The head is complete; \a bodyBytes is what it announces, nothing for a chunked body.
     auto endHead(std::optional<std::uint64_t> bodyBytes) -> bool;
     auto takeBody(std::string_view part) -> bool;
@@ -55,6 +57,7 @@
     HttpInputLimitsSource limitsSource_;
     HttpInputLimits limits_;
     std::size_t headBytes_ = 0;
+    std::size_t fields_ = 0;
     /// What the body needs at most.
     std::size_t largestBody_ = 0;
     std::string body_;
--- a/packages/transport/HttpInputLimits.h
+++ b/packages/transport/HttpInputLimits.h
@@ -13,6 +13,7 @@
 {
     /// The request target and all header fields, names and values.
     std::size_t headBytes_ = std::size_t{64} * 1024;
+    std::size_t headerFields_ = 128;
     std::size_t bodyBytes_ = std::size_t{8} * 1024 * 1024;
     /// From the first byte of a request to the end of its head.
     Duration headTimeout_ = std::chrono::seconds(40);
--- a/packages/transport/HttpParserCallbacks.h
+++ b/packages/transport/HttpParserCallbacks.h
@@ -63,6 +63,9 @@
             return endEarly(parser);
         if (isTrailer(parser))
             return succeeded;
+        // The name of a field may come in several parts.
+        if (context(parser).m_last_was_value && !ClientSocket::current()->beginField())
+            return endEarly(parser);
         return restinio::impl::restinio_header_field_cb(parser, text, size);
     }
 
--- a/packages/transport/HttpRefusal.h
+++ b/packages/transport/HttpRefusal.h
@@ -5,6 +5,6 @@
 namespace lycheereach {
 
 /// Why a server refuses a request that it has not received whole.
-enum class HttpRefusal { HeadTooLarge, BodyTooLarge, NoMemory };
+enum class HttpRefusal { HeadTooLarge, TooManyFields, BodyTooLarge, NoMemory };
 
 } // namespace lycheereach
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -42,7 +42,6 @@
 /// Requests read from one connection before the first is answered; reading on shows when the
 /// caller closes the connection.
 constexpr std::size_t pipelinedRequests = 2;
-constexpr std::size_t headerCountLimit = 128;
 /// Retry-After of a request for which there is no memory.
 constexpr auto noMemoryRetryAfterSeconds = "1";
 /// From one request to the last byte of the next. The silence within is limited by HttpInputLimits.
@@ -350,6 +349,9 @@
     case HttpRefusal::HeadTooLarge:
         return problemResponse(431, fmt::format("the head may have {} bytes", limits.headBytes_),
                                "not-run");
+    case HttpRefusal::TooManyFields:
+        return problemResponse(
+            431, fmt::format("the head may have {} fields", limits.headerFields_), "not-run");
     case HttpRefusal::BodyTooLarge:
         return problemResponse(413, fmt::format("the body may have {} bytes", limits.bodyBytes_),
                                "not-run");
@@ -618,11 +620,8 @@
 
     auto connectionSettings() -> Connections::Settings
     {
-        auto limits = restinio::incoming_http_msg_limits_t{};
-        limits.max_field_count(headerCountLimit);
         auto result = Connections::Settings{};
-        result.incoming_http_msg_limits(limits)
-            .max_pipelined_requests(pipelinedRequests)
+        result.max_pipelined_requests(pipelinedRequests)
             .timer_manager(timeoutCheckPeriod)
             .read_next_http_message_timelimit(longestRequestTime)
             .write_http_response_timelimit(settings_.writeTimeout_)
--- a/tests/transport/RefusedRequestTest.cpp
+++ b/tests/transport/RefusedRequestTest.cpp
@@ -154,6 +154,26 @@
     UNSIGNED_LONGS_EQUAL(0, requestCount());
 }
 
+/// Guards against a connection that is closed without an answer for too many fields.
+TEST(RefusedRequest, moreFieldsThanTheLimit_areAnsweredWith431)
+{
+    const auto fields = [](std::size_t count) {
+        auto text = std::string("Content-Length: 0\r\nConnection: close\r\n");
+        for (auto written = std::size_t{3}; written < count; ++written)
+            text += "X-" + std::to_string(written) + ": x\r\n";
+        return text;
+    };
+    serve();
+    write(head("/", fields(128)));
+    CHECK(readAll().starts_with("HTTP/1.1 200 "));
+    socket_ = connect();
+    write(head("/", fields(129)));
+    const auto answer = readAll();
+    CHECK(answer.starts_with("HTTP/1.1 431 "));
+    CHECK(answer.find("128 fields") != std::string::npos);
+    UNSIGNED_LONGS_EQUAL(1, requestCount());
+}
+
 /// Guards against LOST: a request that is being handled is answered before the refusal of a later
 /// one closes their connection.
 TEST(RefusedRequest, behindARequestThatIsHandled_bothAreAnsweredInOrder)
