--- a/review/11/case.py
+++ b/review/11/case.py
@@ -23,8 +23,8 @@
 class FiveControls(Fleet):
     """Three control processes, one in each zone, which are the seeds, and two that are added later."""
 
-    FIRST = (("127.1.1.1", "zone-a"), ("127.1.2.1", "zone-b"), ("127.1.3.1", "zone-c"))
-    ADDED = (("127.1.1.2", "zone-a"), ("127.1.2.2", "zone-b"))
+    FIRST = ((f"{harness.NETWORK}.1.1", "zone-a"), (f"{harness.NETWORK}.2.1", "zone-b"), (f"{harness.NETWORK}.3.1", "zone-c"))
+    ADDED = ((f"{harness.NETWORK}.1.2", "zone-a"), (f"{harness.NETWORK}.2.2", "zone-b"))
 
     def start(self):
         self.controls_ = [ip for ip, zone in self.FIRST]
@@ -61,7 +61,7 @@
 async def scenario(fleet, record):
     manifest = [harness.manifest(version, [harness.route("book", "safe", "desk", timeout_ms=1500 + version, attempts=2)],
                                  [harness.service("desk")]) for version in (1, 2, 3)]
-    desk = Desk("desk", "desk", "127.3.0.2", "zone-b", [f"{ip}:{CONTROL_PORT}" for ip in fleet.controls_])
+    desk = Desk("desk", "desk", harness.runner_ip(2), "zone-b", [f"{ip}:{CONTROL_PORT}" for ip in fleet.controls_])
     task = asyncio.create_task(desk.run())
     await harness.publish(fleet.controls_, manifest[0])
     entries = [fleet.entry(number) for number in range(3)]
@@ -75,7 +75,7 @@
     record.write(f"planned: SIGTERM to the control process in zone-c, which starts again {RESTART_S} s later")
     fleet.roll("control-2")
     await asyncio.sleep(RESTART_S)
-    fleet.spawn("control", "control-2", "127.1.3.1", "zone-c", bootstrap=False)
+    fleet.spawn("control", "control-2", f"{harness.NETWORK}.3.1", "zone-c", bootstrap=False)
     await asyncio.sleep(SETTLE_S)
 
     lost = harness.HAS_TROUBLE
@@ -85,7 +85,7 @@
             fleet.kill(name)
     lost_at = time.monotonic()
     gone = f"{entries[0]}:{FRONT_PORT}"
-    operators = ["127.1.2.1", "127.1.2.2", "127.1.3.1"]
+    operators = [f"{harness.NETWORK}.2.1", f"{harness.NETWORK}.2.2", f"{harness.NETWORK}.3.1"]
     named, acked, statuses, number, next_put = 0, None, {}, 0, LONG_OFF_S
     while time.monotonic() - lost_at < WATCH_S:
         number += 1
--- a/review/support-3/harness.py
+++ b/review/support-3/harness.py
@@ -19,6 +19,9 @@
 from platform_fleet import CONTROL_PORT, DIRECTORY_PORT, FRONT_PORT, READY_PORT, Fleet, Http, publish  # noqa: E402,F401
 from simulated_upstreams import CONNECTION_ENDS, Upstream, stop  # noqa: E402,F401
 
+# Each case has loopback addresses of its own, so that cases can run beside each other.
+NETWORK = f"127.{100 + int(pathlib.Path(sys.argv[0]).resolve().parent.name)}"
+platform_fleet.NETWORK = NETWORK
 PROGRAM = ROOT / "target" / "bin" / "lycheereach-platform"
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -27,6 +30,10 @@
 CALL_ENDS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError)
 
 
+def runner_ip(number):
+    return f"{NETWORK}.9.{number}"
+
+
 class CouldNotRun(Exception):
     pass
 
