--- a/packages/base/EventCatalogue.cpp
+++ b/packages/base/EventCatalogue.cpp
@@ -32,6 +32,8 @@
     {VoteRefused, "vote-refused", "A replica of the control log did not grant a vote."},
     {LeaderMissing, "leader-missing",
      "A replica of the control log has heard no leader for several election timeouts."},
+    {VoterChangeProposed, "voter-change-proposed",
+     "The leader proposed to add or remove a voter of the control log."},
     {ConfigurationAccepted, "configuration-accepted", "A new version was committed."},
     {ConfigurationRefused, "configuration-refused", "An apply was refused; nothing changed."},
     {ConfigurationInForce, "configuration-in-force", "Every entry follows the version."},
--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -29,6 +29,7 @@
     DiskRecovered = 1110,
     VoteRefused = 1111,
     LeaderMissing = 1112,
+    VoterChangeProposed = 1113,
     ConfigurationAccepted = 1201,
     ConfigurationRefused = 1202,
     ConfigurationInForce = 1203,
--- a/packages/control/ControlLeases.cpp
+++ b/packages/control/ControlLeases.cpp
@@ -4,7 +4,6 @@
 #include "control/Proposal.h"
 #include "control/ProposalAnswer.h"
 #include "control/Renewal.h"
-#include "control/VoterReconciliation.h"
 #include "log/Replica.h"
 
 #include <algorithm>
@@ -470,38 +469,6 @@
     forwardToLeader(forwarded, number, now);
 }
 
-auto ControlService::voterView() const -> VoterView
-{
-    const auto &entries = machine_.state().entries_;
-    auto view = VoterView{.wiped_ = replica_->wipedVoters(),
-                          .silent_ = replica_->silentVoters(),
-                          .targetSize_ = settings_.targetVoterCount_};
-    for (const auto &voter : replica_->voters().voters_)
-        view.voters_.insert(voter.name_);
-    for (const auto &id : replica_->readyLearners()) {
-        const auto found = entries.find(id);
-        if (found != entries.end() && found->second.control_
-            && found->second.phase_ == EntryPhase::Live)
-            view.ready_.insert(id);
-    }
-    return view;
-}
-
-auto ControlService::reconcileVoters(MonotonicTime now) -> void
-{
-    if (settings_.targetVoterCount_ == 0 || !isLeaderNow(now))
-        return;
-    const auto change = nextVoterChange(voterView());
-    if (!change)
-        return;
-    const auto position = replica_->changeVoters(change->add_, change->remove_, now);
-    // The change is tried again at the next tick: the previous change is not committed yet.
-    if (!position)
-        return;
-    retryReplacedAt(position->index_);
-    scheduleFlush();
-}
-
 auto ControlService::registerAsLeaving() -> void
 {
     const auto lock = std::scoped_lock(mutex_);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -229,6 +229,10 @@
     [[nodiscard]] auto voterView() const -> VoterView;
     /// On the leader: makes the next change towards the wanted number of voters that answer.
     auto reconcileVoters(MonotonicTime now) -> void;
+    /// The registered zone of \a id; empty when it is not registered.
+    [[nodiscard]] auto zoneOf(const EntryId &id) const -> ZoneName;
+    /// The voters as `zone=voter,voter zone=voter`; the zone of one that is not registered is `?`.
+    [[nodiscard]] auto votersByZone() const -> std::string;
     /// Emits an event when mayTakeWork() changes.
     auto emitLeaseChange(MonotonicTime now) -> void;
     /// Entries that renewed recently, with this process or, on the leader, with another relay.
--- a/packages/control/VoterReconciliation.h
+++ b/packages/control/VoterReconciliation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "control/VoterChangeReason.h"
 
 #include <cstddef>
 #include <optional>
@@ -32,6 +33,7 @@
 {
     std::optional<EntryId> add_;
     std::optional<EntryId> remove_;
+    VoterChangeReason reason_ = VoterChangeReason::TooFewVoters;
 
     auto operator==(const VoterChange &) const -> bool = default;
 };
--- a/tests/control/VoterReconciliationTest.cpp
+++ b/tests/control/VoterReconciliationTest.cpp
@@ -24,11 +24,12 @@
 TEST(VoterReconciliation, aVoterWithAnEmptyDisk_next_isRemovedAndThenAdded)
 {
     view_.wiped_ = {b_};
-    CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, b_}));
+    CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, b_, VoterChangeReason::EmptyDisk}));
     view_.voters_.erase(b_);
     view_.wiped_.clear();
     view_.ready_ = {b_};
-    CHECK(nextVoterChange(view_) == (VoterChange{b_, std::nullopt}));
+    CHECK(nextVoterChange(view_)
+          == (VoterChange{b_, std::nullopt, VoterChangeReason::TooFewVoters}));
 }
 
 TEST(VoterReconciliation, aSilentVoterWithoutReplacement_next_isKept)
@@ -41,8 +42,9 @@
 {
     view_.ready_ = {d_};
     view_.silent_ = {c_};
-    CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, c_}));
+    CHECK(nextVoterChange(view_) == (VoterChange{std::nullopt, c_, VoterChangeReason::Silent}));
     view_.voters_.erase(c_);
     view_.silent_.clear();
-    CHECK(nextVoterChange(view_) == (VoterChange{d_, std::nullopt}));
+    CHECK(nextVoterChange(view_)
+          == (VoterChange{d_, std::nullopt, VoterChangeReason::TooFewVoters}));
 }
--- a/tests/control/VoterReplacementTest.cpp
+++ b/tests/control/VoterReplacementTest.cpp
@@ -117,3 +117,30 @@
     fleet_->start(successor);
     CHECK(fleet_->runUntil([&] { return isVoter(successor) && !isVoter(lost); }, 4s));
 }
+
+/// Guards against a change of voters of which no log tells the zones and the reason.
+TEST(VoterReplacement, aVoterIsReplaced_proposed_isReportedWithItsZoneAndTheReason)
+{
+    start(1, 3);
+    const auto lost = (*fleet_->leader() + 1) % 3;
+    auto proposed = std::vector<Event>{};
+    fleet_->event_ = [&](const Event &event) {
+        if (event.number_ == EventNumber::VoterChangeProposed)
+            proposed.push_back(event);
+    };
+    const auto successor = replace(lost);
+    CHECK(fleet_->runUntil([&] { return isVoter(successor) && !isVoter(lost); }, 4s));
+    CHECK(proposed.size() >= 2);
+    const auto &removal = proposed.front().attributes_;
+    const auto &lostRecord = fleet_->node(lost).self_;
+    STRCMP_EQUAL(lostRecord.id_.text().c_str(), removal.at("entry").c_str());
+    STRCMP_EQUAL(lostRecord.zone_.text().c_str(), removal.at("zone").c_str());
+    STRCMP_EQUAL("remove", removal.at("change").c_str());
+    STRCMP_EQUAL("it leaves heartbeats unanswered", removal.at("reason").c_str());
+    const auto &addition = proposed.back().attributes_;
+    const auto &successorRecord = fleet_->node(successor).self_;
+    STRCMP_EQUAL(successorRecord.id_.text().c_str(), addition.at("entry").c_str());
+    STRCMP_EQUAL("add", addition.at("change").c_str());
+    const auto standing = successorRecord.zone_.text() + "=" + successorRecord.id_.text();
+    STRCMP_CONTAINS(standing.c_str(), addition.at("voters").c_str());
+}
