log: Don't count an instance as ready that leaves heartbeats unanswered

What was seen: a voter that ends for good was removed, added again 20 ms later and removed once more before its successor got the vote: four changes of the voters instead of two, in each of which control depends on a dead voter. Callers saw nothing of it alone; each change delays the replacement, and the loss of another machine meanwhile ends service.

Cause: a voter is silent after five unanswered heartbeats (1.25 s on the platform), but a learner counted as ready for one election timeout (1.4 s) after its last answer. In between the dead voter is a learner that is "ready", and the least address of those.

Change: an instance that leaves as many heartbeats unanswered as make a voter silent isn't ready. It is again with its first answer, so a process that returns is not held up.

--- a/packages/log/LogCore.h
+++ b/packages/log/LogCore.h
@@ -68,7 +68,8 @@
     /// While this replica leads: the voters that have not answered the heartbeats of the last
     /// election timeout, or the first ones of this leader, before which an election timeout passed.
     [[nodiscard]] auto silentVoters() const -> std::set<EntryId>;
-    /// While this replica leads: the replicas that changeVoters() could add now.
+    /// While this replica leads: the replicas that changeVoters() could add now and that answer
+    /// heartbeats.
     [[nodiscard]] auto readyLearners() const -> std::set<EntryId>;
     [[nodiscard]] auto identity() const -> const VoterIdentity & { return self_; }
     /// The last vote that this replica refused since the call before.
@@ -179,8 +180,9 @@
     /// Whether \a peer answered a request that was sent within the last election timeout.
     [[nodiscard]] auto isInContact(const Peer &peer) const -> bool;
     [[nodiscard]] auto hasCaughtUp(const Peer &peer) const -> bool;
-    /// From this number of unanswered heartbeats on a voter is silent.
+    /// From this number of unanswered heartbeats on a peer is silent.
     [[nodiscard]] auto silenceLimitHeartbeats() const -> unsigned;
+    [[nodiscard]] auto isSilent(const Peer &peer) const -> bool;
     [[nodiscard]] auto validateVoterChange(const std::optional<EntryId> &add,
                                            const std::optional<EntryId> &remove) const
         -> Result<Nothing>;
--- a/packages/log/LogCoreReplication.cpp
+++ b/packages/log/LogCoreReplication.cpp
@@ -295,6 +295,11 @@
     return std::max(static_cast<unsigned>(heartbeats), newLeaderSilenceHeartbeats);
 }
 
+auto LogCore::isSilent(const Peer &peer) const -> bool
+{
+    return peer.unansweredHeartbeats_ >= silenceLimitHeartbeats();
+}
+
 auto LogCore::diskFullBlocksQuorum() const -> bool
 {
     auto fullVoters = std::size_t(0);
@@ -349,7 +354,7 @@
     auto silent = std::set<EntryId>{};
     for (const auto &voter : log_.voters().voters_) {
         const auto peer = peers_.find(voter.name_);
-        if (peer != peers_.end() && peer->second.unansweredHeartbeats_ >= silenceLimitHeartbeats())
+        if (peer != peers_.end() && isSilent(peer->second))
             silent.insert(voter.name_);
     }
     return silent;
@@ -359,8 +364,9 @@
 {
     auto ready = std::set<EntryId>{};
     for (const auto &[name, peer] : peers_) {
-        if (!log_.voters().containsName(name) && isInContact(peer) && hasCaughtUp(peer)
-            && !peer.diskFull_)
+        // The last contact of an instance that has fallen silent may be recent enough.
+        if (!log_.voters().containsName(name) && isInContact(peer) && !isSilent(peer)
+            && hasCaughtUp(peer) && !peer.diskFull_)
             ready.insert(name);
     }
     return ready;
--- a/tests/control/VoterReplacementTest.cpp
+++ b/tests/control/VoterReplacementTest.cpp
@@ -43,6 +43,15 @@
         return std::find(all.begin(), all.end(), fleet_->node(node).self_.id_) != all.end();
     }
 
+    /// The changes of the voters that leaders propose from now on, in their order.
+    auto recordProposedChanges()->void
+    {
+        fleet_->event_ = [this](const Event &event) {
+            if (event.number_ == EventNumber::VoterChangeProposed)
+                proposed_.push_back(event.attributes_);
+        };
+    }
+
     /// Ends \a node for good and starts an empty process in its place; returns that one's index.
     auto replace(std::size_t node)->std::size_t
     {
@@ -54,6 +63,7 @@
     }
 
     std::unique_ptr<ControlFleet> fleet_;
+    std::vector<std::map<std::string, std::string>> proposed_;
 };
 
 /// Guards against a dead voter that stays one until its entry is marked as lost, by when another
@@ -123,24 +133,35 @@
 {
     start(1, 3);
     const auto lost = (*fleet_->leader() + 1) % 3;
-    auto proposed = std::vector<Event>{};
-    fleet_->event_ = [&](const Event &event) {
-        if (event.number_ == EventNumber::VoterChangeProposed)
-            proposed.push_back(event);
-    };
+    recordProposedChanges();
     const auto successor = replace(lost);
     CHECK(fleet_->runUntil([&] { return isVoter(successor) && !isVoter(lost); }, 4s));
-    CHECK(proposed.size() >= 2);
-    const auto &removal = proposed.front().attributes_;
+    CHECK(proposed_.size() >= 2);
+    const auto &removal = proposed_.front();
     const auto &lostRecord = fleet_->node(lost).self_;
     STRCMP_EQUAL(lostRecord.id_.text().c_str(), removal.at("entry").c_str());
     STRCMP_EQUAL(lostRecord.zone_.text().c_str(), removal.at("zone").c_str());
     STRCMP_EQUAL("remove", removal.at("change").c_str());
     STRCMP_EQUAL("it leaves heartbeats unanswered", removal.at("reason").c_str());
-    const auto &addition = proposed.back().attributes_;
+    const auto &addition = proposed_.back();
     const auto &successorRecord = fleet_->node(successor).self_;
     STRCMP_EQUAL(successorRecord.id_.text().c_str(), addition.at("entry").c_str());
     STRCMP_EQUAL("add", addition.at("change").c_str());
     const auto standing = successorRecord.zone_.text() + "=" + successorRecord.id_.text();
     STRCMP_CONTAINS(standing.c_str(), addition.at("voters").c_str());
 }
+
+/// Guards against a silent voter that is removed and at once added again, as if it were ready,
+/// while its successor waits.
+TEST(VoterReplacement, aVoterIsReplaced_proposed_takesTwoChanges)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        start(seed, 3);
+        proposed_.clear();
+        recordProposedChanges();
+        const auto lost = (*fleet_->leader() + 1) % 3;
+        const auto successor = replace(lost);
+        CHECK(fleet_->runUntil([&] { return isVoter(successor) && !isVoter(lost); }, 4s));
+        LONGS_EQUAL(2, proposed_.size());
+    }
+}
