control: Spread the voters over the availability zones

Cause: nextVoterChange() gave a free vote to the ready instance of least address, whatever its zone, and nothing moved a vote again. While the voter of one zone was away for longer than the silence limit, its vote went to the second instance of a zone that had a vote already, and stayed there after the return. The loss of that zone took two of three votes.

Ruled out: taking a better successor alone, since beside the lost voter there may be no other ready instance; one record that does both changes, since {a1,a2,b1} and {a1,b1,c1} have majorities without a common member ({a2,b1} and {a1,c1}).

Change: VoterView knows the zones and the leader. Additions, removals and replacements leave the votes as even over the zones as can be; when a ready instance could make them strictly more even, it is added, and then one of the zone with the most is removed, never the leader. Adding first bears the same losses on the way: of four voters three must answer, and there is one more to answer. More voters than wanted, which a leader that ends within a move leaves, are removed too; nothing did so before.

--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -227,7 +227,8 @@
     /// Proposes this entry's record when the replicated state has another one or none.
     auto registerWhenNeeded(MonotonicTime now) -> void;
     [[nodiscard]] auto voterView() const -> VoterView;
-    /// On the leader: makes the next change towards the wanted number of voters that answer.
+    /// On the leader: makes the next change towards the wanted number of voters that answer, spread
+    /// over the zones.
     auto reconcileVoters(MonotonicTime now) -> void;
     /// The registered zone of \a id; empty when it is not registered.
     [[nodiscard]] auto zoneOf(const EntryId &id) const -> ZoneName;
--- a/packages/control/ControlVoters.cpp
+++ b/packages/control/ControlVoters.cpp
@@ -10,6 +10,7 @@
     const auto &entries = machine_.state().entries_;
     auto view = VoterView{.wiped_ = replica_->wipedVoters(),
                           .silent_ = replica_->silentVoters(),
+                          .leader_ = settings_.ownRecord_.id_,
                           .targetSize_ = settings_.targetVoterCount_};
     for (const auto &voter : replica_->voters().voters_)
         view.voters_.insert(voter.name_);
@@ -19,6 +20,12 @@
             && found->second.phase_ == EntryPhase::Live)
             view.ready_.insert(id);
     }
+    for (const auto *ids : {&view.voters_, &view.ready_}) {
+        for (const auto &id : *ids) {
+            if (const auto zone = zoneOf(id); !zone.empty())
+                view.zones_.emplace(id, zone);
+        }
+    }
     return view;
 }
 
--- a/packages/control/VoterChangeReason.cpp
+++ b/packages/control/VoterChangeReason.cpp
@@ -11,6 +11,10 @@
         return "it leaves heartbeats unanswered";
     case VoterChangeReason::TooFewVoters:
         return "there are fewer voters than wanted";
+    case VoterChangeReason::TooManyVoters:
+        return "there are more voters than wanted";
+    case VoterChangeReason::UnevenZones:
+        return "another zone has more voters";
     }
     return "unknown";
 }
--- a/packages/control/VoterChangeReason.h
+++ b/packages/control/VoterChangeReason.h
@@ -14,6 +14,10 @@
     Silent,
     /// There are fewer voters than wanted.
     TooFewVoters,
+    /// There are more voters than wanted.
+    TooManyVoters,
+    /// Another zone has at least two voters more.
+    UnevenZones,
 };
 
 /// The reason as events print it.
--- a/packages/control/VoterReconciliation.h
+++ b/packages/control/VoterReconciliation.h
@@ -6,6 +6,7 @@
 #include "control/VoterChangeReason.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -22,6 +23,11 @@
     /// Control instances without a vote that are registered as live, are in contact and have caught
     /// up with the log.
     std::set<EntryId> ready_;
+    /// The availability zone of each registered voter and ready instance. An instance that is not
+    /// registered counts as one in a zone of its own.
+    std::map<EntryId, ZoneName> zones_;
+    /// The leader, which keeps its vote.
+    EntryId leader_;
     /// The wanted number of voters.
     std::size_t targetSize_ = 0;
 
@@ -38,11 +44,22 @@
     auto operator==(const VoterChange &) const -> bool = default;
 };
 
-/// Returns the next single change towards the wanted voters, or nothing when none is needed or
-/// possible. A voter with an empty disk is removed unless it is the only voter; a silent voter is
-/// removed only when a ready instance can replace it; ready instances are added up to
-/// VoterView::targetSize_. Removing a voter that can't vote takes no majority away: those that are
-/// left need as many votes as before, or fewer.
+/// Returns the next single change towards VoterView::targetSize_ voters that answer and stand
+/// spread over the zones as evenly as the ready instances allow, or nothing when none is needed or
+/// possible:
+///
+/// 1. A voter with an empty disk is removed unless it is the only voter.
+/// 2. Of too many voters, a silent one is removed first, else one of the zone with the most.
+/// 3. Of too few voters, a ready instance of the zone with the fewest is added.
+/// 4. A silent voter is removed when a ready instance can replace it.
+/// 5. A ready instance is added when it can replace a voter of a zone that has at least two more;
+///    rule 2 then removes that voter.
+///
+/// Removing a voter that can't vote takes no majority away: those that are left need as many votes
+/// as before, or fewer. A voter that can vote is removed only after its successor was added, since
+/// the set in between then bears the same losses: among an odd number of voters it needs one vote
+/// more and has one more. Each move by rule 5 makes the spread strictly more even, so that
+/// moves end.
 auto nextVoterChange(const VoterView &view) -> std::optional<VoterChange>;
 
 } // namespace lycheereach
