control: Draw zones and losses of whole zones in the voter schedules

The new kinds draw machines in zones (2+2+1, 2+2+2, and 2+1+1+1 with two tolerated machines), lose whole zones by stop or by cut at the stated limit, 4 s after the last return, add machines, and let successors stand in other zones where a spread that bears the loss of a zone still exists. Whoever is left answers a proposal while the zone is away, and once nothing was lost for the catch-up time the voters are as many as wanted and evenly spread.

--- a/tests/control/VoterScheduleTest.cpp
+++ b/tests/control/VoterScheduleTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <functional>
+#include <numeric>
 
 #include <CppUTest/TestHarness.h>
 
@@ -34,6 +35,17 @@
     /// Beside the losses configurations change in quick succession, disks fill up, links are cut in
     /// one direction, and at the end machines lose their disks while all others restart.
     bool isMixed_ = false;
+    /// The number of control machines in each zone, instead of spares_. Whole zones are lost as
+    /// well, machines are added, and each loss mostly begins as soon as the limits allow it.
+    std::vector<std::size_t> zones_;
+
+    auto operator==(const ScheduleKind &) const -> bool = default;
+
+    [[nodiscard]] auto size() const -> std::size_t
+    {
+        return zones_.empty() ? 2 * tolerated_ + 1 + spares_
+                              : std::accumulate(zones_.begin(), zones_.end(), std::size_t{0});
+    }
 };
 
 /// The number of seeds, from 1 on, that each test runs; LYCHEEREACH_SCHEDULES sets ten times it. A
@@ -51,7 +63,7 @@
 {
 public:
     LossSchedule(std::uint64_t seed, const ScheduleKind &kind)
-        : fleet_(seed, 2 * kind.tolerated_ + 1 + kind.spares_, 1)
+        : fleet_(seed, kind.size(), 1)
         , kind_(kind)
         , tolerated_(kind.tolerated_)
     {
@@ -66,15 +78,17 @@
         settings.snapshotAfterRecords_ = 20;
         fleet_.event_ = [this](const Event &event) {
             if (event.number_ == EventNumber::LeaderElected
+                || event.number_ == EventNumber::VoterChangeProposed
                 || event.number_ == EventNumber::VotersChanged)
                 addLine(Json(event.attributes_).dump());
         };
         fleet_.dropsMessage_ = [this](std::size_t from, std::size_t to, const std::string &) {
             return mute_.contains(from) || deaf_.contains(to);
         };
+        placeInZones();
         for (std::size_t index = 0; index < fleet_.size(); ++index) {
             auto &seeds = fleet_.node(index).seeds_;
-            if (kind.isMixed_)
+            if (kind.isMixed_ || !kind.zones_.empty())
                 seeds.resize(seedCount);
             fleet_.start(index);
             if (fleet_.node(index).disk_)
@@ -92,8 +106,16 @@
         while (fleet_.now() < end && fleet_.violations().empty()) {
             returnWhenDue();
             changeWhenDue();
-            if (lostCount() < tolerated_ && fleet_.random(40) == 0)
+            if (!kind_.zones_.empty())
+                checkZones();
+            const auto isAtLimit
+                = !kind_.zones_.empty() && losses_.empty() && fleet_.random(4) != 0;
+            if (isAtLimit && fleet_.random(2) == 0)
+                loseZone();
+            else if (lostCount() < tolerated_ && (isAtLimit || fleet_.random(40) == 0))
                 loseOne();
+            else if (!kind_.zones_.empty() && fleet_.random(400) == 0)
+                addMachine();
             else if (losses_.empty() && fleet_.random(1500) == 0)
                 restartAll();
             fleet_.run(20ms);
@@ -106,7 +128,8 @@
             if (!runUntilNoneIsLost())
                 return "a machine did not return after the end";
         }
-        return isServing() && holdsAllAnswered() ? fleet_.violations() : fleet_.violations() + log_;
+        const auto isWell = isServing() && holdsAllAnswered() && isSpread_;
+        return isWell ? fleet_.violations() : fleet_.violations() + log_;
     }
 
 private:
@@ -119,6 +142,113 @@
         MonotonicTime endsAt_;
     };
 
+    /// Gives the machines their zones in random order, so that seeds stand in any of them.
+    auto placeInZones() -> void
+    {
+        auto zones = std::vector<ZoneName>{};
+        for (std::size_t zone = 0; zone < kind_.zones_.size(); ++zone)
+            zones.insert(zones.end(), kind_.zones_[zone], zoneNumber(zone));
+        for (std::size_t index = 0; index < zones.size(); ++index) {
+            std::swap(zones[index], zones[index + fleet_.random(zones.size() - index)]);
+            fleet_.node(index).self_.zone_ = zones[index];
+        }
+    }
+
+    static auto zoneNumber(std::size_t number) -> ZoneName
+    {
+        return ZoneName("z" + std::to_string(number));
+    }
+
+    auto zoneOf(const EntryId &id) -> ZoneName
+    {
+        for (std::size_t index = 0; index < fleet_.size(); ++index) {
+            if (fleet_.node(index).self_.id_ == id)
+                return fleet_.node(index).self_.zone_;
+        }
+        return ZoneName();
+    }
+
+    /// Once nothing has been lost, added or returned for the catch-up time: checks that the voters
+    /// are as many as wanted and stand spread over the zones as evenly as the machines allow.
+    auto checkZones() -> void
+    {
+        if (!losses_.empty() || fleet_.now() < unsettledUntil_ || !isSpread_)
+            return;
+        const auto leader = fleet_.leader();
+        const auto voters
+            = leader ? fleet_.service(*leader).status().voters_ : std::vector<EntryId>{};
+        auto votes = std::map<ZoneName, std::size_t>{};
+        for (const auto &voter : voters)
+            ++votes[zoneOf(voter)];
+        auto most = std::size_t{0};
+        for (const auto &[zone, count] : votes)
+            most = std::max(most, count);
+        auto isEven = true;
+        for (const auto node : members_) {
+            const auto &self = fleet_.node(node).self_;
+            const auto votesHere
+                = std::find(voters.begin(), voters.end(), self.id_) != voters.end();
+            isEven = isEven && (votesHere || votes[self.zone_] + 1 >= most);
+        }
+        isSpread_ = isEven && voters.size() == fleet_.settings_.targetVoterCount_;
+        if (!isSpread_)
+            addLine("the voters are not spread evenly" + describeVoters());
+    }
+
+    /// Loses all control machines of a zone; whoever is left answers a proposal in time.
+    auto loseZone() -> void
+    {
+        const auto zone = zoneNumber(fleet_.random(kind_.zones_.size()));
+        const auto absence = answerTime + Duration(std::chrono::milliseconds(fleet_.random(4000)));
+        const auto isCutOff = fleet_.random(2) == 0;
+        auto operations = std::map<std::size_t, OperationId>{};
+        for (const auto node : members_) {
+            if (fleet_.node(node).self_.zone_ != zone) {
+                operations.emplace(node, OperationId());
+                continue;
+            }
+            note("is lost with its zone:", node);
+            if (isCutOff) {
+                fleet_.isolatedNodes_.insert(node);
+                begin(node, absence, [this, node] { fleet_.isolatedNodes_.erase(node); });
+            } else {
+                fleet_.stop(node);
+                begin(node, absence, [this, node] { start(node); });
+            }
+        }
+        for (auto &[node, operation] : operations)
+            operation = fleet_.proposeDeclaration(node);
+        fleet_.run(answerTime);
+        checkAnswered(operations);
+    }
+
+    /// A zone for the successor of a machine that stood in \a zone: another one, if the machines
+    /// can then still stand so that a majority of the voters survives the loss of each zone.
+    auto zoneOfSuccessor(const ZoneName &zone) -> ZoneName
+    {
+        const auto drawn = zoneNumber(fleet_.random(kind_.zones_.size()));
+        auto machines = std::map<ZoneName, std::size_t>{{drawn, 1}};
+        for (const auto member : members_)
+            ++machines[fleet_.node(member).self_.zone_];
+        auto votes = std::size_t{0};
+        for (const auto &[name, count] : machines)
+            votes += std::min(count, tolerated_);
+        return votes >= fleet_.settings_.targetVoterCount_ ? drawn : zone;
+    }
+
+    /// Starts an empty machine beside the others, in any zone.
+    auto addMachine() -> void
+    {
+        if (members_.size() > kind_.size() + 2)
+            return;
+        const auto added = fleet_.addControlNode();
+        fleet_.node(added).self_.zone_ = zoneNumber(fleet_.random(kind_.zones_.size()));
+        note("is added:", added);
+        members_.push_back(added);
+        start(added);
+        unsettledUntil_ = fleet_.now() + catchUpTime;
+    }
+
     auto isLost(std::size_t node) const -> bool
     {
         return std::any_of(losses_.begin(), losses_.end(),
@@ -135,7 +265,8 @@
 
     auto note(const std::string &text, std::size_t node) -> void
     {
-        addLine(text + " " + fleet_.node(node).self_.id_.text() + describeVoters());
+        const auto &self = fleet_.node(node).self_;
+        addLine(text + " " + self.id_.text() + " in " + self.zone_.text() + describeVoters());
     }
 
     /// The leader and its voters.
@@ -248,8 +379,10 @@
         note("is lost for good:", node);
         fleet_.stop(node);
         std::erase(members_, node);
-        begin(node, absence, [this] {
+        begin(node, absence, [this, zone = fleet_.node(node).self_.zone_] {
             const auto successor = fleet_.addControlNode();
+            if (!kind_.zones_.empty())
+                fleet_.node(successor).self_.zone_ = zoneOfSuccessor(zone);
             note("replaces it:", successor);
             members_.push_back(successor);
             start(successor);
@@ -311,18 +444,23 @@
     /// Whether a change that is proposed at each control machine is answered in time.
     auto isServing() -> bool
     {
-        auto isAnswered = true;
         auto operations = std::map<std::size_t, OperationId>{};
         for (const auto node : members_)
             operations.emplace(node, fleet_.proposeDeclaration(node));
         fleet_.run(answerTime);
+        checkAnswered(operations);
+        return isAnswered_;
+    }
+
+    /// Clears isAnswered_ unless each operation, proposed at its node, was answered.
+    auto checkAnswered(const std::map<std::size_t, OperationId> &operations) -> void
+    {
         for (const auto &[node, operation] : operations) {
             if (fleet_.outcomes_.contains(operation))
                 continue;
             note("no answer at", node);
-            isAnswered = false;
+            isAnswered_ = false;
         }
-        return isAnswered;
     }
 
     ControlFleet fleet_;
@@ -333,6 +471,10 @@
     std::set<std::size_t> deaf_;
     std::vector<std::size_t> members_;
     std::vector<Loss> losses_;
+    /// Until then a machine that was added has yet to catch up.
+    MonotonicTime unsettledUntil_;
+    bool isAnswered_ = true;
+    bool isSpread_ = true;
     std::string log_;
 };
 
@@ -384,3 +526,22 @@
 {
     runSchedules({.tolerated_ = 1, .isMixed_ = true});
 }
+
+/// Guards against review/11, an outage with the loss of one zone: two of three voters had come to
+/// stand in it while the voter of another zone was away, and stayed there after its return.
+TEST(VoterSchedules, zonesOfTwoTwoAndOneMachines_runWithLossesOfZones_areBorneAndVotersSpread)
+{
+    runSchedules({.tolerated_ = 1, .zones_ = {2, 2, 1}});
+}
+
+/// As above where each zone has a machine to spare.
+TEST(VoterSchedules, zonesOfTwoMachinesEach_runWithLossesOfZones_areBorneAndVotersSpread)
+{
+    runSchedules({.tolerated_ = 1, .zones_ = {2, 2, 2}});
+}
+
+/// As above with five voters over four zones.
+TEST(VoterSchedules, fourZonesAndTwoToleratedMachines_runWithLossesOfZones_areBorneAndVotersSpread)
+{
+    runSchedules({.tolerated_ = 2, .zones_ = {2, 1, 1, 1}});
+}
