serving: Watch the upstreams whose own watcher is lost

Cause: only the watcher notices silence. Unwatched upstreams are looked for by GroupPlanner, and processes with an EngineGatedPlanner don't run that one.

Ruled out: the same search in EngineGatedPlanner, which doesn't know whether an upstream still serves callers; LeaseholderService asks for that evidence before it gives up an upstream.

Change: on the leader, GroupHealthMonitor also watches upstreams whose watcher is lost or unknown, from the moment when it takes them over and for their whole silence timeout. One that announces itself elsewhere has another watcher by then, and the command, which names the old one, is void. A watcher that is leaving still watches.

--- a/packages/groups/GroupHealthMonitor.cpp
+++ b/packages/groups/GroupHealthMonitor.cpp
@@ -43,6 +43,12 @@
     return std::any_of(group.members_.begin(), group.members_.end(), differs);
 }
 
+auto isEntryLost(const FleetState &state, const EntryId &id) -> bool
+{
+    const auto entry = state.entries_.find(id);
+    return entry == state.entries_.end() || entry->second.phase_ == EntryPhase::Lost;
+}
+
 } // namespace
 
 auto differsBeyondLoad(const Announcement &left, const Announcement &right) -> bool
@@ -69,11 +75,14 @@
     : self_(std::move(self))
 { }
 
-auto GroupHealthMonitor::update(const FleetState &state, MonotonicTime now) -> void
+auto GroupHealthMonitor::update(const FleetState &state, MonotonicTime now, bool watchesForLost)
+    -> void
 {
     auto watched = std::map<UpstreamId, MonotonicTime>{};
     for (const auto &[id, upstream] : state.upstreams_) {
-        if (upstream.watcher_ != self_)
+        const auto isWatched = upstream.watcher_ == self_
+            || (watchesForLost && isEntryLost(state, upstream.watcher_));
+        if (!isWatched)
             continue;
         const auto known = watchedSince_.find(id);
         watched.emplace(id, known == watchedSince_.end() ? now : known->second);
@@ -159,7 +168,8 @@
             continue;
         const auto &announced = upstream->second.announced_;
         if (silenceDuration(id, now) >= silenceTimeout(state, announced))
-            commands.emplace_back(LoseUpstream{id, announced.incarnation_, self_});
+            commands.emplace_back(
+                LoseUpstream{id, announced.incarnation_, upstream->second.watcher_});
     }
     return commands;
 }
--- a/packages/groups/GroupHealthMonitor.h
+++ b/packages/groups/GroupHealthMonitor.h
@@ -32,8 +32,9 @@
     explicit GroupHealthMonitor(EntryId self);
 
     /// Updates the watched upstreams and held groups. Must be called after every change of the
-    /// state.
-    auto update(const FleetState &state, MonotonicTime now) -> void;
+    /// state. \a watchesForLost says whether this entry also watches the upstreams whose watcher is
+    /// lost.
+    auto update(const FleetState &state, MonotonicTime now, bool watchesForLost = false) -> void;
 
     /// Records \a announcement and returns what it changed.
     auto handleAnnouncement(const FleetState &state, const Announcement &announcement,
--- a/packages/serving/LeaseholderHooks.h
+++ b/packages/serving/LeaseholderHooks.h
@@ -28,6 +28,9 @@
     /// Whether an upstream that has not announced itself for three quarters of its silence timeout
     /// is known to serve nevertheless, and so is not lost. May be empty: no upstream is then.
     std::function<bool(const UpstreamId &)> servesWhileSilent_;
+    /// Whether this process now also watches the upstreams whose own watcher is lost. May be empty:
+    /// the group planner does so then.
+    std::function<bool()> watchesForLost_;
     EventSink event_;
     MonotonicClock now_;
 };
--- a/packages/serving/LeaseholderService.cpp
+++ b/packages/serving/LeaseholderService.cpp
@@ -31,9 +31,10 @@
 {
     const auto now = hooks_.now_();
     const auto hasStateLease = control_.mayTakeWork();
+    const auto watchesForLost = hooks_.watchesForLost_ && hooks_.watchesForLost_();
     control_.readState([&](const FleetState &state) {
         const auto lock = std::scoped_lock(mutex_);
-        groupHealth_.update(state, now);
+        groupHealth_.update(state, now, watchesForLost);
         permits_.update(state, now);
         heldGroups_.clear();
         for (const auto &[id, group] : state.groups_) {
--- a/tests/groups/GroupHealthMonitorTest.cpp
+++ b/tests/groups/GroupHealthMonitorTest.cpp
@@ -81,6 +81,15 @@
     {
         return monitor_.planCommands(state_, now_, [](const GroupId &) { return true; });
     }
+
+    auto losses() const->std::vector<Command>
+    {
+        auto commands = tick();
+        std::erase_if(commands, [](const Command &command) {
+            return !std::holds_alternative<LoseUpstream>(command);
+        });
+        return commands;
+    }
 };
 
 TEST(GroupHealthMonitor, everyMemberIsReady_mayServe_isTrueOnceThisEntryHeardAll)
@@ -150,14 +159,35 @@
     receive(member(0));
     now_ += milliseconds(600);
     CHECK_FALSE(mayServe());
-    auto commands = tick();
-    std::erase_if(commands, [](const Command &command) {
-        return !std::holds_alternative<LoseUpstream>(command);
-    });
+    const auto commands = losses();
     UNSIGNED_LONGS_EQUAL(1, commands.size());
     CHECK((std::get<LoseUpstream>(commands[0]) == LoseUpstream{UpstreamId("u1"), 1, self_}));
 }
 
+/// Guards against upstreams that stay in the state for good, as free instances or members, after
+/// a zone was lost together with the entry that watched them.
+TEST(GroupHealthMonitor, upstreamsWhoseWatcherIsLost_tick_areLostOnTheEntryThatStandsIn)
+{
+    const auto watcher = EntryId("e2");
+    for (auto &[id, upstream] : state_.upstreams_)
+        upstream.watcher_ = watcher;
+    state_.entries_[watcher].phase_ = EntryPhase::Leaving;
+    monitor_.update(state_, now_, true);
+    now_ += milliseconds(2100);
+    CHECK(losses().empty());
+    state_.entries_[watcher].phase_ = EntryPhase::Lost;
+    monitor_.update(state_, now_);
+    now_ += milliseconds(2100);
+    CHECK(losses().empty());
+    monitor_.update(state_, now_, true);
+    CHECK(losses().empty());
+    now_ += milliseconds(2100);
+    const auto commands = losses();
+    UNSIGNED_LONGS_EQUAL(2, commands.size());
+    CHECK((std::get<LoseUpstream>(commands[0]) == LoseUpstream{UpstreamId("u0"), 1, watcher}));
+    CHECK((std::get<LoseUpstream>(commands[1]) == LoseUpstream{UpstreamId("u1"), 1, watcher}));
+}
+
 TEST(GroupHealthMonitor, aMemberThatRejoinsInTheSameEpoch_tick_proposesANewEpoch)
 {
     receiveFromBoth();
