--- a/packages/base/EventCatalogue.h
+++ b/packages/base/EventCatalogue.h
@@ -30,6 +30,8 @@
     VoteRefused = 1111,
     LeaderMissing = 1112,
     VoterChangeProposed = 1113,
+    ZoneExposureBegan = 1114,
+    ZoneExposureEnded = 1115,
     ConfigurationAccepted = 1201,
     ConfigurationRefused = 1202,
     ConfigurationInForce = 1203,
--- a/packages/control/ControlService.cpp
+++ b/packages/control/ControlService.cpp
@@ -81,7 +81,7 @@
     updateInForce(now);
     markSilentEntriesLost(now);
     registerWhenNeeded(now);
-    reconcileVoters(now);
+    maintainVoters(now);
     pushRecords(now);
     // In this order, since a process that was paused must not send what has timed out meanwhile.
     failTimedOutProposals(now);
--- a/packages/control/ControlService.h
+++ b/packages/control/ControlService.h
@@ -7,6 +7,7 @@
 #include "control/ControlHooks.h"
 #include "control/ControlSettings.h"
 #include "control/ControlStatus.h"
+#include "control/ZoneExposure.h"
 #include "leases/LeaseGrantor.h"
 #include "leases/StateLease.h"
 #include "state/PoolDemand.h"
@@ -228,8 +229,10 @@
     auto registerWhenNeeded(MonotonicTime now) -> void;
     [[nodiscard]] auto voterView() const -> VoterView;
     /// On the leader: makes the next change towards the wanted number of voters that answer, spread
-    /// over the zones.
-    auto reconcileVoters(MonotonicTime now) -> void;
+    /// over the zones, and reports zones whose loss the voters would not bear.
+    auto maintainVoters(MonotonicTime now) -> void;
+    auto reconcileVoters(const VoterView &view, MonotonicTime now) -> void;
+    auto reportZoneExposure(const VoterView &view, MonotonicTime now) -> void;
     /// The registered zone of \a id; empty when it is not registered.
     [[nodiscard]] auto zoneOf(const EntryId &id) const -> ZoneName;
     /// The voters as `zone=voter,voter zone=voter`; the zone of one that is not registered is `?`.
@@ -286,6 +289,8 @@
     bool isRelay_ = false;
     /// Whether this process was the leader at the last tick.
     bool leading_ = false;
+    /// On the leader, if a zone may be lost: what it last reported about that.
+    ZoneExposure zoneExposure_;
     /// mayTakeWork() as of the last event about it.
     bool mayWork_ = false;
     LogIndex inForceIndex_ = 0;
--- a/packages/control/ControlSettings.h
+++ b/packages/control/ControlSettings.h
@@ -45,6 +45,9 @@
     /// The number of voters that the leader maintains by adding instances and replacing lost ones;
     /// 0 disables changes of the voters.
     std::size_t targetVoterCount_ = 0;
+    /// Whether the loss of a whole zone is to be borne, so that the leader reports when it would
+    /// not be.
+    bool toleratesZoneLoss_ = false;
     /// Whether this process connects to entries without a log as well. When false, it relies on
     /// those entries to connect to it.
     bool connectsToEntriesWithoutLog_ = true;
--- a/packages/control/ControlVoters.cpp
+++ b/packages/control/ControlVoters.cpp
@@ -29,11 +29,35 @@
     return view;
 }
 
-auto ControlService::reconcileVoters(MonotonicTime now) -> void
+auto ControlService::maintainVoters(MonotonicTime now) -> void
 {
-    if (settings_.targetVoterCount_ == 0 || !isLeaderNow(now))
+    if (!isLeaderNow(now)) {
+        zoneExposure_ = ZoneExposure{};
         return;
-    const auto change = nextVoterChange(voterView());
+    }
+    const auto view = voterView();
+    if (settings_.toleratesZoneLoss_)
+        reportZoneExposure(view, now);
+    if (settings_.targetVoterCount_ > 0)
+        reconcileVoters(view, now);
+}
+
+auto ControlService::reportZoneExposure(const VoterView &view, MonotonicTime now) -> void
+{
+    const auto zones = zoneExposure_.update(zonesHoldingQuorum(view), now);
+    if (!zones)
+        return;
+    auto text = std::string{};
+    for (const auto &zone : *zones)
+        text += (text.empty() ? "" : " ") + zone.text();
+    const auto number
+        = zones->empty() ? EventNumber::ZoneExposureEnded : EventNumber::ZoneExposureBegan;
+    hooks_.event_(Event{number, {{"zones", text}, {"voters", votersByZone()}}});
+}
+
+auto ControlService::reconcileVoters(const VoterView &view, MonotonicTime now) -> void
+{
+    const auto change = nextVoterChange(view);
     if (!change)
         return;
     const auto position = replica_->changeVoters(change->add_, change->remove_, now);
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -25,6 +25,7 @@
 readiness = "10.1.0.40:8220"
 [faultTolerance]
 machines = 2
+zones = 1
 [bounds]
 graceS = 8
 drainMs = 2000
@@ -50,6 +51,7 @@
     CHECK(settings->shutdownGracePeriod_ == seconds(8));
     CHECK(settings->drainDuration_ == milliseconds(2000));
     UNSIGNED_LONGS_EQUAL(2, settings->toleratedMachineFailures_);
+    UNSIGNED_LONGS_EQUAL(1, settings->toleratedZoneFailures_);
     DOUBLES_EQUAL(134, settings->retryBudgetExtra_, 0.001);
 }
 
