forward: Start streams that can't be resumed afresh

An event source that reconnects sends Last-Event-ID on every kind of route.

Cause: the id was taken for every route. Where the route can't be resumed, the upstream runs the request from its start, and the reader of the attempt dropped the events up to the id.

Change: the id counts only on routes whose streams may be resumed. On others it is neither passed on nor used to skip events.

Evidence: the new test fails without the change, where the attempt of a stream that may not be resumed gets the id; with it both events of such a stream arrive, and a stream that may be resumed still goes on behind the id.

--- a/packages/forward/ForwardPlan.h
+++ b/packages/forward/ForwardPlan.h
@@ -20,7 +20,9 @@
     MonotonicTime deadline_;
     /// Attempts that may reach an upstream.
     std::uint32_t attemptLimit_ = 1;
-    /// Id of the last event received by a caller that resumes a stream; nothing otherwise.
+    /// Id of the last event that a caller names when it asks again for a stream, for example
+    /// because its event source has reconnected. Counts only for RouteKind::ResumableStream: other
+    /// streams start afresh.
     std::optional<std::uint64_t> lastEventId_;
 
     auto operator==(const ForwardPlan &) const -> bool = default;
--- a/packages/forward/ForwardStateMachine.cpp
+++ b/packages/forward/ForwardStateMachine.cpp
@@ -41,7 +41,7 @@
     : plan_(std::move(plan))
     , tryTakeRetry_(std::move(tryTakeRetry))
     , mayCrash_(std::move(mayCrash))
-    , lastEventId_(plan_.lastEventId_)
+    , lastEventId_(plan_.kind_ == RouteKind::ResumableStream ? plan_.lastEventId_ : std::nullopt)
 { }
 
 auto ForwardStateMachine::handle(const ForwardEvent &event, MonotonicTime now)
--- a/tests/forward/ForwardStateMachineTest.cpp
+++ b/tests/forward/ForwardStateMachineTest.cpp
@@ -259,6 +259,28 @@
     CHECK(find<action::EndStream>() != nullptr);
 }
 
+/// Guards against events of one run that are joined to those of another (ORDER, MIXED): an event
+/// source that reconnects names its last event on every kind of stream.
+TEST(ForwardStateMachine, aLastEventIdForAStreamThatMayNotBeResumed_started_comesWhole)
+{
+    for (const auto kind : {RouteKind::Stream, RouteKind::ResumableStream}) {
+        const auto isResumable = kind == RouteKind::ResumableStream;
+        const auto plan = ForwardPlan{.requestId_ = RequestId("r"),
+                                      .kind_ = kind,
+                                      .deadline_ = now_ + seconds(5),
+                                      .lastEventId_ = 1};
+        auto request = ForwardStateMachine(
+            plan, [] { return false; }, [] { return false; });
+        handle(request, Start{});
+        startAttempt(request, "u1");
+        CHECK(find<action::StartAttempt>()->lastEventId_.has_value() == isResumable);
+        handle(request, ResponseHeadReceived{1, head(200)});
+        handle(request, AttemptData{1, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"});
+        const auto *whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+        CHECK(find<action::BeginStream>()->events_ == (isResumable ? "id: 2\ndata: b\n\n" : whole));
+    }
+}
+
 TEST(ForwardStateMachine, aBrokenStreamThatMayNotBeResumed_ended_isAbortedForTheCaller)
 {
     auto request = makeStateMachine(RouteKind::Stream);
