transport: Send the request target as it came

Cause: the target became a part of the URL for CURLOPT_URL, which libcurl splits at a '#' and encodes.

Ruled out: refusing such targets. RFC 9112, 3.2, allows neither, but callers who send bytes outside of ASCII in a query are served today, and the upstream, which owns its paths, can refuse what it doesn't take.

Change: the URL names the address only, and CURLOPT_REQUEST_TARGET is the target as it came.

--- a/packages/transport/HttpTransfer.cpp
+++ b/packages/transport/HttpTransfer.cpp
@@ -77,10 +77,12 @@
 auto HttpTransfer::configure() -> void
 {
     auto *easy = easy_.get();
-    const auto url = "http://" + call_.address_ + call_.request_.target_;
+    const auto url = "http://" + call_.address_ + "/";
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    // As a part of the URL libcurl would encode some bytes of the target and cut it at a '#'.
+    if (!call_.request_.target_.empty())
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, call_.request_.target_.c_str());
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, long{CURL_HTTP_VERSION_1_1});
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/tests/transport/HttpServerTest.cpp
+++ b/tests/transport/HttpServerTest.cpp
@@ -113,6 +113,19 @@
     CHECK(answer->headers_.value("x-entry") == "entry-1");
 }
 
+/// Guards against an upstream that runs a request with another path or query (UNASKED).
+TEST(HttpServer, aTargetWithBytesThatAUrlEncodesOrCuts_called_arrivesUnchanged)
+{
+    serve(&echo);
+    for (const auto *target :
+         {"/visit?plot=#7", "/a#b/c?d#e", "/caf\xc3\xa9?x=\xc3\xa9", "/\xff\x80", "/a/../b/./c",
+          "/%41%2f%zz", "/{a}|b^c`d\"e<f>", "/?"}) {
+        const auto answer = http_->client_.fetch(http_->call("GET", target));
+        CHECK(answer.ok());
+        STRCMP_EQUAL((std::string("GET ") + target + "  ").c_str(), answer->body_.c_str());
+    }
+}
+
 /// Guards against a whole request that gets neither an answer nor a refusal because its handler
 /// threw.
 TEST(HttpServer, aHandlerThatThrows_called_isAnsweredWithAnError)
