transport: Handle one request of a connection at a time

Cause: two requests are read from a connection, so that the server notices when the caller closes it, and both were handled at once. An answer that can't be completed closes the connection and with it drops the answer behind it.

Change: the second request is still read, but handled only when the first is answered. If that answer closes the connection, the second was never passed on, so that its caller may send it again. A request now tells when it was received, from which its time limit counts. What it costs: callers who send ahead wait for one answer after the other.

--- a/packages/forward/ForwardService.cpp
+++ b/packages/forward/ForwardService.cpp
@@ -138,7 +138,7 @@
 auto ForwardService::handle(HttpRequest request, std::shared_ptr<HttpReply> reply) -> void
 {
     auto parsed = context_.codec_.parseRequest_(std::move(request));
-    parsed.arrivedAt_ = context_.clock_();
+    parsed.arrivedAt_ = parsed.http_.receivedAt_.value_or(context_.clock_());
     if (isLeaving_ && context_.clock_() > acceptsUntil_) {
         refuseStopping(parsed, reply);
         return;
--- a/packages/gateway/RequestReader.cpp
+++ b/packages/gateway/RequestReader.cpp
@@ -127,7 +127,8 @@
         = readNumberHeader(request, "X-Deadline-Ms", policy.requestTimeoutMs_, maxDeadlineMs);
     if (!deadline)
         return deadline.failure();
-    callerRequest.deadline_ = now + std::chrono::milliseconds(*deadline);
+    callerRequest.deadline_
+        = request.receivedAt_.value_or(now) + std::chrono::milliseconds(*deadline);
     return Nothing{};
 }
 
--- a/packages/transport/ConnectionCounters.h
+++ b/packages/transport/ConnectionCounters.h
@@ -7,13 +7,15 @@
 
 namespace lycheereach {
 
-/// What a ConnectionRegistry has counted; all but the first three since the start of the process.
+/// What a ConnectionRegistry has counted; all but the first four since the start of the process.
 struct ConnectionCounters
 {
     std::size_t open_ = 0;
     std::size_t heldBytes_ = 0;
     /// Of responses that clients have not taken yet.
     std::size_t unsentBytes_ = 0;
+    /// Requests that have been read and have no whole response yet.
+    std::size_t openRequests_ = 0;
     /// Requests refused because their head or body was too large.
     std::uint64_t tooLarge_ = 0;
     /// Requests refused for want of memory.
--- a/packages/transport/ConnectionRegistry.cpp
+++ b/packages/transport/ConnectionRegistry.cpp
@@ -129,8 +129,10 @@
     auto counters = counters_;
     counters.open_ = records_.size();
     counters.heldBytes_ = heldBytes_;
-    for (const auto &[id, record] : records_)
+    for (const auto &[id, record] : records_) {
         counters.unsentBytes_ += record.outputBytes_;
+        counters.openRequests_ += record.openRequests_;
+    }
     return counters;
 }
 
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "transport/HttpServer.h"
 
+#include "base/SystemClock.h"
 #include "transport/ClientSocket.h"
 #include "transport/ConnectionRegistry.h"
 #include "transport/ConnectionUsage.h"
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -40,7 +42,7 @@
 using WholeBuilder = restinio::response_builder_t<restinio::restinio_controlled_output_t>;
 
 /// Requests read from one connection before the first is answered; reading on shows when the
-/// caller closes the connection.
+/// caller closes the connection. Only the first is handled: see ServerCore::handle().
 constexpr std::size_t pipelinedRequests = 2;
 /// Retry-After of a request for which there is no memory.
 constexpr auto noMemoryRetryAfterSeconds = "1";
@@ -89,13 +91,9 @@
     return one.find("Content-Length") || one.find("Transfer-Encoding") || one.find("Connection");
 }
 
-/// Appends the header fields; `Connection: close` has the connection closed behind the answer if
-/// that is the last one.
 template <typename Builder>
-auto appendHeaders(Builder &builder, const HttpHeaders &headers, bool isLast) -> void
+auto appendHeaders(Builder &builder, const HttpHeaders &headers) -> void
 {
-    if (isLast && headers.value("Connection") == "close")
-        builder.connection_close();
     for (const auto &header : headers.all()) {
         if (!isFramingHeader(header))
             builder.append_header(header.name_, header.value_);
@@ -125,6 +123,13 @@
         , openRequest_(usage_->beginResponse())
     { }
 
+    /// Calls \a ended when the response is complete; \a isConnectionKept says whether others may
+    /// follow it. Must be called before any operation is queued.
+    auto onEnded(std::function<void(bool isConnectionKept)> ended) -> void
+    {
+        ended_ = std::move(ended);
+    }
+
     /// Queues \a operation, which gets this object.
     template <typename Operation>
     auto queue(Operation operation) -> void
@@ -142,11 +147,12 @@
         const auto isHead = request_->header().method() == restinio::http_method_head();
         auto builder = request_->create_response<restinio::restinio_controlled_output_t>(
             statusLine(response.status_));
-        appendHeaders(builder, response.headers_, isLast());
+        isConnectionKept_ = !isHead && !close && !closesBehind(response.headers_);
+        appendHeaders(builder, response.headers_);
         auto held = usage_->holdOutput(response.body_.size());
         if (!isHead)
             builder.set_body(std::move(response.body_));
-        if (isHead || close)
+        if (!isConnectionKept_)
             builder.connection_close();
         builder.done([held = std::move(held)](const std::error_code &) {});
         release();
@@ -158,7 +164,10 @@
             return;
         stream_.emplace(
             request_->create_response<restinio::chunked_output_t>(statusLine(head.status_)));
-        appendHeaders(*stream_, head.headers_, isLast());
+        isConnectionKept_ = !closesBehind(head.headers_);
+        if (!isConnectionKept_)
+            stream_->connection_close();
+        appendHeaders(*stream_, head.headers_);
         auto held = usage_->holdOutput(head.body_.size());
         if (!head.body_.empty())
             stream_->append_chunk(std::move(head.body_));
@@ -197,6 +206,7 @@
             restinio::response_connection_attr_t::connection_close};
         connection_->write_response_parts(request_->request_id(), flags,
                                           restinio::write_group_t{{}});
+        isConnectionKept_ = false;
         release();
     }
 
@@ -223,6 +233,12 @@
     /// Whether no later request waits for its answer on the connection, which closing would cut.
     [[nodiscard]] auto isLast() const -> bool { return number_ == *lastRequest_; }
 
+    /// Whether the connection is closed behind a response with \a headers.
+    [[nodiscard]] auto closesBehind(const HttpHeaders &headers) const -> bool
+    {
+        return isLast() && headers.value("Connection") == "close";
+    }
+
     auto tellClosed() -> void
     {
         if (const auto closed = std::exchange(closed_, nullptr))
@@ -241,6 +257,8 @@
         closed_ = nullptr;
         connection_.reset();
         openRequest_.reset();
+        if (const auto ended = std::exchange(ended_, nullptr))
+            ended(isConnectionKept_);
     }
 
     asio::strand<asio::io_context::executor_type> strand_;
@@ -253,6 +271,8 @@
     std::shared_ptr<ConnectionUsage> usage_;
     ConnectionUsage::Hold openRequest_;
     std::optional<ChunkedBuilder> stream_;
+    std::function<void(bool isConnectionKept)> ended_;
+    bool isConnectionKept_ = true;
     std::function<void()> closed_;
     bool isClosed_ = false;
     bool done_ = false;
@@ -317,15 +337,26 @@
     std::shared_ptr<ReplyCore> core_;
 };
 
-auto toRequest(const restinio::request_t &source, HttpBody body) -> HttpRequest
+/// A request that was read, and the reply to it.
+struct ReceivedRequest
 {
+    restinio::request_handle_t source_;
+    HttpBody body_;
+    MonotonicTime receivedAt_;
+    std::shared_ptr<ReplyCore> reply_;
+};
+
+auto toRequest(const ReceivedRequest &received) -> HttpRequest
+{
+    const auto &source = *received.source_;
     auto request = HttpRequest{};
     request.method_ = source.header().method().c_str();
     request.target_ = source.header().request_target();
     source.header().for_each_field([&](const restinio::http_header_field_t &field) {
         request.headers_.add(field.name(), field.value());
     });
-    request.body_ = std::move(body);
+    request.body_ = received.body_;
+    request.receivedAt_ = received.receivedAt_;
     return request;
 }
 
@@ -365,7 +396,7 @@
 }
 
 /// The part of a server that open connections keep alive.
-class ServerCore
+class ServerCore : public std::enable_shared_from_this<ServerCore>
 {
 public:
     ServerCore(asio::io_context &context, const HttpServerSettings &settings, HttpHandler handler)
@@ -374,6 +405,8 @@
         , handler_(std::move(handler))
     { }
 
+    /// Handles \a request, or keeps it until the one before it on the connection is answered: that
+    /// answer may close the connection, and a request that has run must not lose its answer.
     auto handle(const restinio::request_handle_t &request) -> restinio::request_handling_status_t
     {
         auto &input = *ClientSocket::current();
@@ -382,9 +415,9 @@
             core->send(refusalResponse(*refusal, input.limits()), true);
             return restinio::request_accepted();
         }
-        auto body = input.takeCompleted();
-        if (!gate_->run([&] { callHandler(*request, std::move(body), core); }))
-            core->abort();
+        auto received = ReceivedRequest{request, input.takeCompleted(), readMonotonic(), core};
+        if (beginOrKeep(received))
+            run(received);
         return restinio::request_accepted();
     }
 
@@ -418,6 +451,10 @@
         /// The answers in progress.
         Replies replies_;
         std::shared_ptr<LastRequest> lastRequest_ = std::make_shared<LastRequest>(0);
+        /// Whether a request is being handled.
+        bool isHandling_ = false;
+        /// Requests behind it, in order.
+        std::deque<ReceivedRequest> waiting_;
     };
 
     template <typename Operation>
@@ -429,18 +466,68 @@
         }
     }
 
+    /// Whether \a received is to be handled now; else it waits for the requests before it.
+    auto beginOrKeep(const ReceivedRequest &received) -> bool
+    {
+        const auto lock = std::scoped_lock(mutex_);
+        auto &connection = connections_[received.source_->connection_id()];
+        if (!connection.isHandling_) {
+            connection.isHandling_ = true;
+            return true;
+        }
+        connection.waiting_.push_back(received);
+        return false;
+    }
+
+    auto run(const ReceivedRequest &received) -> void
+    {
+        received.reply_->onEnded([weak = weak_from_this(),
+                                  id = received.source_->connection_id()](bool isConnectionKept) {
+            if (const auto self = weak.lock())
+                self->noteEnded(id, isConnectionKept);
+        });
+        if (!gate_->run([&] { callHandler(received); }))
+            received.reply_->abort();
+    }
+
+    /// The request that was handled on \a connection is answered: handles the next one.
+    auto noteEnded(restinio::connection_id_t connection, bool isConnectionKept) -> void
+    {
+        // Destroyed outside the lock.
+        auto waiting = std::deque<ReceivedRequest>{};
+        auto next = std::optional<ReceivedRequest>{};
+        {
+            const auto lock = std::scoped_lock(mutex_);
+            const auto found = connections_.find(connection);
+            if (found == connections_.end())
+                return;
+            auto &open = found->second;
+            // Where the connection is closed, no request that is read later may be handled either.
+            if (!isConnectionKept) {
+                waiting.swap(open.waiting_);
+            } else if (open.waiting_.empty()) {
+                open.isHandling_ = false;
+            } else {
+                next = std::move(open.waiting_.front());
+                open.waiting_.pop_front();
+            }
+        }
+        if (next)
+            run(*next);
+    }
+
     /// RESTinio would close the connection of a handler that throws, with all answers on it.
-    auto callHandler(const restinio::request_t &request, HttpBody body,
-                     const std::shared_ptr<ReplyCore> &core) -> void
+    auto callHandler(const ReceivedRequest &received) -> void
     {
-        const auto reply = std::make_shared<Reply>(core);
+        const auto reply = std::make_shared<Reply>(received.reply_);
         try {
-            handler_(toRequest(request, std::move(body)), reply);
+            handler_(toRequest(received), reply);
         } catch (const std::exception &error) {
+            const auto &header = received.source_->header();
             if (event_)
                 event_(Event{EventNumber::HandlerFailed,
-                             {{"method", request.header().method().c_str()},
-                              {"path", std::string(request.header().path())},
+                             {{"method", header.method().c_str()},
+                              {"path", std::string(header.path())},
                               {"reason", error.what()}}});
             if (reply.use_count() == 1)
                 reply->send(internalError());
