transport: Bound the receive buffers of client connections

Cause: connectionLimitsFor() counts 16 KiB for a connection and leaves its receive buffer, which grows to over 100 KiB, out of account.

Change: a quarter of the memory is for what is not read yet. The limits derive SO_RCVBUF from it, between 8 and 128 KiB, and it is set on the listener, so that it holds from the first byte. Linux doubles the size. What it costs: an upload of a caller far away is limited to one buffer for each round trip.

Ruled out: closing connections with much unread data, since the request that is being handled on them would get no answer.

Evidence: without the change a client that sends ahead gets rid of more than 36 KiB with a limit of 8 KiB (which Linux doubles); with it, less.

--- a/packages/transport/ConnectionRegistry.h
+++ b/packages/transport/ConnectionRegistry.h
@@ -50,6 +50,7 @@
     /// Counts a request that was refused for want of memory.
     auto countNoMemory() -> void;
     [[nodiscard]] auto counters() const -> ConnectionCounters;
+    [[nodiscard]] auto limits() const -> const ConnectionLimits & { return limits_; }
 
 private:
     friend class ConnectionUsage;
--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -680,7 +680,8 @@
             context_, [connections = std::move(connections)](asio::ip::tcp::socket socket) {
                 connections->serve(std::move(socket));
             });
-        error = listener_->listen({address, settings_.port_});
+        error = listener_->listen({address, settings_.port_},
+                                  settings_.connections_->limits().receiveBufferBytes_);
         port_ = listener_->port();
         return {error.value(), std::system_category()};
     }
--- a/packages/transport/TcpListener.cpp
+++ b/packages/transport/TcpListener.cpp
@@ -18,9 +18,10 @@
     , retryTimer_(context)
 { }
 
-auto TcpListener::listen(const asio::ip::tcp::endpoint &endpoint) -> std::error_code
+auto TcpListener::listen(const asio::ip::tcp::endpoint &endpoint, std::size_t receiveBufferBytes)
+    -> std::error_code
 {
-    if (const auto error = open(endpoint)) {
+    if (const auto error = open(endpoint, receiveBufferBytes)) {
         close();
         return error;
     }
@@ -62,13 +63,17 @@
     return port_;
 }
 
-auto TcpListener::open(const asio::ip::tcp::endpoint &endpoint) -> std::error_code
+auto TcpListener::open(const asio::ip::tcp::endpoint &endpoint, std::size_t receiveBufferBytes)
+    -> std::error_code
 {
     const auto lock = std::scoped_lock(mutex_);
     auto error = std::error_code{};
     acceptor_.open(endpoint.protocol(), error);
     if (!error)
         acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error && receiveBufferBytes > 0)
+        acceptor_.set_option(
+            asio::socket_base::receive_buffer_size(static_cast<int>(receiveBufferBytes)), error);
     if (!error)
         acceptor_.bind(endpoint, error);
     if (!error)
--- a/packages/transport/TcpListener.h
+++ b/packages/transport/TcpListener.h
@@ -27,7 +27,10 @@
     TcpListener(asio::io_context &context, Accepted accepted);
 
     /// Listens, once; the error says why it can't, for example address in use.
-    auto listen(const asio::ip::tcp::endpoint &endpoint) -> std::error_code;
+    /// \a receiveBufferBytes is set on the connections before they are accepted, so that no client
+    /// can fill a larger one; 0 leaves it to the system.
+    auto listen(const asio::ip::tcp::endpoint &endpoint, std::size_t receiveBufferBytes = 0)
+        -> std::error_code;
     /// Further connections are refused from the return on; those that the system has taken before
     /// are handed over first. Waits for no worker but one that takes a connection.
     auto close() -> void;
@@ -35,7 +38,8 @@
     [[nodiscard]] auto port() const -> std::uint16_t;
 
 private:
-    auto open(const asio::ip::tcp::endpoint &endpoint) -> std::error_code;
+    auto open(const asio::ip::tcp::endpoint &endpoint, std::size_t receiveBufferBytes)
+        -> std::error_code;
     auto acceptNext() -> void;
     /// The connections that the system has taken; the listener is closed behind them.
     auto takeWaitingAndClose() -> std::vector<asio::ip::tcp::socket>;
--- a/tests/transport/ConnectionRegistryTest.cpp
+++ b/tests/transport/ConnectionRegistryTest.cpp
@@ -319,4 +319,6 @@
     UNSIGNED_LONGS_EQUAL(65'000'000, limits.heldBytes_);
     UNSIGNED_LONGS_EQUAL(1950, limits.connections_);
     UNSIGNED_LONGS_EQUAL(976, connectionLimitsFor(128'000'000, 3900).connections_);
+    const auto unread = 2 * limits.receiveBufferBytes_ * limits.connections_;
+    CHECK(unread <= 260'000'000 / 4);
 }
--- a/tests/transport/RefusedRequestTest.cpp
+++ b/tests/transport/RefusedRequestTest.cpp
@@ -187,6 +187,34 @@
     CHECK(answers.find("kept") < answers.find("HTTP/1.1 413 "));
 }
 
+/// Guards against LOST: clients that send ahead fill receive buffers, which count as the memory of
+/// the process, until it is killed with the answers to all other requests.
+TEST(RefusedRequest, sentAheadOfAnAnswer_fillNoMoreThanTheReceiveBufferOfTheLimits)
+{
+    constexpr auto bufferBytes = std::size_t{8192};
+    // Linux keeps twice the size that is set.
+    constexpr auto mostUnread = 2 * bufferBytes;
+    constexpr auto mostUnsent = 2 * bufferBytes;
+    auto limits = ConnectionLimits{};
+    limits.receiveBufferBytes_ = bufferBytes;
+    serve(limits);
+    socket_->set_option(asio::socket_base::send_buffer_size(bufferBytes));
+    socket_->non_blocking(true);
+    const auto request = head("/keep", "Content-Length: 0\r\n");
+    constexpr auto requestsRead = std::size_t{2};
+    auto sent = std::size_t{0};
+    auto error = std::error_code{};
+    for (auto pause = 0; pause < 20; ++pause) {
+        while (!error)
+            sent += socket_->write_some(asio::buffer(request), error);
+        error.clear();
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(kept_.waitFor([](const auto &kept) { return !kept.empty(); }));
+    // RESTinio reads up to its own buffer of 4 KiB ahead.
+    CHECK(sent <= mostUnread + mostUnsent + requestsRead * request.size() + 4096);
+}
+
 TEST(RefusedRequest, noMemory_isAnsweredWith503AndRetryAfter)
 {
     serve({10, 70000});
