transport: Give a reply its end hook before it can end

The hook that starts the next request of a connection was set when the request began to be handled. A request that waits has its reply before that, and the server may abort the reply while it closes: the two would touch the hook from two threads. Found by reading the diff, not seen.

Change: the hook is given with the reply, for refused requests too, whose end starts nothing since they close the connection.

--- a/packages/transport/HttpServer.cpp
+++ b/packages/transport/HttpServer.cpp
@@ -107,11 +107,14 @@
 class ReplyCore : public std::enable_shared_from_this<ReplyCore>
 {
 public:
+    /// Called when a response is complete, with whether others may follow it on the connection.
+    using Ended = std::function<void(bool isConnectionKept)>;
+
     /// Reads \a lastRequest as the number of \a request. Counts what the response holds in
     /// \a usage.
     ReplyCore(asio::io_context &context, restinio::request_handle_t request,
               std::shared_ptr<HookGate> gate, std::shared_ptr<const LastRequest> lastRequest,
-              std::shared_ptr<ConnectionUsage> usage)
+              std::shared_ptr<ConnectionUsage> usage, Ended ended)
         : strand_(asio::make_strand(context))
         , request_(std::move(request))
         , connection_(restinio::impl::access_req_connection(*request_))
@@ -121,15 +124,9 @@
         , remote_(fmt::format("{}", fmt::streamed(request_->remote_endpoint())))
         , usage_(std::move(usage))
         , openRequest_(usage_->beginResponse())
+        , ended_(std::move(ended))
     { }
 
-    /// Calls \a ended when the response is complete; \a isConnectionKept says whether others may
-    /// follow it. Must be called before any operation is queued.
-    auto onEnded(std::function<void(bool isConnectionKept)> ended) -> void
-    {
-        ended_ = std::move(ended);
-    }
-
     /// Queues \a operation, which gets this object.
     template <typename Operation>
     auto queue(Operation operation) -> void
@@ -270,8 +267,8 @@
     std::string remote_;
     std::shared_ptr<ConnectionUsage> usage_;
     ConnectionUsage::Hold openRequest_;
+    Ended ended_;
     std::optional<ChunkedBuilder> stream_;
-    std::function<void(bool isConnectionKept)> ended_;
     bool isConnectionKept_ = true;
     std::function<void()> closed_;
     bool isClosed_ = false;
@@ -481,16 +478,11 @@
 
     auto run(const ReceivedRequest &received) -> void
     {
-        received.reply_->onEnded([weak = weak_from_this(),
-                                  id = received.source_->connection_id()](bool isConnectionKept) {
-            if (const auto self = weak.lock())
-                self->noteEnded(id, isConnectionKept);
-        });
         if (!gate_->run([&] { callHandler(received); }))
             received.reply_->abort();
     }
 
-    /// The request that was handled on \a connection is answered: handles the next one.
+    /// A request on \a connection is answered: handles the next one.
     auto noteEnded(restinio::connection_id_t connection, bool isConnectionKept) -> void
     {
         // Destroyed outside the lock.
@@ -540,8 +532,13 @@
         const auto lock = std::scoped_lock(mutex_);
         auto &connection = connections_[request->connection_id()];
         ++*connection.lastRequest_;
-        auto reply
-            = std::make_shared<ReplyCore>(context_, request, gate_, connection.lastRequest_, usage);
+        const auto ended
+            = [weak = weak_from_this(), id = request->connection_id()](bool isConnectionKept) {
+                  if (const auto self = weak.lock())
+                      self->noteEnded(id, isConnectionKept);
+              };
+        auto reply = std::make_shared<ReplyCore>(context_, request, gate_, connection.lastRequest_,
+                                                 usage, ended);
         std::erase_if(connection.replies_, [](const auto &weak) { return weak.expired(); });
         connection.replies_.push_back(reply);
         return reply;
