transport: Check that pipelined answers end without a reset

The test that PipelinedRequest took over from HttpServer checked that the connection ends with an end of file. Its successor did not, so it was less strict; all cases of the fixture check it now.

--- a/tests/transport/PipelinedRequestTest.cpp
+++ b/tests/transport/PipelinedRequestTest.cpp
@@ -92,12 +92,13 @@
         return text;
     }
 
-    /// All that comes until the server closes.
+    /// All that comes until the server closes, without a reset.
     auto readAll()->std::string
     {
         auto text = std::string{};
         auto error = std::error_code{};
         asio::read(*socket_, asio::dynamic_buffer(text), error);
+        CHECK(error == asio::error::eof);
         return text;
     }
 };
